A restored run is not started elsewhere before its worker was listed

Change: nothing is ordered before a worker was listed; a refusal is certain only for a start that no other holder may have sent; a lease that is not there yet is waited for.

--- a/pool/group.go
+++ b/pool/group.go
@@ -65,8 +65,10 @@
 		worker   *worker
 		instance string
 		phase    memberPhase
-		// maybeSent says that a start may have been sent.
+		// maybeSent says that a start may have been sent, restored that an earlier holder may
+		// have sent it.
 		maybeSent bool
+		restored  bool
 		// started says that the worker has confirmed the start, or was seen running it.
 		started bool
 		// inFlight says that an order was sent whose result is awaited.
--- a/pool/order.go
+++ b/pool/order.go
@@ -10,7 +10,8 @@
 func (c *Core) TakeOrders(now time.Time) []Orders {
 	var list []Orders
 	for _, w := range c.workers {
-		if w.instance == "" || now.Sub(w.heard) > c.settings.FreshFor {
+		// Until the worker was listed, what an earlier holder started there is not known.
+		if w.instance == "" || w.listing == 0 || now.Sub(w.heard) > c.settings.FreshFor {
 			continue
 		}
 		orders := Orders{Agent: w.agent, Instance: w.instance}
@@ -116,12 +117,12 @@
 		if m.phase == memberOrdered {
 			c.memberStarted(now, m)
 		}
-	case ResultUnsettled, ResultFenced:
+	case ResultUnsettled, ResultFenced, ResultLate:
 		m.sendAt = now.Add(c.settings.ResendAfter)
 	case ResultOldRun:
 		c.startRejected(now, m, result, false)
 	default:
-		c.startRejected(now, m, result, m.sends == 1)
+		c.startRejected(now, m, result, m.sends == 1 && !m.restored)
 	}
 }
 
--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,204 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/job"
+)
+
+func TestJobIsDone(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.run(300 * time.Millisecond)
+	w.submit(oneTask(1, time.Second))
+	w.submit(gang(2, 3, 8, time.Second))
+	w.run(4 * time.Second)
+	is.Equal(w.state("0000000000000001"), Done)
+	is.Equal(w.state("0000000000000002"), Done)
+	is.Equal(w.starts, 4)
+}
+
+func TestStepsFollowEachOther(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.run(300 * time.Millisecond)
+	j := oneTask(1, 500*time.Millisecond)
+	j.Steps[0].Count = 5
+	second := j.Steps[0]
+	second.After = []int{0}
+	j.Steps = append(j.Steps, second)
+	w.submit(j)
+	w.run(4 * time.Second)
+	is.Equal(w.state(j.ID), Done)
+	is.Equal(w.starts, 10)
+}
+
+// A new holder found a run in its row, asked an agent that had no lease yet to start it,
+// took the refusal for certain and started it elsewhere, while it still ran from the order
+// of the earlier holder.
+func TestRestoredRunIsNotStartedElsewhere(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.run(300 * time.Millisecond)
+	w.submit(oneTask(1, 6*time.Second))
+	w.run(time.Second)
+	is.Equal(w.starts, 1)
+	for _, f := range w.workers {
+		f.restartAgent()
+	}
+	w.takeOver()
+	orders := w.core.TakeOrders(w.now)
+	is.Equal(len(orders), 0) // what runs is not known before the first listing
+	w.run(8 * time.Second)
+	is.Equal(w.state("0000000000000001"), Done)
+	is.Equal(w.starts, 1)
+}
+
+func TestRefusedStartOfRestoredRunIsStopped(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.run(300 * time.Millisecond)
+	w.submit(oneTask(1, 6*time.Second))
+	w.run(30 * time.Millisecond)
+	w.takeOver()
+	j := w.core.jobs["0000000000000001"]
+	m := j.groups[0].members[0]
+	m.sends = 1
+	w.core.startResult(w.now, m, ResultRoom, 0)
+	is.Equal(m.phase, memberStopping)
+}
+
+func TestLostWorkerIsReplacedAfterItsLease(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.run(300 * time.Millisecond)
+	w.submit(oneTask(1, 3*time.Second))
+	w.run(time.Second)
+	for _, f := range w.workers {
+		f.silent = len(f.running) > 0
+	}
+	w.run(4 * time.Second)
+	is.Equal(w.starts, 1) // its lease may still stand
+	w.run(6 * time.Second)
+	is.Equal(w.state("0000000000000001"), Done)
+	is.Equal(w.starts, 2)
+}
+
+func TestFailingWorkerIsSetAside(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 4)
+	w.workers[0].fails = true
+	w.run(300 * time.Millisecond)
+	for i := range 30 {
+		w.submit(oneTask(i, 500*time.Millisecond))
+		w.run(100 * time.Millisecond)
+	}
+	w.run(5 * time.Second)
+	for i := range 30 {
+		is.Equal(w.state(job.ID(fmt.Sprintf("%016x", i))), Done)
+	}
+}
+
+func TestHopelessJobFailsAfterItsAttempts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 4)
+	for _, f := range w.workers {
+		f.fails = true
+	}
+	w.run(300 * time.Millisecond)
+	w.submit(oneTask(1, time.Second))
+	w.run(30 * time.Second)
+	is.Equal(w.state("0000000000000001"), Failed)
+	is.Equal(w.starts, 3)
+}
+
+func TestStalledTaskIsStartedElsewhere(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.run(300 * time.Millisecond)
+	w.submit(oneTask(1, 2*time.Second))
+	w.run(time.Second)
+	for _, f := range w.workers {
+		f.hangs = len(f.running) > 0
+	}
+	w.run(8 * time.Second)
+	is.Equal(w.state("0000000000000001"), Done)
+}
+
+func TestUrgentGangDisplacesOthers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2)
+	w.run(300 * time.Millisecond)
+	for i := range 16 {
+		j := oneTask(i, 20*time.Second)
+		j.Terms.Priority = 2
+		w.submit(j)
+	}
+	w.run(time.Second)
+	urgent := gang(99, 1, 8, time.Second)
+	w.submit(urgent)
+	w.run(500 * time.Millisecond)
+	is.Equal(w.state(urgent.ID), Active)
+	w.run(2 * time.Second)
+	is.Equal(w.state(urgent.ID), Done)
+}
+
+func TestCancelledJobIsStopped(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.run(300 * time.Millisecond)
+	w.submit(gang(1, 3, 8, 20*time.Second))
+	w.run(time.Second)
+	w.core.CancelJob(w.now, "0000000000000001")
+	w.run(time.Second)
+	is.Equal(w.state("0000000000000001"), Cancelled)
+	for _, f := range w.workers {
+		is.Equal(len(f.running), 0)
+	}
+}
+
+func TestDrainingWorkerGetsNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.workers[0].draining = true
+	w.workers[1].draining = true
+	w.run(300 * time.Millisecond)
+	for i := range 20 {
+		w.submit(oneTask(i, 500*time.Millisecond))
+	}
+	w.run(5 * time.Second)
+	is.Equal(w.starts, 20)
+	is.Equal(len(w.workers[0].highest)+len(w.workers[1].highest), 0)
+}
+
+// Whatever is lost, restarted or delayed, no task runs twice at once or after it was done,
+// and all jobs end.
+func TestHistories(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playHistory(t, seed) })
+	}
+}
+
+func playHistory(t *testing.T, seed uint64) {
+	w := newWorld(t, 5)
+	w.random.IntN(1)
+	w.random = newRandom(seed)
+	w.loses = func() bool { return w.random.IntN(10) == 0 }
+	w.run(300 * time.Millisecond)
+	for i := range 25 {
+		w.submit(randomJob(w, i))
+		w.run(time.Duration(w.random.IntN(600)) * time.Millisecond)
+		w.trouble()
+	}
+	w.calm()
+	w.run(60 * time.Second)
+	for id, j := range w.core.jobs {
+		if !j.state.ended() {
+			t.Errorf("job %s has not ended: %v", id, j.state)
+		}
+	}
+}
--- a/pool/restore.go
+++ b/pool/restore.go
@@ -247,6 +247,7 @@
 		instance:  place.GetInstance(),
 		phase:     memberOrdered,
 		maybeSent: true,
+		restored:  true,
 		sendAt:    now,
 	}
 	g.members = append(g.members, m)
--- /dev/null
+++ b/pool/world_test.go
@@ -0,0 +1,433 @@
+package pool
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"hollyfork.example/hollyfork/job"
+	"hollyfork.example/hollyfork/store"
+)
+
+// step is how far a world's clock moves at a time.
+const worldStep = 10 * time.Millisecond
+
+// world plays a pool in virtual time: its holder, its workers and its rows. It checks at
+// each start that the task does not run elsewhere and is not done.
+type world struct {
+	t       testing.TB
+	now     time.Time
+	random  *rand.Rand
+	core    *Core
+	rows    map[store.Key]store.Row
+	version uint64
+	workers []*fakeWorker
+	jobs    map[job.ID]job.Job
+	// done are the tasks with a run that ended done, noted those whose end the worker was
+	// let forget.
+	done   map[job.TaskID]bool
+	noted  map[job.TaskID]bool
+	failed map[job.TaskID]int
+	starts int
+	events []Event
+
+	// later holds what happens at a time.
+	later []event
+	// loses says whether an order's answer is lost.
+	loses func() bool
+	// storeDown makes every commit fail.
+	storeDown bool
+	epoch     int
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+// fakeWorker is a worker with its agent.
+type fakeWorker struct {
+	name        string
+	instance    string
+	incarnation string
+	capacity    job.Shape
+	rack        string
+	running     map[runKey]*fakeRun
+	ended       []Ended
+	number      uint64
+	listing     uint64
+	highest     map[job.TaskID]int
+	leaseUntil  time.Time
+	// silent workers and agents answer nothing, but run on until their lease ends.
+	silent   bool
+	draining bool
+	// fails makes every task fail.
+	fails bool
+	hangs bool
+}
+
+type fakeRun struct {
+	begun time.Time
+	work  time.Duration
+}
+
+func newWorld(t testing.TB, workers int) *world {
+	w := &world{
+		t:      t,
+		now:    time.Unix(1000, 0),
+		random: rand.New(rand.NewPCG(1, 2)),
+		rows:   map[store.Key]store.Row{},
+		jobs:   map[job.ID]job.Job{},
+		done:   map[job.TaskID]bool{},
+		noted:  map[job.TaskID]bool{},
+		failed: map[job.TaskID]int{},
+		loses:  func() bool { return false },
+	}
+	for i := range workers {
+		w.workers = append(w.workers, &fakeWorker{
+			name:        fmt.Sprintf("worker-%d", i),
+			instance:    fmt.Sprintf("instance-%d", i),
+			incarnation: fmt.Sprintf("agent-%d", i),
+			capacity:    job.Shape{CPUMillis: 128000, MemoryMB: 262144, Accelerators: 8},
+			rack:        fmt.Sprintf("rack-%d", i/3),
+			running:     map[runKey]*fakeRun{},
+			highest:     map[job.TaskID]int{},
+		})
+	}
+	w.takeOver()
+	return w
+}
+
+// takeOver makes another holder of the pool, from its rows alone.
+func (w *world) takeOver() {
+	w.epoch++
+	core := New("pool", DefaultSettings(), func(e Event) { w.events = append(w.events, e) })
+	for _, f := range w.workers {
+		core.AddAgent(w.now, f.name)
+	}
+	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
+		core.AddJob(w.now, w.jobs[id])
+	}
+	for _, row := range w.rows {
+		if err := core.RestoreState(w.now, row); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+	w.core = core
+	w.later = slices.DeleteFunc(w.later, func(e event) bool { return e.do == nil })
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.later = append(w.later, event{at: w.now.Add(d), do: do})
+}
+
+// ofHolder wraps what only concerns the present holder.
+func (w *world) ofHolder(do func()) func() {
+	epoch := w.epoch
+	return func() {
+		if w.epoch == epoch {
+			do()
+		}
+	}
+}
+
+// submit accepts a job.
+func (w *world) submit(j job.Job) {
+	j.Accepted = w.now
+	if j.Terms.Attempts == 0 {
+		j.Terms.Attempts = 3
+	}
+	w.jobs[j.ID] = j
+	w.core.AddJob(w.now, j)
+}
+
+// run plays for a time.
+func (w *world) run(length time.Duration) {
+	end := w.now.Add(length)
+	for w.now.Before(end) {
+		w.now = w.now.Add(worldStep)
+		w.happen()
+		for _, f := range w.workers {
+			w.playWorker(f)
+		}
+		w.proceed()
+	}
+}
+
+func (w *world) happen() {
+	pending := w.later
+	w.later = nil
+	for _, e := range pending {
+		if e.at.After(w.now) {
+			w.later = append(w.later, e)
+			continue
+		}
+		e.do()
+	}
+}
+
+// proceed does what the holder does after each message.
+func (w *world) proceed() {
+	w.core.Tick(w.now)
+	w.core.Decide(w.now)
+	for _, orders := range w.core.TakeOrders(w.now) {
+		w.order(orders)
+	}
+	if batch := w.core.TakeBatch(); batch != nil {
+		w.after(4*time.Millisecond, w.ofHolder(func() { w.commit(batch) }))
+	}
+}
+
+func (w *world) commit(batch *Batch) {
+	if w.storeDown {
+		w.core.BatchFailed()
+		return
+	}
+	w.version++
+	for _, write := range batch.Writes {
+		if write.Delete {
+			delete(w.rows, write.Key)
+			continue
+		}
+		w.rows[write.Key] = store.Row{Key: write.Key, Value: write.Value, Version: w.version}
+	}
+	w.core.BatchCommitted(w.now)
+}
+
+func (w *world) workerOf(name string) *fakeWorker {
+	for _, f := range w.workers {
+		if f.name == name {
+			return f
+		}
+	}
+	w.t.Fatalf("there is no worker %s", name)
+	return nil
+}
+
+// order lets a worker carry out orders. Answers may be lost.
+func (w *world) order(orders Orders) {
+	f := w.workerOf(orders.Agent)
+	if f.silent || f.instance != orders.Instance {
+		w.after(time.Second, w.ofHolder(func() { w.core.TakeResults(w.now, orders, Results{}) }))
+		return
+	}
+	results := Results{Listing: f.listing}
+	for _, s := range orders.Stops {
+		results.Stops = append(results.Stops, w.stop(f, s))
+	}
+	for _, s := range orders.Starts {
+		results.Starts = append(results.Starts, w.start(f, s))
+	}
+	if w.loses() {
+		results = Results{}
+	}
+	w.after(3*time.Millisecond, w.ofHolder(func() { w.core.TakeResults(w.now, orders, results) }))
+}
+
+func (w *world) start(f *fakeWorker, s Start) Result {
+	key := runKey{s.Task, s.Run}
+	if _, runs := f.running[key]; runs {
+		return ResultOK
+	}
+	if s.Run <= f.highest[s.Task] {
+		return ResultOldRun
+	}
+	if w.now.After(f.leaseUntil) {
+		return ResultLate
+	}
+	shape := w.jobs[s.Task.Job].Steps[s.Task.Step].Shape
+	if f.free(w).Holds(shape) < 1 {
+		return ResultRoom
+	}
+	w.checkStart(f, s)
+	w.starts++
+	f.running[key] = &fakeRun{begun: w.now, work: w.jobs[s.Task.Job].Steps[s.Task.Step].Estimate}
+	return ResultOK
+}
+
+// checkStart fails the test when a start breaks a promise.
+func (w *world) checkStart(f *fakeWorker, s Start) {
+	if w.noted[s.Task] {
+		w.t.Errorf("%s: %v starts on %s although it was done", w.now, s.Task, f.name)
+	}
+	if w.failed[s.Task] >= w.jobs[s.Task.Job].Terms.Attempts {
+		w.t.Errorf("%s: %v starts although it has no attempt left", w.now, s.Task)
+	}
+	for _, other := range w.workers {
+		for key := range other.running {
+			if key.task == s.Task {
+				w.t.Errorf("%s: %v run %d starts on %s while run %d is on %s", w.now, s.Task, s.Run, f.name, key.run, other.name)
+			}
+		}
+	}
+	for _, before := range w.jobs[s.Task.Job].Steps[s.Task.Step].After {
+		for i := range w.jobs[s.Task.Job].Steps[before].Count {
+			if !w.done[job.TaskID{Job: s.Task.Job, Step: before, Index: i}] {
+				w.t.Errorf("%v starts before step %d is done", s.Task, before)
+			}
+		}
+	}
+	row, ok := w.rows[StateKey("pool", s.Task.Job)]
+	if !ok || !strings.Contains(string(row.Value), f.name) {
+		w.t.Errorf("%v starts before its placement is committed", s.Task)
+	}
+}
+
+func (f *fakeWorker) free(w *world) job.Shape {
+	room := f.capacity
+	for key := range f.running {
+		room = room.Sub(w.jobs[key.task.Job].Steps[key.task.Step].Shape)
+	}
+	return room
+}
+
+func (w *world) stop(f *fakeWorker, s Stop) Result {
+	key := runKey{s.Task, s.Run}
+	f.highest[s.Task] = max(f.highest[s.Task], s.Run)
+	if _, runs := f.running[key]; runs {
+		w.after(100*time.Millisecond, func() { f.end(w, key, EndStopped) })
+	}
+	return ResultOK
+}
+
+func (f *fakeWorker) end(w *world, key runKey, kind EndKind) {
+	if _, runs := f.running[key]; !runs {
+		return
+	}
+	delete(f.running, key)
+	f.highest[key.task] = max(f.highest[key.task], key.run)
+	f.number++
+	f.ended = append(f.ended, Ended{Number: f.number, Task: key.task, Run: key.run, Kind: kind})
+	if kind == EndFailed {
+		w.failed[key.task]++
+	}
+}
+
+// playWorker lets tasks end, the lease lapse and the agent report.
+func (w *world) playWorker(f *fakeWorker) {
+	for key, run := range f.running {
+		switch {
+		case w.now.After(f.leaseUntil):
+			f.end(w, key, EndLapsed)
+		case f.hangs:
+		case f.fails && w.now.Sub(run.begun) > 100*time.Millisecond:
+			f.end(w, key, EndFailed)
+		case w.now.Sub(run.begun) >= run.work && f.complete(w, key):
+			w.finish(f, key)
+		}
+	}
+	if f.silent || w.now.UnixMilli()%100 >= worldStep.Milliseconds() {
+		return
+	}
+	f.leaseUntil = w.now.Add(DefaultSettings().AgentLease)
+	instance, committed := w.core.Committed(f.name)
+	if instance == f.instance {
+		f.ended = slices.DeleteFunc(f.ended, func(e Ended) bool {
+			if e.Number <= committed && e.Kind == EndDone {
+				w.noted[e.Task] = true
+			}
+			return e.Number <= committed
+		})
+	}
+	w.core.Heard(w.now, f.name)
+	w.core.Report(w.now, f.name, f.report(w))
+}
+
+// finish ends a task, with all of its gang.
+func (w *world) finish(f *fakeWorker, key runKey) {
+	if !w.jobs[key.task.Job].Steps[key.task.Step].Gang {
+		f.end(w, key, EndDone)
+		w.done[key.task] = true
+		return
+	}
+	w.eachMember(key, func(other *fakeWorker, k runKey) {
+		other.end(w, k, EndDone)
+		w.done[k.task] = true
+	})
+}
+
+// eachMember visits the tasks of a gang's run that run.
+func (w *world) eachMember(key runKey, visit func(*fakeWorker, runKey)) {
+	for _, f := range w.workers {
+		for k := range f.running {
+			if k.task.Job == key.task.Job && k.task.Step == key.task.Step && k.run == key.run {
+				visit(f, k)
+			}
+		}
+	}
+}
+
+// complete says whether all of a gang run.
+func (f *fakeWorker) complete(w *world, key runKey) bool {
+	step := w.jobs[key.task.Job].Steps[key.task.Step]
+	members := 0
+	w.eachMember(key, func(other *fakeWorker, _ runKey) {
+		if !other.hangs {
+			members++
+		}
+	})
+	return !step.Gang || members == step.Count
+}
+
+func (f *fakeWorker) report(w *world) Report {
+	f.listing++
+	r := Report{
+		Incarnation: f.incarnation,
+		Instance:    f.instance,
+		Capacity:    f.capacity,
+		Rack:        f.rack,
+		Draining:    f.draining,
+		Listing:     f.listing,
+		Ended:       slices.Clone(f.ended),
+	}
+	for key, run := range f.running {
+		percent := 0
+		if !f.hangs {
+			percent = int(100 * w.now.Sub(run.begun) / (run.work + 1))
+		}
+		r.Running = append(r.Running, Running{Task: key.task, Run: key.run, Percent: min(percent, 100)})
+	}
+	return r
+}
+
+// restartAgent loses an agent's memory.
+func (f *fakeWorker) restartAgent() {
+	f.incarnation += "+"
+	f.listing = 0
+}
+
+// restartWorker loses all that a worker runs.
+func (f *fakeWorker) restartWorker() {
+	f.instance += "+"
+	f.running = map[runKey]*fakeRun{}
+	f.highest = map[job.TaskID]int{}
+	f.ended = nil
+	f.number = 0
+}
+
+// state returns where a job stands.
+func (w *world) state(id job.ID) State {
+	return w.core.jobs[id].state
+}
+
+// oneTask returns a job of one task.
+func oneTask(id int, work time.Duration) job.Job {
+	return job.Job{
+		ID:    job.ID(fmt.Sprintf("%016x", id)),
+		Spec:  "work",
+		Steps: []job.Step{{Count: 1, Shape: job.Shape{CPUMillis: 4000, MemoryMB: 1000, Accelerators: 1}, Estimate: work}},
+	}
+}
+
+// gang returns a job of one gang.
+func gang(id, tasks, accelerators int, work time.Duration) job.Job {
+	j := oneTask(id, work)
+	j.Steps[0].Count = tasks
+	j.Steps[0].Gang = true
+	j.Steps[0].Shape.Accelerators = accelerators
+	return j
+}
