What is displaced for urgent work is what loses least, a rack at a time

Change: for each rack, the cheapest places are freed one after the other, and the cheapest rack is taken; beyond a workspace's guarantee at most 1.5 times the own work may be lost.

--- a/pool/displace.go
+++ b/pool/displace.go
@@ -3,50 +3,168 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
+
+	"hollyfork.example/hollyfork/job"
 )
 
-// victim is a group that could be stopped in favour of another.
-type victim struct {
-	group *group
+// savedEvery is how often tasks that save their progress do so, at most.
+const savedEvery = time.Second
+
+// plan is a set of groups to be stopped so that another finds room.
+type plan struct {
+	victims []*group
 	// cost is the work that would be lost, in core-seconds.
 	cost float64
 }
 
-// displaceFor stops groups so that another finds room, if the room that they take is
-// enough. It stops those that lose the least work.
+// displaceFor stops groups of lesser priority so that another finds room. Within its
+// workspace's guarantee a job always gets it; beyond that, only while it does more work
+// itself than would be lost.
 func (p *pass) displaceFor(g *group) {
-	victims := p.victims(g)
-	var chosen []*group
-	for _, v := range victims {
-		chosen = append(chosen, v.group)
-		if p.fit(g, p.withReleasing(chosen)) != nil {
-			chosen = p.spare(g, chosen)
-			p.stop(g, chosen)
-			return
+	best, ok := p.bestPlan(g)
+	if !ok {
+		return
+	}
+	if !p.core.guaranteed(g.job) && best.cost > p.core.settings.DisplaceFactor*g.work() {
+		return
+	}
+	p.stop(g, best.victims)
+}
+
+// bestPlan returns the plan that loses the least work: in any one rack for a group that
+// wants one, else over all workers.
+func (p *pass) bestPlan(g *group) (plan, bool) {
+	if !p.core.wantsOneRack(g) {
+		return p.planOn(g, p.workers)
+	}
+	racks := map[string][]*worker{}
+	for _, w := range p.workers {
+		racks[w.rack] = append(racks[w.rack], w)
+	}
+	var best plan
+	found := false
+	for _, workers := range racks {
+		next, ok := p.planOn(g, workers)
+		if ok && (!found || next.cost < best.cost) {
+			best, found = next, true
 		}
 	}
+	return best, found
 }
 
-// spare takes out the groups that need not be stopped, the costliest first.
-func (p *pass) spare(g *group, chosen []*group) []*group {
-	for i := len(chosen) - 1; i >= 0; i-- {
-		without := slices.Delete(slices.Clone(chosen), i, i+1)
-		if p.fit(g, p.withReleasing(without)) != nil {
-			chosen = without
+// planOn finds groups to stop so that another fits on some workers. It takes the cheapest
+// place for one more task until there are enough.
+func (p *pass) planOn(g *group, workers []*worker) (plan, bool) {
+	var chosen plan
+	room := p.withReleasing(nil)
+	for p.places(g, workers, room) < g.size {
+		next, ok := p.cheapestPlace(g, workers, room)
+		if !ok {
+			return plan{}, false
 		}
+		chosen.victims = append(chosen.victims, next.victims...)
+		chosen.cost += next.cost
+		room = p.withReleasing(chosen.victims)
 	}
-	return chosen
+	return chosen, true
 }
 
-// stop stops groups and promises the room to another.
-func (p *pass) stop(g *group, chosen []*group) {
-	places := p.fit(g, p.withReleasing(chosen))
+// places counts the tasks of a group that fit on some workers.
+func (p *pass) places(g *group, workers []*worker, room map[*worker]job.Shape) int {
+	count := 0
+	for _, w := range workers {
+		count += p.count(g, w, room[w])
+	}
+	return count
+}
+
+// cheapestPlace finds the groups to stop for one more task on any of some workers.
+func (p *pass) cheapestPlace(g *group, workers []*worker, room map[*worker]job.Shape) (plan, bool) {
+	var best plan
+	found := false
+	for _, w := range workers {
+		next, ok := p.placeOn(g, w, room[w])
+		if ok && (!found || next.cost < best.cost) {
+			best, found = next, true
+		}
+	}
+	return best, found
+}
+
+// placeOn finds the groups to stop for one more task on a worker.
+func (p *pass) placeOn(g *group, w *worker, room job.Shape) (plan, bool) {
+	before := p.count(g, w, room)
+	victims := p.victimsOn(g, w)
+	taken := 0
+	for p.count(g, w, room) <= before {
+		if taken == len(victims) {
+			return plan{}, false
+		}
+		room = room.Add(victims[taken].takes(w))
+		taken++
+	}
+	chosen := victims[:taken]
+	for i := len(chosen) - 2; i >= 0; i-- {
+		without := room.Sub(chosen[i].takes(w))
+		if p.count(g, w, without) > before {
+			room = without
+			chosen = slices.Delete(chosen, i, i+1)
+		}
+	}
+	result := plan{victims: chosen}
 	for _, v := range chosen {
-		shape := v.spec().Shape
+		result.cost += v.unsaved(p.now)
+	}
+	return result, true
+}
+
+// victimsOn returns the groups on a worker that may be stopped, those that lose least for
+// the room that they take there first.
+func (p *pass) victimsOn(g *group, w *worker) []*group {
+	var list []*group
+	for m := range w.members {
+		v := m.group
+		if v.job.job.Terms.Priority <= g.job.job.Terms.Priority || v.ending || v.done || m.phase == memberStopping {
+			continue
+		}
+		if !slices.Contains(list, v) {
+			list = append(list, v)
+		}
+	}
+	value := func(v *group) float64 { return v.unsaved(p.now) / (v.takes(w).Cores() + 1) }
+	slices.SortFunc(list, func(a, b *group) int {
+		return cmp.Or(
+			cmp.Compare(value(a), value(b)),
+			strings.Compare(string(a.job.job.ID), string(b.job.job.ID)),
+			cmp.Compare(a.step, b.step),
+			cmp.Compare(a.first, b.first),
+		)
+	})
+	return list
+}
+
+// takes is the room that a group takes on a worker.
+func (g *group) takes(w *worker) job.Shape {
+	shape := job.Shape{}
+	for _, m := range g.members {
+		if m.worker == w && m.phase != memberGone {
+			shape = shape.Add(g.spec().Shape)
+		}
+	}
+	return shape
+}
+
+// stop stops groups and promises the room to another.
+func (p *pass) stop(g *group, victims []*group) {
+	for _, v := range victims {
+		if v.ending {
+			continue
+		}
 		for _, m := range v.members {
 			if _, usable := p.free[m.worker]; usable && m.phase != memberGone {
-				p.releasing[m.worker] = p.releasing[m.worker].Add(shape)
+				p.releasing[m.worker] = p.releasing[m.worker].Add(v.spec().Shape)
 			}
 		}
 		p.core.tell(Event{
@@ -59,31 +177,31 @@
 		})
 		p.core.abort(p.now, v)
 	}
-	p.promise(g, places)
+	if places := p.fit(g, p.withReleasing(nil)); places != nil {
+		p.promise(g, places)
+	}
 }
 
-// victims returns the groups of lesser priority that run, those that lose least first.
-func (p *pass) victims(g *group) []victim {
-	var list []victim
-	for _, j := range p.core.live {
-		if j.job.Terms.Priority <= g.job.job.Terms.Priority {
+// guaranteed says whether all that the job's workspace has of priority 0 is within its
+// guarantee.
+func (c *Core) guaranteed(j *jobState) bool {
+	need := 0
+	for _, other := range c.live {
+		if other.job.Workspace != j.job.Workspace || other.job.Terms.Priority != 0 || other.state.ended() {
 			continue
 		}
-		for _, other := range j.groups {
-			if other.placed() && !other.ending && !other.done {
-				list = append(list, victim{group: other, cost: other.unsaved(p.now)})
+		for _, g := range other.groups {
+			if !g.done {
+				need += g.spec().Shape.Accelerators * g.size
 			}
 		}
 	}
-	slices.SortFunc(list, func(a, b victim) int {
-		return cmp.Or(
-			cmp.Compare(a.cost, b.cost),
-			cmp.Compare(a.group.job.job.ID, b.group.job.job.ID),
-			cmp.Compare(a.group.step, b.group.step),
-			cmp.Compare(a.group.first, b.group.first),
-		)
-	})
-	return list
+	return need <= c.catalog.Guaranteed(j.job.Workspace)
+}
+
+// work is what a group will do, by its caller's guess, in core-seconds.
+func (g *group) work() float64 {
+	return g.spec().Estimate.Seconds() * g.spec().Shape.Cores() * float64(g.size)
 }
 
 // unsaved is the work of a group's present run that a stop would lose, in core-seconds.
@@ -97,6 +215,3 @@
 	}
 	return length.Seconds() * g.spec().Shape.Cores() * float64(g.size)
 }
-
-// savedEvery is how often tasks that save their progress do so, at most.
-const savedEvery = time.Second
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -76,26 +76,32 @@
 
 // slots returns the workers that could take any of a group's tasks.
 func (p *pass) slots(g *group, room map[*worker]job.Shape) []slot {
-	step := g.spec()
+	shape := g.spec().Shape
 	var slots []slot
 	for _, w := range p.workers {
-		if !p.core.suits(p.now, g, w) {
-			continue
-		}
-		count := min(room[w].Holds(step.Shape), g.size)
-		if step.MaxPerWorker > 0 {
-			count = min(count, step.MaxPerWorker-w.tasksOf(g.job, g.step))
-		}
-		if w.health.probing {
-			count = min(count, 1-len(w.members))
-		}
-		if count > 0 {
-			slots = append(slots, slot{worker: w, count: count, left: room[w].Sub(step.Shape.Times(count))})
+		if count := p.count(g, w, room[w]); count > 0 {
+			slots = append(slots, slot{worker: w, count: count, left: room[w].Sub(shape.Times(count))})
 		}
 	}
 	return slots
 }
 
+// count is the number of a group's tasks that a worker with some room could take.
+func (p *pass) count(g *group, w *worker, room job.Shape) int {
+	if !p.core.suits(p.now, g, w) {
+		return 0
+	}
+	step := g.spec()
+	count := min(room.Holds(step.Shape), g.size)
+	if step.MaxPerWorker > 0 {
+		count = min(count, step.MaxPerWorker-w.tasksOf(g.job, g.step))
+	}
+	if w.health.probing {
+		count = min(count, 1-len(w.members))
+	}
+	return max(count, 0)
+}
+
 // tasksOf counts the tasks of a step that are placed on the worker.
 func (w *worker) tasksOf(j *jobState, step int) int {
 	count := 0
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -185,7 +185,6 @@
 
 func playHistory(t *testing.T, seed uint64) {
 	w := newWorld(t, 5)
-	w.random.IntN(1)
 	w.random = newRandom(seed)
 	w.loses = func() bool { return w.random.IntN(10) == 0 }
 	w.run(300 * time.Millisecond)
--- a/pool/settings.go
+++ b/pool/settings.go
@@ -36,6 +36,9 @@
 	// FarFactor is how many times longer a gang spread over racks, or a task away from
 	// its data, takes.
 	FarFactor float64
+	// DisplaceFactor is how much work of others may be lost for urgent work beyond a
+	// guarantee, in parts of that work itself.
+	DisplaceFactor float64
 	// KeepEnded is how long the state of an ended job is kept.
 	KeepEnded time.Duration
 }
@@ -43,19 +46,20 @@
 // DefaultSettings returns the settings for the users' platform.
 func DefaultSettings() Settings {
 	return Settings{
-		AgentLease:   4500 * time.Millisecond,
-		ClockDrift:   0.02,
-		LeaseMargin:  150 * time.Millisecond,
-		FreshFor:     1500 * time.Millisecond,
-		ResendAfter:  300 * time.Millisecond,
-		StartWithin:  2 * time.Second,
-		StopLinger:   time.Second,
-		StallAfter:   2500 * time.Millisecond,
-		AsideAfter:   2,
-		AsideFor:     4 * time.Second,
-		RetryRefused: time.Second,
-		FarFactor:    3,
-		KeepEnded:    10 * time.Minute,
+		AgentLease:     4500 * time.Millisecond,
+		ClockDrift:     0.02,
+		LeaseMargin:    150 * time.Millisecond,
+		FreshFor:       1500 * time.Millisecond,
+		ResendAfter:    300 * time.Millisecond,
+		StartWithin:    2 * time.Second,
+		StopLinger:     time.Second,
+		StallAfter:     2500 * time.Millisecond,
+		AsideAfter:     2,
+		AsideFor:       4 * time.Second,
+		RetryRefused:   time.Second,
+		FarFactor:      3,
+		DisplaceFactor: 1.5,
+		KeepEnded:      10 * time.Minute,
 	}
 }
 
