--- a/holder/settings.go
+++ b/holder/settings.go
@@ -15,8 +15,9 @@
 
 	// followWait is how long the store holds a question for changes back.
 	followWait = 1 * time.Second
-	// intakeWait is the same for the holder, which needs no proof of freshness.
-	intakeWait = 15 * time.Second
+	// intakeWait is the same for new jobs. A feed can fall silent when the store forgets its
+	// history; this bounds for how long that goes unnoticed.
+	intakeWait = 800 * time.Millisecond
 
 	// syncWait is how long an agent holds a renewal back while it has no news.
 	syncWait = 500 * time.Millisecond
--- a/job/job.go
+++ b/job/job.go
@@ -123,6 +123,11 @@
 	return float64(s.CPUMillis)/1000 + float64(s.Accelerators*acceleratorCores)
 }
 
+// String writes a shape for logs.
+func (s Shape) String() string {
+	return fmt.Sprintf("%d accelerators, %g cores, %d MB", s.Accelerators, float64(s.CPUMillis)/1000, s.MemoryMB)
+}
+
 // String writes a task's name as workers are told it.
 func (t TaskID) String() string {
 	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Round, t.Step, t.Index)
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -125,7 +125,9 @@
 		First:  g.first,
 		Run:    g.run,
 		Worker: strings.Join(names, " "),
-		Detail: fmt.Sprintf("waited %s", p.now.Sub(g.readySince).Round(time.Millisecond)),
+		Detail: fmt.Sprintf("priority %d, %d tasks of %s, expected to take %s, due in %s, waited %s",
+			g.job.job.Terms.Priority, g.size, g.spec().Shape, g.spec().Estimate,
+			g.job.job.Due().Sub(p.now).Round(time.Millisecond), p.now.Sub(g.readySince).Round(time.Millisecond)),
 	})
 }
 
