--- a/pool/decide.go
+++ b/pool/decide.go
@@ -20,6 +20,9 @@
 	releasing map[*worker]job.Shape
 	// workers are those that may be given work, by name.
 	workers []*worker
+	// urgentNeed is what the jobs of priority 0 that have not ended still need, in
+	// accelerators by workspace.
+	urgentNeed map[string]int
 }
 
 // Decide places the groups that are ready, the most pressing first, and displaces others
@@ -30,6 +33,7 @@
 		return
 	}
 	p := c.newPass(now)
+	slices.SortFunc(ready, p.compare)
 	for _, g := range ready {
 		p.try(g)
 	}
@@ -41,6 +45,8 @@
 		now:       now,
 		free:      map[*worker]job.Shape{},
 		releasing: map[*worker]job.Shape{},
+
+		urgentNeed: c.urgentNeed(),
 	}
 	for _, w := range c.workers {
 		if w.usable(now, c.settings) {
@@ -53,7 +59,29 @@
 	return p
 }
 
-// readyGroups returns what could be placed, the most pressing first.
+// urgentNeed counts what the jobs of priority 0 still need, by workspace.
+func (c *Core) urgentNeed() map[string]int {
+	need := map[string]int{}
+	for _, j := range c.live {
+		if j.job.Terms.Priority != 0 || j.state.ended() {
+			continue
+		}
+		for _, g := range j.groups {
+			if !g.done {
+				need[j.job.Workspace] += g.spec().Shape.Accelerators * g.size
+			}
+		}
+	}
+	return need
+}
+
+// guaranteed says whether all that the job's workspace has of priority 0 is within its
+// guarantee.
+func (p *pass) guaranteed(j *jobState) bool {
+	return j.job.Terms.Priority == 0 && p.urgentNeed[j.job.Workspace] <= p.core.catalog.Guaranteed(j.job.Workspace)
+}
+
+// readyGroups returns what could be placed.
 func (c *Core) readyGroups() []*group {
 	var ready []*group
 	for _, j := range c.live {
@@ -66,14 +94,22 @@
 			}
 		}
 	}
-	slices.SortFunc(ready, compareGroups)
 	return ready
 }
 
-// compareGroups orders groups by priority, then by when their jobs should be done.
-func compareGroups(a, b *group) int {
+// rank is the class in which a group is ordered: what is guaranteed first, then by
+// priority.
+func (p *pass) rank(g *group) int {
+	if p.guaranteed(g.job) {
+		return -1
+	}
+	return g.job.job.Terms.Priority
+}
+
+// compare orders groups by rank, then by when their jobs should be done.
+func (p *pass) compare(a, b *group) int {
 	return cmp.Or(
-		cmp.Compare(a.job.job.Terms.Priority, b.job.job.Terms.Priority),
+		cmp.Compare(p.rank(a), p.rank(b)),
 		a.job.job.Due().Compare(b.job.job.Due()),
 		cmp.Compare(a.job.job.ID, b.job.job.ID),
 		cmp.Compare(a.step, b.step),
--- a/pool/displace.go
+++ b/pool/displace.go
@@ -9,8 +9,13 @@
 	"hollyfork.example/hollyfork/job"
 )
 
-// savedEvery is how often tasks that save their progress do so, at most.
-const savedEvery = time.Second
+const (
+	// savedEvery is how often tasks that save their progress do so, at most.
+	savedEvery = time.Second
+	// startCost is what a start costs in the time of its task, so that what has just been
+	// placed is not stopped for nothing.
+	startCost = 300 * time.Millisecond
+)
 
 // plan is a set of groups to be stopped so that another finds room.
 type plan struct {
@@ -27,7 +32,7 @@
 	if !ok {
 		return
 	}
-	if !p.core.guaranteed(g.job) && best.cost > p.core.settings.DisplaceFactor*g.work() {
+	if !p.guaranteed(g.job) && best.cost > p.core.settings.DisplaceFactor*g.work() {
 		return
 	}
 	p.stop(g, best.victims)
@@ -182,23 +187,6 @@
 	}
 }
 
-// guaranteed says whether all that the job's workspace has of priority 0 is within its
-// guarantee.
-func (c *Core) guaranteed(j *jobState) bool {
-	need := 0
-	for _, other := range c.live {
-		if other.job.Workspace != j.job.Workspace || other.job.Terms.Priority != 0 || other.state.ended() {
-			continue
-		}
-		for _, g := range other.groups {
-			if !g.done {
-				need += g.spec().Shape.Accelerators * g.size
-			}
-		}
-	}
-	return need <= c.catalog.Guaranteed(j.job.Workspace)
-}
-
 // work is what a group will do, by its caller's guess, in core-seconds.
 func (g *group) work() float64 {
 	return g.spec().Estimate.Seconds() * g.spec().Shape.Cores() * float64(g.size)
@@ -206,10 +194,10 @@
 
 // unsaved is the work of a group's present run that a stop would lose, in core-seconds.
 func (g *group) unsaved(now time.Time) float64 {
-	if g.began.IsZero() {
-		return 0
+	length := startCost
+	if !g.began.IsZero() {
+		length += now.Sub(g.began)
 	}
-	length := now.Sub(g.began)
 	if g.spec().Checkpoint {
 		length = min(length, savedEvery)
 	}
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"hollyfork.example/hollyfork/catalog"
 	"hollyfork.example/hollyfork/job"
 	"hollyfork.example/hollyfork/store"
 )
@@ -145,6 +146,14 @@
 	w.core.AddJob(w.now, j)
 }
 
+// guarantee gives a workspace a number of accelerators.
+func (w *world) guarantee(workspace string, accelerators int) {
+	w.core.SetCatalog(&catalog.Catalog{
+		Version:    w.core.catalog.Version + 1,
+		Workspaces: append(w.core.catalog.Workspaces, catalog.Workspace{Name: workspace, Guaranteed: accelerators}),
+	})
+}
+
 // run plays for a time.
 func (w *world) run(length time.Duration) {
 	end := w.now.Add(length)
