Each victim of a plan is counted once

Also: after its restart a gateway wrote 0 as a job's time of acceptance until its first answer from the store; the clock now comes with the configuration. Change: groups that are chosen are left out of further places.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/catalog"
+	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
 )
 
@@ -43,6 +44,7 @@
 	current atomic.Pointer[catalog.Catalog]
 	// provenAt is when the last answered question was sent, since began; 0 for none.
 	provenAt atomic.Int64
+	clock    atomic.Pointer[pool.Clock]
 }
 
 // NewFollower returns a follower that has no configuration yet.
@@ -62,6 +64,15 @@
 	return now.Sub(f.began) - time.Duration(f.provenAt.Load())
 }
 
+// StoreClock estimates the reading of the store's clock; 0 while it is not known.
+func (f *Follower) StoreClock(now time.Time) time.Duration {
+	c := f.clock.Load()
+	if c == nil {
+		return 0
+	}
+	return c.Store + now.Sub(c.Now)
+}
+
 // Fresh says whether the configuration may be acted upon.
 func (f *Follower) Fresh(now time.Time) bool {
 	return f.Catalog().Version > 0 && f.Age(now) <= MaxAge
@@ -87,6 +98,7 @@
 		}
 		retry = firstRetry
 		version = stamp.Version
+		f.clock.Store(&pool.Clock{Now: time.Now(), Store: stamp.Clock})
 		f.take(sent, next)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,7 +44,6 @@
 		follower *Follower
 		logger   *log.Logger
 		stopping atomic.Bool
-		clock    atomic.Pointer[pool.Clock]
 	}
 
 	// target is what a call is about.
@@ -148,21 +147,6 @@
 	}
 }
 
-// storeNow estimates the reading of the store's clock.
-func (g *Gateway) storeNow(now time.Time) time.Duration {
-	c := g.clock.Load()
-	if c == nil {
-		return 0
-	}
-	return c.Store + now.Sub(c.Now)
-}
-
-func (g *Gateway) noteClock(now time.Time, stamp store.Stamp) {
-	if stamp.Clock > 0 {
-		g.clock.Store(&pool.Clock{Now: now, Store: stamp.Clock})
-	}
-}
-
 // Submit accepts a job under the identifier in the path. The job is read with decode once
 // it is known that the caller may hand it in.
 func (g *Gateway) Submit(ctx context.Context, call Call, decode func() (job.Job, error)) error {
@@ -195,16 +179,13 @@
 // accept writes a job's row, unless it is there.
 func (g *Gateway) accept(ctx context.Context, call Call, poolName string, j job.Job) error {
 	key := pool.JobKey(poolName, j.ID)
-	row := pool.Encode(pool.JobRow(j, g.storeNow(time.Now())))
+	row := pool.Encode(pool.JobRow(j, g.follower.StoreClock(time.Now())))
 	txn := store.Txn{
 		Checks: []store.Check{{Key: key}},
 		Writes: []store.Write{{Key: key, Value: row}},
 	}
 	unsettled, err := g.retry(ctx, call, func(ctx context.Context) error {
-		stamp, err := g.store.Commit(ctx, txn)
-		if err == nil {
-			g.noteClock(time.Now(), stamp)
-		}
+		_, err := g.store.Commit(ctx, txn)
 		return err
 	})
 	if store.KindOf(err) == store.KindConflict {
@@ -310,7 +291,6 @@
 	if err != nil {
 		return page, &Error{Op: op, Kind: KindUnavailable, RetryAfter: RetryAfter, Err: err}
 	}
-	g.noteClock(time.Now(), page.Stamp)
 	return page, nil
 }
 
@@ -347,7 +327,7 @@
 		return err
 	}
 	key := pool.CancelKey(t.queue.Pool, found.id)
-	row := pool.Encode(pool.CancelRow(g.storeNow(time.Now())))
+	row := pool.Encode(pool.CancelRow(g.follower.StoreClock(time.Now())))
 	unsettled, err := g.retry(ctx, call, func(ctx context.Context) error {
 		_, err := g.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: row}}})
 		return err
--- a/pool/displace.go
+++ b/pool/displace.go
@@ -65,7 +65,7 @@
 	var chosen plan
 	room := p.withReleasing(nil)
 	for p.places(g, workers, room) < g.size {
-		next, ok := p.cheapestPlace(g, workers, room)
+		next, ok := p.cheapestPlace(g, workers, room, chosen.victims)
 		if !ok {
 			return plan{}, false
 		}
@@ -85,12 +85,13 @@
 	return count
 }
 
-// cheapestPlace finds the groups to stop for one more task on any of some workers.
-func (p *pass) cheapestPlace(g *group, workers []*worker, room map[*worker]job.Shape) (plan, bool) {
+// cheapestPlace finds the groups to stop, beside those that were chosen, for one more task
+// on any of some workers.
+func (p *pass) cheapestPlace(g *group, workers []*worker, room map[*worker]job.Shape, chosen []*group) (plan, bool) {
 	var best plan
 	found := false
 	for _, w := range workers {
-		next, ok := p.placeOn(g, w, room[w])
+		next, ok := p.placeOn(g, w, room[w], chosen)
 		if ok && (!found || next.cost < best.cost) {
 			best, found = next, true
 		}
@@ -98,10 +99,11 @@
 	return best, found
 }
 
-// placeOn finds the groups to stop for one more task on a worker.
-func (p *pass) placeOn(g *group, w *worker, room job.Shape) (plan, bool) {
+// placeOn finds the groups to stop, beside those that were chosen, for one more task on a
+// worker.
+func (p *pass) placeOn(g *group, w *worker, room job.Shape, chosen []*group) (plan, bool) {
 	before := p.count(g, w, room)
-	victims := p.victimsOn(g, w)
+	victims := p.victimsOn(g, w, chosen)
 	taken := 0
 	for p.count(g, w, room) <= before {
 		if taken == len(victims) {
@@ -110,31 +112,31 @@
 		room = room.Add(victims[taken].takes(w))
 		taken++
 	}
-	chosen := victims[:taken]
-	for i := len(chosen) - 2; i >= 0; i-- {
-		without := room.Sub(chosen[i].takes(w))
+	needed := victims[:taken]
+	for i := len(needed) - 2; i >= 0; i-- {
+		without := room.Sub(needed[i].takes(w))
 		if p.count(g, w, without) > before {
 			room = without
-			chosen = slices.Delete(chosen, i, i+1)
+			needed = slices.Delete(needed, i, i+1)
 		}
 	}
-	result := plan{victims: chosen}
-	for _, v := range chosen {
+	result := plan{victims: needed}
+	for _, v := range needed {
 		result.cost += v.unsaved(p.now)
 	}
 	return result, true
 }
 
-// victimsOn returns the groups on a worker that may be stopped, those that lose least for
-// the room that they take there first.
-func (p *pass) victimsOn(g *group, w *worker) []*group {
+// victimsOn returns the groups on a worker that may be stopped, beside those that were
+// chosen, those that lose least for the room that they take there first.
+func (p *pass) victimsOn(g *group, w *worker, chosen []*group) []*group {
 	var list []*group
 	for m := range w.members {
 		v := m.group
 		if v.job.job.Terms.Priority <= g.job.job.Terms.Priority || v.ending || v.done || m.phase == memberStopping {
 			continue
 		}
-		if !slices.Contains(list, v) {
+		if !slices.Contains(list, v) && !slices.Contains(chosen, v) {
 			list = append(list, v)
 		}
 	}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -199,6 +199,27 @@
 	is.True(w.starts < 150)
 }
 
+// A plan counted the room of one victim twice, so that it freed too little, again and again.
+func TestEachVictimIsCountedOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.guarantee("urgent", 12)
+	w.run(300 * time.Millisecond)
+	for i := range 3 {
+		j := gang(i, 1, 8, 20*time.Second)
+		j.Terms.Priority = 2
+		w.submit(j)
+	}
+	w.run(time.Second)
+	urgent := gang(99, 3, 4, time.Second)
+	urgent.Steps[0].SameRack = true
+	urgent.Workspace = "urgent"
+	w.submit(urgent)
+	w.run(500 * time.Millisecond)
+	is.Equal(w.state(urgent.ID), Active)
+	is.Equal(w.count(EventDisplaced), 2)
+}
+
 func TestCancelledJobIsStopped(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 3)
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -418,6 +418,17 @@
 	f.number = 0
 }
 
+// count returns how often something happened.
+func (w *world) count(kind EventKind) int {
+	count := 0
+	for _, e := range w.events {
+		if e.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
 // state returns where a job stands.
 func (w *world) state(id job.ID) State {
 	return w.core.jobs[id].state
