Decisions follow changes; weak gateways leave pools to others

Change: placing is tried when room or jobs have changed, else each 250 ms; orders are looked for when any may be due; agents tell of progress alone each 0.8 s; a gateway with less than 0.3 of a processor leaves a free pool to others for 0.8 s.

--- a/holder/candidate.go
+++ b/holder/candidate.go
@@ -37,12 +37,16 @@
 
 // Free says whether the pool may be taken.
 func (c *Candidate) Free(now time.Time) bool {
-	return !c.since.IsZero() && (c.released || now.Sub(c.since) >= TakeAfter)
+	return !c.since.IsZero() && c.Wait(now) == 0
 }
 
 // Wait is how long until the pool may be free if nothing changes.
 func (c *Candidate) Wait(now time.Time) time.Duration {
-	return max(0, TakeAfter-now.Sub(c.since))
+	length := TakeAfter
+	if c.released {
+		length = 0
+	}
+	return max(0, length-now.Sub(c.since))
 }
 
 func releasedRow(row store.Row) bool {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -136,7 +136,9 @@
 	}
 	h.core.SetCatalog(h.host.deps.Catalog())
 	if h.inForce(now) && !h.stopping {
-		h.core.Decide(now)
+		if h.core.MayDecide(now) {
+			h.core.Decide(now)
+		}
 		h.sendOrders(now)
 	}
 	h.commit(now)
--- a/holder/host.go
+++ b/holder/host.go
@@ -23,6 +23,9 @@
 		Logger  *log.Logger
 		// Catalog returns the configuration in force.
 		Catalog func() *catalog.Catalog
+		// Patience is how long this process leaves a free pool to others, which may be
+		// better placed to hold it.
+		Patience time.Duration
 	}
 
 	// Host waits for a pool to be free, holds it, and waits again when it was lost. Create
@@ -80,7 +83,7 @@
 		}
 		retry = firstRetry
 		candidate.Observe(sent, row)
-		if candidate.Free(sent) {
+		if candidate.Free(sent.Add(-h.deps.Patience)) {
 			return row, true
 		}
 		h.watch(ctx, candidate, stamp)
@@ -93,7 +96,7 @@
 	key := pool.LeaseKey(h.pool)
 	for ctx.Err() == nil {
 		sent := time.Now()
-		wait := candidate.Wait(sent)
+		wait := candidate.Wait(sent.Add(-h.deps.Patience))
 		if wait == 0 {
 			return
 		}
@@ -110,7 +113,7 @@
 				candidate.Observe(time.Now(), row)
 			}
 		}
-		if candidate.Free(time.Now()) {
+		if candidate.Free(time.Now().Add(-h.deps.Patience)) {
 			return
 		}
 	}
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -146,6 +146,7 @@
 	}
 	m.phase = memberOrdered
 	m.sendAt = now
+	c.ordersDue = true
 	if m.group.began.IsZero() {
 		m.group.began = now
 	}
--- a/pool/core.go
+++ b/pool/core.go
@@ -19,6 +19,13 @@
 	live    map[job.ID]*jobState
 	workers map[string]*worker
 
+	// roomChanged says that a group may find room that found none before; decidedAt is when
+	// that was looked at last.
+	roomChanged bool
+	decidedAt   time.Time
+	// ordersDue says that there may be orders to give, beside those that are sent again.
+	ordersDue bool
+
 	dirty  []*jobState
 	flying *Batch
 	// summary is the number of waiting jobs by queue as it was committed last.
@@ -61,6 +68,7 @@
 }
 
 func (c *Core) addState(j *jobState) {
+	c.roomChanged = true
 	c.jobs[j.job.ID] = j
 	c.live[j.job.ID] = j
 }
@@ -77,6 +85,7 @@
 // Tick does what is due at a time: leases that have lapsed, starts that take too long,
 // tasks that stand still, jobs that are kept no longer.
 func (c *Core) Tick(now time.Time) {
+	c.ordersDue = true
 	for _, w := range c.workers {
 		c.tickWorker(now, w)
 	}
@@ -136,17 +145,10 @@
 	c.markDirty(j)
 }
 
-// NextTick is how long the pool may be left alone.
-func (c *Core) NextTick() time.Duration {
-	if len(c.live) == 0 {
-		return idleTick
-	}
-	return busyTick
-}
+// decideEvery is how often placing is tried although nothing has changed but the time.
+const decideEvery = 250 * time.Millisecond
 
-// How often a pool looks at its clocks: as finely as orders are sent again while there are
-// jobs, else just often enough to notice lapsed leases.
-const (
-	busyTick = 50 * time.Millisecond
-	idleTick = 500 * time.Millisecond
-)
+// MayDecide says whether Decide may find something to do: its cost follows what changes.
+func (c *Core) MayDecide(now time.Time) bool {
+	return c.roomChanged || now.Sub(c.decidedAt) >= decideEvery
+}
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -28,6 +28,8 @@
 // Decide places the groups that are ready, the most pressing first, and displaces others
 // for those of priority 0.
 func (c *Core) Decide(now time.Time) {
+	c.roomChanged = false
+	c.decidedAt = now
 	ready := c.readyGroups()
 	if len(ready) == 0 {
 		return
--- a/pool/group.go
+++ b/pool/group.go
@@ -154,6 +154,7 @@
 	}
 	m.phase = memberGone
 	delete(m.worker.members, m)
+	c.roomChanged = true
 	g := m.group
 	for _, other := range g.members {
 		if other.phase != memberGone {
@@ -176,6 +177,7 @@
 // abort ends a group's present run.
 func (c *Core) abort(now time.Time, g *group) {
 	g.ending = true
+	c.ordersDue = true
 	for _, m := range g.members {
 		switch {
 		case m.phase == memberGone || m.phase == memberStopping:
@@ -196,6 +198,7 @@
 	}
 	g.done = true
 	g.doneAt = now
+	c.roomChanged = true
 	c.markDirty(g.job)
 	c.checkJob(now, g.job)
 }
--- a/pool/order.go
+++ b/pool/order.go
@@ -8,6 +8,10 @@
 
 // TakeOrders returns the orders that are due, one for each worker that needs any.
 func (c *Core) TakeOrders(now time.Time) []Orders {
+	if !c.ordersDue {
+		return nil
+	}
+	c.ordersDue = false
 	var list []Orders
 	for _, w := range c.workers {
 		// Until the worker was listed, what an earlier holder started there is not known.
--- a/pool/report.go
+++ b/pool/report.go
@@ -19,6 +19,10 @@
 	if r.Instance != w.instance {
 		c.newInstance(now, w, r)
 	}
+	if r.Draining != w.draining || w.listing == 0 {
+		c.roomChanged = true
+		c.ordersDue = true
+	}
 	w.capacity = r.Capacity
 	w.labels = r.Labels
 	w.rack = r.Rack
@@ -145,6 +149,7 @@
 	for key := range w.strays {
 		if _, still := listed[key]; !still {
 			delete(w.strays, key)
+			c.roomChanged = true
 		}
 	}
 	for key := range listed {
@@ -156,6 +161,7 @@
 			s.shape = j.job.Steps[key.task.Step].Shape
 		}
 		w.strays[key] = s
+		c.ordersDue = true
 		c.tell(Event{Kind: EventStray, Job: key.task.Job, Step: key.task.Step, First: key.task.Index, Run: key.run, Worker: w.agent})
 	}
 }
@@ -179,7 +185,10 @@
 
 // takeEnd takes over one end, and returns the job that it changed, or nil.
 func (c *Core) takeEnd(now time.Time, w *worker, e Ended) *jobState {
-	delete(w.strays, runKey{e.Task, e.Run})
+	if _, was := w.strays[runKey{e.Task, e.Run}]; was {
+		delete(w.strays, runKey{e.Task, e.Run})
+		c.roomChanged = true
+	}
 	j, known := c.jobs[e.Task.Job]
 	if !known {
 		return nil
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -139,6 +139,7 @@
 		w.instance = ""
 	}
 	if w.health.returns(now) {
+		c.roomChanged = true
 		c.tell(Event{Kind: EventBack, Worker: w.agent})
 	}
 }
--- a/program/gatewayd/main.go
+++ b/program/gatewayd/main.go
@@ -37,6 +37,11 @@
 	lameDuck = 2500 * time.Millisecond
 	// stopWithin bounds the whole stop, below the platform's 6 s.
 	stopWithin = 5500 * time.Millisecond
+	// weakShare is the part of a processor below which a gateway leaves pools to others for
+	// weakPatience: the users' smallest gateways have 0.19, and holding a pool of 70 workers
+	// takes about 0.1.
+	weakShare    = 0.3
+	weakPatience = 800 * time.Millisecond
 	// headerTimeout and idleTimeout bound a caller's header and pauses; headerBytes its
 	// header. They are the users' configured limits.
 	headerTimeout = 3 * time.Second
@@ -51,6 +56,7 @@
 	ready   *string
 	admin   *string
 	store   *string
+	share   *float64
 	level   *string
 }
 
@@ -63,6 +69,7 @@
 		ready:   settings.Add(s, "gateway.ready", "", "IP address and port for the balancer's questions", settings.Address),
 		admin:   settings.Add(s, "gateway.metrics", "", "IP address and port for metrics and the state dump; empty for none", settings.OptionalAddress),
 		store:   settings.Add(s, "platform.store", "", "IP address and port of the store", settings.Address),
+		share:   settings.Add(s, "gateway.processor-share", "1", "part of a processor that the gateway may use", settings.Share),
 		level:   settings.Add(s, "log.level", "info", "debug, info, warn or error", settings.OneOf("debug", "info", "warn", "error")),
 	}
 	switch err := s.Parse(args); {
@@ -149,6 +156,9 @@
 		Logger:  p.logger,
 		Catalog: p.follower.Catalog,
 	}
+	if *p.options.share < weakShare {
+		deps.Patience = weakPatience
+	}
 	p.hosts.Go(func() {
 		hosted := map[string]bool{}
 		for ctx.Err() == nil {
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -119,3 +119,12 @@
 		return text, nil
 	}
 }
+
+// Share takes a number above 0.
+func Share(text string) (float64, error) {
+	share, err := strconv.ParseFloat(text, 64)
+	if err != nil || share <= 0 {
+		return 0, fmt.Errorf("%q is not a number above 0", text)
+	}
+	return share, nil
+}
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"slices"
 	"time"
 
 	"hollyfork.example/wire/poolpb"
@@ -10,6 +11,9 @@
 	// holdWait is how long a worker waits for an end before it answers: short enough for
 	// the holder to see progress stand still.
 	holdWait = 400 * time.Millisecond
+	// progressEvery is how often the holder is told how far the tasks are, if that is the
+	// only news: several times within the time after which a task counts as standing still.
+	progressEvery = 800 * time.Millisecond
 	// clockDrift is the share by which the worker's clock may run slow, as the platform
 	// promises.
 	clockDrift = 0.02
@@ -53,6 +57,10 @@
 
 	committed uint64
 	report    uint64
+	// reportedAt is when the last news were noted; tellNext says that the next listing is
+	// news in any case.
+	reportedAt time.Time
+	tellNext   bool
 }
 
 // NewCore returns the state of an agent that has just started. Its incarnation must differ
@@ -218,24 +226,36 @@
 		return false
 	}
 	first := c.listed == 0
-	news := first || c.gone || c.silent || differs(c.listing, listing)
+	progress := len(listing.Running) > 0 && now.Sub(c.reportedAt) >= progressEvery
+	news := first || c.gone || c.silent || c.tellNext || progress || differs(c.listing, listing)
 	c.listed = number
 	c.listing = listing
 	c.heldAt = now
 	c.silent = false
 	c.refusals = 0
 	c.gone = false
+	c.tellNext = false
 	if news {
 		c.report++
+		c.reportedAt = now
 	}
 	return news
 }
 
-// differs says whether two listings have other runs, progress or ends. An unchanged
-// listing that is newer is news as well while something is expected to disappear, so only
-// empty ones count as equal.
+// TellNext makes the next listing news, although nothing in it may have changed: the
+// holder waits to see what orders have done.
+func (c *Core) TellNext() {
+	c.tellNext = true
+}
+
+// differs says whether two listings have other runs or ends. Progress alone does not
+// count.
 func differs(a, b Listing) bool {
-	return len(a.Running)+len(b.Running)+len(a.Ended)+len(b.Ended) > 0
+	sameRun := func(x, y *poolpb.RunningTask) bool {
+		return x.GetTask() == y.GetTask() && x.GetRun() == y.GetRun()
+	}
+	sameEnd := func(x, y *poolpb.EndedTask) bool { return x.GetNumber() == y.GetNumber() }
+	return !slices.EqualFunc(a.Running, b.Running, sameRun) || !slices.EqualFunc(a.Ended, b.Ended, sameEnd)
 }
 
 // HoldFailed notes that the worker did not answer. It says whether that is news.
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -73,6 +73,7 @@
 	together(work)
 	a.mu.Lock()
 	reply.Listing = a.core.asked
+	a.core.TellNext()
 	a.mu.Unlock()
 	a.prompt()
 	return nil
