Room is held for one large group that waits

Cause: large gangs wait while smaller work takes what becomes free bit by bit (lecture-transcode on the grown site: some waited over 20 s). Change: for the first large group without room, the moment at which it will fit is found from the progress of what runs, and that room is kept; others may use it that will be done before.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -18,6 +18,9 @@
 	free map[*worker]job.Shape
 	// releasing is the room that is about to become free.
 	releasing map[*worker]job.Shape
+	// held is room that is kept for a group that waits, until about heldUntil.
+	held      map[*worker]job.Shape
+	heldUntil time.Time
 	// workers are those that may be given work, by name.
 	workers []*worker
 	// urgentNeed is what the jobs of priority 0 that have not ended still need, in
@@ -47,6 +50,7 @@
 		now:       now,
 		free:      map[*worker]job.Shape{},
 		releasing: map[*worker]job.Shape{},
+		held:      map[*worker]job.Shape{},
 
 		urgentNeed: c.urgentNeed(),
 	}
@@ -121,11 +125,12 @@
 
 // try places a group, or promises it room that is about to become free.
 func (p *pass) try(g *group) {
-	if places := p.fit(g, p.free); places != nil {
+	if places := p.fit(g, p.unheld(g)); places != nil {
 		p.place(g, places)
 		return
 	}
 	if g.job.job.Terms.Priority != 0 {
+		p.hold(g)
 		return
 	}
 	if places := p.fit(g, p.withReleasing(nil)); places != nil {
