--- /dev/null
+++ b/holder/candidate_test.go
@@ -0,0 +1,57 @@
+package holder
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/pool"
+	"hollyfork.example/hollyfork/store"
+	"hollyfork.example/wire/poolpb"
+)
+
+var begin = time.Unix(9000, 0)
+
+func leaseRow(version uint64, released bool) store.Row {
+	return store.Row{Version: version, Value: pool.Encode(&poolpb.HolderRow{Holder: "a", Released: released})}
+}
+
+func TestCandidateWaitsForAnUnchangedLease(t *testing.T) {
+	is := is.New(t)
+	c := &Candidate{}
+	is.True(!c.Free(begin)) // nothing is known
+	c.Observe(begin, leaseRow(5, false))
+	is.True(!c.Free(begin.Add(TakeAfter - time.Millisecond)))
+	c.Observe(begin.Add(time.Second), leaseRow(6, false))
+	is.True(!c.Free(begin.Add(TakeAfter)))
+	is.True(c.Free(begin.Add(time.Second + TakeAfter)))
+}
+
+func TestCandidateStartsAnewWhenItCouldNotRead(t *testing.T) {
+	is := is.New(t)
+	c := &Candidate{}
+	c.Observe(begin, leaseRow(5, false))
+	c.Unread()
+	is.True(!c.Free(begin.Add(time.Hour)))
+	c.Observe(begin.Add(3*time.Second), leaseRow(5, false))
+	is.True(!c.Free(begin.Add(4 * time.Second)))
+	is.True(c.Free(begin.Add(3*time.Second + TakeAfter)))
+}
+
+func TestCandidateTakesWhatNobodyHolds(t *testing.T) {
+	is := is.New(t)
+	for _, row := range []store.Row{{}, leaseRow(5, true)} {
+		c := &Candidate{}
+		c.Observe(begin, row)
+		is.True(c.Free(begin))
+		is.True(!c.Free(begin.Add(-time.Second))) // as one that leaves it to others for 1 s
+	}
+}
+
+func TestLeaseOutlastsTheHoldersOwn(t *testing.T) {
+	is := is.New(t)
+	is.True(TakeAfter > HoldFor)
+	is.True(renewEvery*3 <= HoldFor)
+	is.True(pool.DefaultSettings().AgentLease > TakeAfter+syncWait+syncTimeout) // tasks survive a change of holder
+}
--- /dev/null
+++ b/sidecar/core_test.go
@@ -0,0 +1,158 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/job"
+	"hollyfork.example/wire/poolpb"
+)
+
+var start = time.Unix(5000, 0)
+
+// newTestCore returns an agent that has met a holder and a worker.
+func newTestCore() *Core {
+	c := NewCore(start, "agent")
+	c.Heartbeat(Heartbeat{Instance: "first", Sequence: 1, Capacity: job.Shape{Accelerators: 8}})
+	c.Sync(lease(c, 0))
+	return c
+}
+
+// lease is a renewal that gives a lease from a time after the start.
+func lease(c *Core, from time.Duration) *poolpb.SyncRequest {
+	return &poolpb.SyncRequest{Epoch: 7, Incarnation: c.incarnation, LeaseToken: int64(from), LeaseMs: 4000}
+}
+
+// list takes over a listing that comes at a time after the start.
+func list(c *Core, at time.Duration, listing Listing) bool {
+	hold, number, _ := c.NextHold(start.Add(at))
+	return c.Listed(start.Add(at), hold.Instance, number, listing)
+}
+
+func TestLeaseIsExtendedByTheWorkersClock(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	hold, _, ok := c.NextHold(start)
+	is.True(ok)
+	is.Equal(hold.Until, time.Duration(0)) // the worker's clock is not known yet
+	list(c, time.Second, Listing{Clock: 100 * time.Second})
+	hold, _, _ = c.NextHold(start.Add(time.Second))
+	is.Equal(hold.Until, 103*time.Second)
+}
+
+func TestLeaseEndsWithoutAHolder(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	list(c, time.Second, Listing{Clock: 100 * time.Second})
+	hold, _, _ := c.NextHold(start.Add(4100 * time.Millisecond))
+	is.Equal(hold.Until, time.Duration(0))
+	_, verdict := c.StartUntil(start.Add(4100*time.Millisecond), &poolpb.OrderRequest{Instance: "first"})
+	is.Equal(verdict, poolpb.OrderResult_LATE)
+}
+
+func TestLeaseForAnEarlierAgentDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	request := lease(c, 10*time.Second)
+	request.Incarnation = "another"
+	c.Sync(request)
+	list(c, 5*time.Second, Listing{Clock: 100 * time.Second})
+	hold, _, _ := c.NextHold(start.Add(5 * time.Second))
+	is.Equal(hold.Until, time.Duration(0))
+}
+
+func TestEarlierHolderIsRefused(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	request := lease(c, 0)
+	request.Epoch = 6
+	is.True(c.Sync(request))
+	is.True(c.MeetEpoch(6))
+	is.True(!c.MeetEpoch(8))
+}
+
+func TestDrainingWorkerIsNotStartedOn(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	list(c, 0, Listing{Clock: time.Second})
+	_, verdict := c.StartUntil(start, &poolpb.OrderRequest{Instance: "first"})
+	is.Equal(verdict, poolpb.OrderResult_OK)
+	is.True(c.Heartbeat(Heartbeat{Instance: "first", Sequence: 2, Draining: true}))
+	_, verdict = c.StartUntil(start, &poolpb.OrderRequest{Instance: "first"})
+	is.Equal(verdict, poolpb.OrderResult_DRAINING)
+	is.True(!c.Heartbeat(Heartbeat{Instance: "first", Sequence: 1})) // a late heartbeat is old
+	is.True(c.worker().GetDraining())
+}
+
+func TestLateHeartbeatOfAnEarlierLifeDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	is.True(c.Heartbeat(Heartbeat{Instance: "second", Sequence: 1}))
+	is.True(!c.Heartbeat(Heartbeat{Instance: "first", Sequence: 99}))
+	is.Equal(c.worker().GetInstance(), "second")
+	_, verdict := c.StartUntil(start, &poolpb.OrderRequest{Instance: "first"})
+	is.Equal(verdict, poolpb.OrderResult_OTHER_INSTANCE)
+}
+
+func TestSilentWorkerHasLapsedOnlyAfterItsLease(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	list(c, 0, Listing{Clock: 100 * time.Second})
+	c.NextHold(start) // may have given a lease for 4 s
+	c.HoldFailed(start.Add(time.Second), "first", KindUnanswered)
+	hold, _, _ := c.NextHold(start.Add(time.Second))
+	is.Equal(hold.Until, time.Duration(0)) // one that comes late must not extend the lease
+	c.HoldFailed(start.Add(4100*time.Millisecond), "first", KindUnanswered)
+	is.True(!c.worker().GetLapsed()) // its clock may run slow
+	c.HoldFailed(start.Add(4300*time.Millisecond), "first", KindUnanswered)
+	is.True(c.worker().GetLapsed())
+	is.True(list(c, 5*time.Second, Listing{Clock: 105 * time.Second}))
+	is.True(!c.worker().GetLapsed())
+}
+
+func TestWorkerWithoutAProcessHasEnded(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	list(c, 0, Listing{Clock: 100 * time.Second})
+	is.True(!c.HoldFailed(start, "first", KindNoWorker))
+	is.True(c.HoldFailed(start, "first", KindNoWorker))
+	is.True(c.worker().GetLapsed())
+}
+
+func TestUnheardWorkerHasLapsedAfterTheLongestLease(t *testing.T) {
+	is := is.New(t)
+	c := NewCore(start, "agent")
+	is.True(!c.CheckUnheard(start.Add(6 * time.Second)))
+	is.True(c.CheckUnheard(start.Add(6400 * time.Millisecond)))
+	is.True(c.worker().GetLapsed())
+}
+
+func TestProgressAloneIsToldNowAndThen(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	run := &poolpb.RunningTask{Task: "a.0.0.0", Run: 1}
+	is.True(list(c, 0, Listing{Running: []*poolpb.RunningTask{run}}))
+	is.True(!list(c, 400*time.Millisecond, Listing{Running: []*poolpb.RunningTask{run}}))
+	is.True(list(c, 900*time.Millisecond, Listing{Running: []*poolpb.RunningTask{run}}))
+	is.True(list(c, time.Second, Listing{}))
+	is.True(!list(c, 3*time.Second, Listing{}))
+	c.TellNext()
+	is.True(list(c, 3*time.Second, Listing{})) // an order may have had an effect
+}
+
+func TestUncommittedEndsAreNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	list(c, 0, Listing{Ended: []*poolpb.EndedTask{{Number: 3}}})
+	hold, _, _ := c.NextHold(start)
+	is.Equal(hold.Wait, time.Duration(0))
+	c.Sync(&poolpb.SyncRequest{Epoch: 7, Instance: "first", Committed: 3})
+	hold, _, _ = c.NextHold(start)
+	is.Equal(hold.Committed, uint64(3))
+	is.Equal(hold.Wait, holdWait)
+	c.Sync(&poolpb.SyncRequest{Epoch: 7, Instance: "another", Committed: 9})
+	hold, _, _ = c.NextHold(start)
+	is.Equal(hold.Committed, uint64(3))
+}
