A lost run's reason names both ways in which a worker ends

Cause: a worker that had left was logged as one that does not answer. Change: the reason says that it has ended, or that its lease lapsed unheard.

--- a/pool/report.go
+++ b/pool/report.go
@@ -32,7 +32,7 @@
 		w.leavesAt = now.Add(r.Remaining)
 	}
 	if r.Lapsed {
-		c.workerLost(now, w, "the worker does not answer and its lease has lapsed")
+		c.workerLost(now, w, "the worker has ended, or its lease has lapsed unheard")
 		return
 	}
 	if r.Listing <= w.listing {
