Metrics, state dumps, and logs that never wait for their reader

Cause: the programs of pools served no figures of their own, and no state on request. Change: counters and latency histograms of requests, store calls, orders and decisions; the state of the pools that a gateway holds; both on the metrics address. A test with a full log pipe.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 	"google.golang.org/protobuf/proto"
 
@@ -43,6 +45,7 @@
 		store    store.Store
 		follower *Follower
 		logger   *log.Logger
+		metrics  *metrics.Set
 		stopping atomic.Bool
 	}
 
@@ -55,9 +58,10 @@
 	}
 )
 
-// New returns a gateway that works with the configuration of a follower.
-func New(s store.Store, follower *Follower, logger *log.Logger) *Gateway {
-	return &Gateway{store: s, follower: follower, logger: logger}
+// New returns a gateway that works with the configuration of a follower and counts in a
+// set.
+func New(s store.Store, follower *Follower, set *metrics.Set, logger *log.Logger) *Gateway {
+	return &Gateway{store: s, follower: follower, metrics: set, logger: logger}
 }
 
 // Ready says whether callers should come to this gateway.
@@ -114,13 +118,23 @@
 	if err != nil {
 		entry = g.logger.Warn().Err(err)
 	}
-	entry.Str("request", call.ID).Str("op", op).
+	outcome := outcomeOf(err)
+	g.metrics.GetOrCreateCounter(fmt.Sprintf(`hollyfork_gateway_requests_total{op=%q,outcome=%q}`, op, outcome)).Inc()
+	g.metrics.GetOrCreateHistogram(fmt.Sprintf(`hollyfork_gateway_request_seconds{op=%q}`, op)).Update(now.Sub(began).Seconds())
+	entry.Str("request", call.ID).Str("op", op).Str("path", call.Path).Str("outcome", outcome).
 		Uint64("config", g.follower.Catalog().Version).
 		Int64("config_age_ms", g.follower.Age(now).Milliseconds()).
 		Int64("took_ms", now.Sub(began).Milliseconds()).
 		Msg("gateway: answered")
 }
 
+func outcomeOf(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	return AsError(err).Kind.String()
+}
+
 // retry runs a request to the store until it was answered or the caller's time runs out.
 // It says whether any try went unanswered.
 func (g *Gateway) retry(ctx context.Context, call Call, try func(context.Context) error) (unsettled bool, err error) {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -7,6 +7,7 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 
+	"hollyfork.example/hollyfork/mailbox"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire/poolpb"
@@ -35,6 +36,8 @@
 		at    time.Time
 		reply *poolpb.SyncReply
 	}
+	// question asks for the pool's state.
+	question struct{}
 	// ordered tells the results of orders.
 	ordered struct {
 		orders pool.Orders
@@ -113,6 +116,9 @@
 		h.takeSync(m)
 	case ordered:
 		h.takeResults(now, m)
+	case mailbox.Ask[question, pool.Snapshot]:
+		m.Reply(h.core.Snapshot(now))
+		return
 	default:
 		return
 	}
--- a/holder/host.go
+++ b/holder/host.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/catalog"
+	"hollyfork.example/hollyfork/mailbox"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/rpc"
@@ -17,8 +20,10 @@
 type (
 	// Deps are what a host works with.
 	Deps struct {
-		System  *actor.ActorSystem
-		Store   store.Store
+		System *actor.ActorSystem
+		Store  store.Store
+		// Metrics gets the holder's counters.
+		Metrics *metrics.Set
 		Traffic *rpc.Traffic
 		Logger  *log.Logger
 		// Catalog returns the configuration in force.
@@ -36,6 +41,9 @@
 		address  string
 		settings pool.Settings
 		deps     Deps
+
+		mu  sync.Mutex
+		pid *actor.PID
 	}
 )
 
@@ -129,6 +137,8 @@
 	}
 	holder := newHolder(h, ledger, restored, confirmed)
 	pid := h.deps.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return holder }))
+	h.setHolder(pid)
+	defer h.setHolder(nil)
 	select {
 	case <-holder.lost:
 		_ = h.deps.System.Root.StopFuture(pid).Wait()
@@ -140,6 +150,25 @@
 	}
 }
 
+func (h *Host) setHolder(pid *actor.PID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pid = pid
+}
+
+// Snapshot returns what the holder in this process knows; ok is false while it does not
+// hold the pool.
+func (h *Host) Snapshot() (snapshot pool.Snapshot, ok bool) {
+	h.mu.Lock()
+	pid := h.pid
+	h.mu.Unlock()
+	if pid == nil {
+		return pool.Snapshot{}, false
+	}
+	snapshot, err := mailbox.Call[question, pool.Snapshot](h.deps.System.Root, pid, question{}, snapshotTimeout)
+	return snapshot, err == nil
+}
+
 func waitUntil(done <-chan struct{}, most time.Duration) {
 	timer := time.NewTimer(most)
 	defer timer.Stop()
--- a/holder/load.go
+++ b/holder/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"hollyfork.example/hollyfork/pool"
@@ -75,8 +76,9 @@
 	}
 }
 
-// logEvent writes a decision to the log.
+// logEvent counts a decision and writes it to the log.
 func (h *Host) logEvent(e pool.Event) {
+	h.deps.Metrics.GetOrCreateCounter(fmt.Sprintf(`hollyfork_pool_events_total{pool=%q,kind=%q}`, h.pool, e.Kind)).Inc()
 	entry := h.deps.Logger.Info().Str("pool", h.pool)
 	if e.Job != "" {
 		entry = entry.Str("job", string(e.Job)).Int("step", e.Step).Int("task", e.First).Int("run", e.Run)
--- a/holder/settings.go
+++ b/holder/settings.go
@@ -32,6 +32,8 @@
 	// firstRetry and lastRetry bound the waits after a failure of the store.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond
+	// snapshotTimeout bounds the wait for the state dump.
+	snapshotTimeout = 500 * time.Millisecond
 	// handOverTimeout bounds the commits of a holder that stops.
 	handOverTimeout = 1 * time.Second
 )
--- /dev/null
+++ b/pool/state.go
@@ -0,0 +1,112 @@
+package pool
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+type (
+	// Snapshot is what a pool knows, for the dump on request and for metrics.
+	Snapshot struct {
+		Pool          string           `json:"pool"`
+		ConfigVersion uint64           `json:"config_version"`
+		Jobs          map[string]int   `json:"jobs"`
+		Waiting       map[string]int   `json:"waiting_by_queue"`
+		Uncommitted   int              `json:"uncommitted"`
+		Workers       []WorkerSnapshot `json:"workers"`
+		Live          []JobSnapshot    `json:"live_jobs"`
+	}
+
+	// WorkerSnapshot is what a pool knows of a worker.
+	WorkerSnapshot struct {
+		Agent       string `json:"agent"`
+		Instance    string `json:"instance"`
+		Rack        string `json:"rack"`
+		Usable      bool   `json:"usable"`
+		Draining    bool   `json:"draining"`
+		SetAside    bool   `json:"set_aside"`
+		Tasks       int    `json:"tasks"`
+		Strays      int    `json:"strays"`
+		Free        string `json:"free"`
+		HeardAgoMS  int64  `json:"heard_ago_ms"`
+		LeaseLeftMS int64  `json:"lease_left_ms"`
+		Committed   uint64 `json:"committed_ends"`
+		Pending     int    `json:"uncommitted_ends"`
+	}
+
+	// JobSnapshot is what a pool knows of a job that has not ended everywhere.
+	JobSnapshot struct {
+		ID        string `json:"id"`
+		Queue     string `json:"queue"`
+		Workspace string `json:"workspace"`
+		State     string `json:"state"`
+		DueInMS   int64  `json:"due_in_ms"`
+		Groups    int    `json:"groups"`
+		Placed    int    `json:"placed"`
+		Done      int    `json:"done"`
+		Failures  int    `json:"failures"`
+	}
+)
+
+// Snapshot returns what the pool knows at a time.
+func (c *Core) Snapshot(now time.Time) Snapshot {
+	s := Snapshot{
+		Pool:          c.name,
+		ConfigVersion: c.catalog.Version,
+		Jobs:          map[string]int{},
+		Waiting:       c.waitingByQueue(),
+		Uncommitted:   len(c.dirty),
+	}
+	for _, j := range c.jobs {
+		s.Jobs[j.state.String()]++
+	}
+	for _, j := range c.live {
+		s.Live = append(s.Live, j.snapshot(now))
+	}
+	for _, w := range c.workers {
+		s.Workers = append(s.Workers, w.snapshot(now, c.settings))
+	}
+	slices.SortFunc(s.Live, func(a, b JobSnapshot) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(s.Workers, func(a, b WorkerSnapshot) int { return strings.Compare(a.Agent, b.Agent) })
+	return s
+}
+
+func (j *jobState) snapshot(now time.Time) JobSnapshot {
+	s := JobSnapshot{
+		ID:        string(j.job.ID),
+		Queue:     j.job.Queue,
+		Workspace: j.job.Workspace,
+		State:     j.state.String(),
+		DueInMS:   j.job.Due().Sub(now).Milliseconds(),
+		Groups:    len(j.groups),
+	}
+	for _, g := range j.groups {
+		s.Failures += g.failures
+		if g.placed() {
+			s.Placed++
+		}
+		if g.done {
+			s.Done++
+		}
+	}
+	return s
+}
+
+func (w *worker) snapshot(now time.Time, settings Settings) WorkerSnapshot {
+	return WorkerSnapshot{
+		Agent:       w.agent,
+		Instance:    w.instance,
+		Rack:        w.rack,
+		Usable:      w.usable(now, settings),
+		Draining:    w.draining,
+		SetAside:    w.health.aside(now),
+		Tasks:       len(w.members),
+		Strays:      len(w.strays),
+		Free:        w.free().String(),
+		HeardAgoMS:  now.Sub(w.heard).Milliseconds(),
+		LeaseLeftMS: w.leaseEnd.Sub(now).Milliseconds(),
+		Committed:   w.ends.committed,
+		Pending:     len(w.ends.pending),
+	}
+}
--- a/program/gatewayd/main.go
+++ b/program/gatewayd/main.go
@@ -7,9 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os/signal"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -24,6 +26,7 @@
 	"hollyfork.example/hollyfork/process"
 	"hollyfork.example/hollyfork/process/actors"
 	"hollyfork.example/hollyfork/settings"
+	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/rpc"
 )
 
@@ -95,11 +98,16 @@
 type gatewayProcess struct {
 	options  options
 	logger   *log.Logger
-	store    *adapter.Store
+	metrics  *metrics.Set
+	store    store.Store
 	follower *gateway.Follower
 	gateway  *gateway.Gateway
 	traffic  *rpc.Traffic
-	hosts    sync.WaitGroup
+	running  sync.WaitGroup
+
+	mu sync.Mutex
+	// hosts are those of all pools, by name.
+	hosts map[string]*holder.Host
 }
 
 func run(o options, logger *log.Logger) error {
@@ -110,9 +118,10 @@
 	if err != nil {
 		return err
 	}
-	p := &gatewayProcess{options: o, logger: logger, store: adapter.NewStore(*o.store), traffic: &rpc.Traffic{}}
+	p := &gatewayProcess{options: o, logger: logger, metrics: metrics.NewSet(), traffic: &rpc.Traffic{}, hosts: map[string]*holder.Host{}}
+	p.store = store.NewMetered(adapter.NewStore(*o.store), p.metrics)
 	p.follower = gateway.NewFollower(time.Now(), adapter.NewConfigs(p.store), logger)
-	p.gateway = gateway.New(p.store, p.follower, logger)
+	p.gateway = gateway.New(p.store, p.follower, p.metrics, logger)
 	following, endFollowing := context.WithCancel(context.Background())
 	defer endFollowing()
 	go p.follower.Run(following)
@@ -139,7 +148,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
 	defer cancel()
 	p.gateway.Stop()
-	p.hosts.Wait()
+	p.running.Wait()
 	time.Sleep(lameDuck)
 	if err := callers.Shutdown(ctx); err != nil {
 		p.logger.Warn().Err(err).Msg("gateway: requests were still in progress")
@@ -152,6 +161,7 @@
 	deps := holder.Deps{
 		System:  actors.NewSystem(p.logger),
 		Store:   p.store,
+		Metrics: p.metrics,
 		Traffic: p.traffic,
 		Logger:  p.logger,
 		Catalog: p.follower.Catalog,
@@ -159,40 +169,53 @@
 	if *p.options.share < weakShare {
 		deps.Patience = weakPatience
 	}
-	p.hosts.Go(func() {
-		hosted := map[string]bool{}
+	p.running.Go(func() {
 		for ctx.Err() == nil {
 			for _, name := range p.follower.Catalog().Pools {
-				if hosted[name] {
-					continue
-				}
-				hosted[name] = true
-				host := holder.New(name, *p.options.name, *p.options.callers, pool.DefaultSettings(), deps)
-				p.hosts.Go(func() { host.Run(ctx) })
+				p.hostPool(ctx, name, deps)
 			}
-			sleep(ctx, lookForPools)
+			store.Sleep(ctx, lookForPools)
 		}
 	})
 }
 
-// lookForPools is how often the configuration is looked at for new pools.
-const lookForPools = 50 * time.Millisecond
+// hostPool runs a host for a pool, unless there is one.
+func (p *gatewayProcess) hostPool(ctx context.Context, name string, deps holder.Deps) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, hosted := p.hosts[name]; hosted {
+		return
+	}
+	host := holder.New(name, *p.options.name, *p.options.callers, pool.DefaultSettings(), deps)
+	p.hosts[name] = host
+	p.running.Go(func() { host.Run(ctx) })
+}
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+// pools returns the states of the pools that this process holds.
+func (p *gatewayProcess) pools() []pool.Snapshot {
+	p.mu.Lock()
+	hosts := slices.Collect(maps.Values(p.hosts))
+	p.mu.Unlock()
+	var held []pool.Snapshot
+	for _, host := range hosts {
+		if snapshot, ok := host.Snapshot(); ok {
+			held = append(held, snapshot)
+		}
 	}
+	return held
 }
 
+// lookForPools is how often the configuration is looked at for new pools.
+const lookForPools = 50 * time.Millisecond
+
 // dump is the process's state, for operators.
 type dump struct {
 	ConfigVersion uint64        `json:"config_version"`
 	ConfigAge     time.Duration `json:"config_age_ns"`
 	Ready         bool          `json:"ready"`
 	Stopping      bool          `json:"stopping"`
+	// Pools are those that this process holds.
+	Pools []pool.Snapshot `json:"pools"`
 }
 
 func (p *gatewayProcess) dump() any {
@@ -202,6 +225,7 @@
 		ConfigAge:     p.follower.Age(now),
 		Ready:         p.gateway.Ready(now),
 		Stopping:      p.gateway.Stopping(),
+		Pools:         p.pools(),
 	}
 }
 
@@ -209,8 +233,43 @@
 	if listener == nil {
 		return
 	}
-	set := metrics.NewSet()
-	go process.NewAdmin(p.dump, set).Serve(listener)
+	p.addGauges()
+	go process.NewAdmin(p.dump, p.metrics).Serve(listener)
+}
+
+// addGauges adds what is looked up when the metrics are read.
+func (p *gatewayProcess) addGauges() {
+	p.metrics.NewGauge("hollyfork_gateway_ready", func() float64 {
+		if p.gateway.Ready(time.Now()) {
+			return 1
+		}
+		return 0
+	})
+	p.metrics.NewGauge("hollyfork_gateway_config_version", func() float64 { return float64(p.follower.Catalog().Version) })
+	p.metrics.NewGauge("hollyfork_gateway_config_age_seconds", func() float64 { return p.follower.Age(time.Now()).Seconds() })
+	p.metrics.NewGauge("hollyfork_pools_held", func() float64 { return float64(len(p.pools())) })
+	p.metrics.NewGauge("hollyfork_pool_jobs_waiting", func() float64 {
+		waiting := 0
+		for _, snapshot := range p.pools() {
+			for _, n := range snapshot.Waiting {
+				waiting += n
+			}
+		}
+		return float64(waiting)
+	})
+	p.metrics.NewGauge("hollyfork_pool_workers_usable", func() float64 {
+		usable := 0
+		for _, snapshot := range p.pools() {
+			for _, w := range snapshot.Workers {
+				if w.Usable {
+					usable++
+				}
+			}
+		}
+		return float64(usable)
+	})
+	p.metrics.NewGauge("hollyfork_rpc_received_bytes_total", func() float64 { return float64(p.traffic.BytesIn.Load()) })
+	p.metrics.NewGauge("hollyfork_rpc_sent_bytes_total", func() float64 { return float64(p.traffic.BytesOut.Load()) })
 }
 
 // listenAll opens addresses; empty ones give nil.
--- a/program/pooltest/cluster_test.go
+++ b/program/pooltest/cluster_test.go
@@ -59,8 +59,12 @@
 	kind    string
 	config  string
 	address string
+	// admin is where a gateway serves its metrics and state.
+	admin   string
 	command *exec.Cmd
 	output  *lockedBuffer
+	// stdout takes the place of output, unless it is nil.
+	stdout *os.File
 }
 
 // lockedBuffer is a buffer that may be read while it is written.
@@ -188,10 +192,11 @@
 }
 
 func (c *cluster) startGateway(number int) *program {
-	callers, ready := freeAddress(c.t), freeAddress(c.t)
-	config := fmt.Sprintf("[gateway]\nname = gateway-%d\ncallers = %s\nready = %s\n\n[platform]\nstore = %s\n", number, callers, ready, c.address)
+	callers, ready, admin := freeAddress(c.t), freeAddress(c.t), freeAddress(c.t)
+	config := fmt.Sprintf("[gateway]\nname = gateway-%d\ncallers = %s\nready = %s\nmetrics = %s\n\n[platform]\nstore = %s\n", number, callers, ready, admin, c.address)
 	p := c.start("gateway", fmt.Sprintf("gateway-%d", number), config)
 	p.address = callers
+	p.admin = admin
 	return p
 }
 
@@ -217,7 +222,10 @@
 	p.t.Helper()
 	p.command = exec.Command(os.Args[0], "-config", p.config)
 	p.command.Env = append(os.Environ(), programVariable+"="+p.kind)
-	p.command.Stdout = p.output
+	p.command.Stdout = p.stdout
+	if p.stdout == nil {
+		p.command.Stdout = p.output
+	}
 	p.command.Stderr = p.output
 	if err := p.command.Start(); err != nil {
 		p.t.Fatal(err)
@@ -270,6 +278,21 @@
 	return response.StatusCode, string(answer)
 }
 
+// fetch reads a page of the gateway's metrics address.
+func (p *program) fetch(path string) string {
+	p.t.Helper()
+	response, err := http.Get("http://" + p.admin + path)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return string(content)
+}
+
 // submit hands a job in until a gateway accepts it.
 func (c *cluster) submit(id int, body string) {
 	c.t.Helper()
--- a/program/pooltest/pool_test.go
+++ b/program/pooltest/pool_test.go
@@ -1,7 +1,10 @@
 package pooltest
 
 import (
+	"encoding/json"
 	"net/http"
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -244,3 +247,53 @@
 	c.await(1, "failed")
 	is.Equal(c.runs.count(), 3)
 }
+
+func TestMetricsAndStateDump(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 2)
+	c.submit(1, tasks(2, "100ms"))
+	c.awaitAll(1)
+	page := c.gateways[0].fetch("/metrics")
+	for _, name := range []string{
+		`hollyfork_gateway_requests_total{op="submit",outcome="ok"} 1`,
+		`hollyfork_gateway_request_seconds_bucket{op="submit"`,
+		`hollyfork_store_calls_total{op="commit",result="ok"}`,
+		`hollyfork_pool_events_total{pool="encoders",kind="placed"} 2`,
+		"hollyfork_pools_held 1",
+		"hollyfork_pool_workers_usable 2",
+	} {
+		is.True(strings.Contains(page, name)) // a metric is on the page
+	}
+	dump := struct {
+		Pools []struct {
+			Jobs    map[string]int `json:"jobs"`
+			Workers []struct {
+				Usable bool `json:"usable"`
+			} `json:"workers"`
+		} `json:"pools"`
+	}{}
+	is.NoErr(json.Unmarshal([]byte(c.gateways[0].fetch("/debug/state")), &dump))
+	is.Equal(dump.Pools[0].Jobs["done"], 1)
+	is.Equal(len(dump.Pools[0].Workers), 2)
+}
+
+// Nobody reads the log: the pipe is full, and the gateway must go on all the same.
+func TestBlockedLogReaderBlocksNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 2)
+	g := c.gateways[0]
+	g.kill()
+	reader, writer, err := os.Pipe()
+	is.NoErr(err)
+	defer func() { _ = reader.Close() }()
+	defer func() { _ = writer.Close() }()
+	g.stdout = writer
+	g.launch()
+	g.awaitReady()
+	for range 1500 {
+		status, _ := g.call(http.MethodGet, jobPath(77), apiKey, "")
+		is.Equal(status, http.StatusGone)
+	}
+	c.submit(1, tasks(2, "100ms"))
+	c.awaitAll(1)
+}
--- a/program/sidecard/main.go
+++ b/program/sidecard/main.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/holder"
@@ -93,7 +94,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP)
-	agent := sidecar.New(time.Now(), adapter.NewWorker(*o.worker), logger)
+	set := metrics.NewSet()
+	agent := sidecar.New(time.Now(), adapter.NewWorker(*o.worker), set, logger)
 	server := rpc.NewServer(maxHolders, nil)
 	if err := server.Register(holder.ServiceName, agent.Service()); err != nil {
 		return err
@@ -106,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	if err := serveAdmin(*o.admin, agent); err != nil {
+	if err := serveAdmin(*o.admin, agent, set); err != nil {
 		return err
 	}
 	go func() { _ = server.Serve(holders) }()
@@ -149,7 +151,7 @@
 	}
 }
 
-func serveAdmin(address string, agent *sidecar.Agent) error {
+func serveAdmin(address string, agent *sidecar.Agent, set *metrics.Set) error {
 	if address == "" {
 		return nil
 	}
@@ -157,7 +159,7 @@
 	if err != nil {
 		return err
 	}
-	go process.NewAdmin(func() any { return agent.State(time.Now()) }, nil).Serve(listener)
+	go process.NewAdmin(func() any { return agent.State(time.Now()) }, set).Serve(listener)
 	return nil
 }
 
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
@@ -30,8 +32,9 @@
 
 // Agent runs a Core. Create it with New, then call Run.
 type Agent struct {
-	worker Worker
-	logger *log.Logger
+	worker  Worker
+	metrics *metrics.Set
+	logger  *log.Logger
 
 	mu   sync.Mutex
 	core *Core
@@ -42,10 +45,11 @@
 	wake     chan struct{}
 }
 
-// New returns an agent for the worker beside it.
-func New(now time.Time, worker Worker, logger *log.Logger) *Agent {
+// New returns an agent for the worker beside it, which counts in a set.
+func New(now time.Time, worker Worker, set *metrics.Set, logger *log.Logger) *Agent {
 	return &Agent{
 		worker:   worker,
+		metrics:  set,
 		logger:   logger,
 		core:     NewCore(now, uuid.NewString()),
 		changed:  make(chan struct{}),
@@ -89,8 +93,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, hold.Wait+holdTimeout)
 	defer cancel()
+	began := time.Now()
 	listing, err := a.worker.Hold(ctx, hold)
 	now := time.Now()
+	a.metrics.GetOrCreateCounter(fmt.Sprintf(`hollyfork_sidecar_holds_total{result=%q}`, KindOf(err))).Inc()
+	a.metrics.GetOrCreateHistogram("hollyfork_sidecar_hold_seconds").Update(now.Sub(began).Seconds())
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err != nil {
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -115,6 +116,7 @@
 }
 
 func (a *Agent) logOrder(what, task string, run int32, result poolpb.OrderResult_Value, err error) {
+	a.metrics.GetOrCreateCounter(fmt.Sprintf(`hollyfork_sidecar_orders_total{order=%q,result=%q}`, what, result)).Inc()
 	entry := a.logger.Info()
 	if err != nil {
 		entry = a.logger.Warn().Err(err)
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -100,6 +100,22 @@
 	return e.Err
 }
 
+// String returns the kind's name, "ok" for none.
+func (k Kind) String() string {
+	switch k {
+	case KindUnanswered:
+		return "unanswered"
+	case KindNoWorker:
+		return "no worker"
+	case KindOtherInstance:
+		return "other instance"
+	case KindRefused:
+		return "refused"
+	default:
+		return "ok"
+	}
+}
+
 // KindOf returns the kind of an error of this package, or 0 for any other.
 func KindOf(err error) Kind {
 	var failure *Error
--- /dev/null
+++ b/store/metered.go
@@ -0,0 +1,73 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Metered counts and times the calls to a store. Create it with NewMetered.
+type Metered struct {
+	inner Store
+	set   *metrics.Set
+}
+
+// NewMetered returns a store whose calls are counted in a set.
+func NewMetered(inner Store, set *metrics.Set) *Metered {
+	return &Metered{inner: inner, set: set}
+}
+
+// Commit implements Store.
+func (m *Metered) Commit(ctx context.Context, txn Txn) (Stamp, error) {
+	began := time.Now()
+	stamp, err := m.inner.Commit(ctx, txn)
+	m.note("commit", began, err)
+	return stamp, err
+}
+
+// Read implements Reader.
+func (m *Metered) Read(ctx context.Context, r Range) (Page, error) {
+	began := time.Now()
+	page, err := m.inner.Read(ctx, r)
+	m.note("read", began, err)
+	return page, err
+}
+
+// Follow implements Reader. Its time is that until there was a change, so only its count is
+// of use.
+func (m *Metered) Follow(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
+	page, err := m.inner.Follow(ctx, table, after, wait)
+	m.count("follow", err)
+	return page, err
+}
+
+func (m *Metered) note(op string, began time.Time, err error) {
+	m.count(op, err)
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`hollyfork_store_call_seconds{op=%q}`, op)).UpdateDuration(began)
+}
+
+func (m *Metered) count(op string, err error) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`hollyfork_store_calls_total{op=%q,result=%q}`, op, KindOf(err))).Inc()
+}
+
+// String returns the kind's name, "ok" for none.
+func (k Kind) String() string {
+	switch k {
+	case KindRefused:
+		return "refused"
+	case KindUnsettled:
+		return "unsettled"
+	case KindConflict:
+		return "conflict"
+	case KindHistoryGone:
+		return "history gone"
+	case KindLost:
+		return "lost"
+	case KindInvalid:
+		return "invalid"
+	default:
+		return "ok"
+	}
+}
