Nothing is written to a store that is known to be away; a soak of the programs

Change: writes wait while the store did not answer the gateway's last question; the caller is then told that the job is not taken, and when to come back. Package cluster runs the programs for tests, with proxies in their connections; package soak does random harm to them.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -44,7 +44,9 @@
 	current atomic.Pointer[catalog.Catalog]
 	// provenAt is when the last answered question was sent, since began; 0 for none.
 	provenAt atomic.Int64
-	clock    atomic.Pointer[pool.Clock]
+	// away says that the last question was not answered.
+	away  atomic.Bool
+	clock atomic.Pointer[pool.Clock]
 }
 
 // NewFollower returns a follower that has no configuration yet.
@@ -73,6 +75,11 @@
 	return c.Store + now.Sub(c.Now)
 }
 
+// StoreAway says whether the store did not answer the last question.
+func (f *Follower) StoreAway() bool {
+	return f.away.Load()
+}
+
 // Fresh says whether the configuration may be acted upon.
 func (f *Follower) Fresh(now time.Time) bool {
 	return f.Catalog().Version > 0 && f.Age(now) <= MaxAge
@@ -86,6 +93,7 @@
 	for ctx.Err() == nil {
 		sent := time.Now()
 		next, stamp, err := f.ask(ctx, version)
+		f.away.Store(err != nil)
 		if (err == nil) != up && ctx.Err() == nil {
 			up = err == nil
 			f.logTurn(up, err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -28,6 +29,8 @@
 	RetryAfter = 1 * time.Second
 )
 
+var errAway = errors.New("the store is away")
+
 type (
 	// Call is what all requests have.
 	Call struct {
@@ -198,10 +201,7 @@
 		Checks: []store.Check{{Key: key}},
 		Writes: []store.Write{{Key: key, Value: row}},
 	}
-	unsettled, err := g.retry(ctx, call, func(ctx context.Context) error {
-		_, err := g.store.Commit(ctx, txn)
-		return err
-	})
+	unsettled, err := g.retry(ctx, call, func(ctx context.Context) error { return g.write(ctx, txn) })
 	if store.KindOf(err) == store.KindConflict {
 		// The job was accepted before: by this request, by an earlier one, or elsewhere.
 		return nil
@@ -209,6 +209,16 @@
 	return writeError("submit", unsettled, err)
 }
 
+// write commits a transaction, unless the store is known to be away: then it is certain that
+// nothing was done, and the caller can be told so.
+func (g *Gateway) write(ctx context.Context, txn store.Txn) error {
+	if g.follower.StoreAway() {
+		return &store.Error{Op: "commit", Kind: store.KindRefused, Err: errAway}
+	}
+	_, err := g.store.Commit(ctx, txn)
+	return err
+}
+
 // writeError says what a caller is told of a write that failed.
 func writeError(op string, unsettled bool, err error) error {
 	switch {
@@ -342,10 +352,8 @@
 	}
 	key := pool.CancelKey(t.queue.Pool, found.id)
 	row := pool.Encode(pool.CancelRow(g.follower.StoreClock(time.Now())))
-	unsettled, err := g.retry(ctx, call, func(ctx context.Context) error {
-		_, err := g.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: row}}})
-		return err
-	})
+	txn := store.Txn{Writes: []store.Write{{Key: key, Value: row}}}
+	unsettled, err := g.retry(ctx, call, func(ctx context.Context) error { return g.write(ctx, txn) })
 	return writeError(op, unsettled, err)
 }
 
--- /dev/null
+++ b/program/cluster/cluster.go
@@ -0,0 +1,258 @@
+// Package cluster runs the programs of the users' platform as separate processes, for
+// tests. The platform is taken by package fakes, with proxies in the connections to the
+// store and from holders to agents, which can misbehave.
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hollyfork.example/hollyfork/platform/fakes"
+	"hollyfork.example/hollyfork/program/gatewayd"
+	"hollyfork.example/hollyfork/program/sidecard"
+)
+
+const (
+	// Prefix is that of the only queue's paths.
+	Prefix = "/encode/"
+	// APIKey is the key of the only workspace.
+	APIKey = "key-of-lectures"
+	// Attempts is how often a task may fail.
+	Attempts = 3
+
+	host = "jobs.example"
+	// patience is how long Eventually waits.
+	patience = 30 * time.Second
+	// lookEvery is how often it looks.
+	lookEvery = 20 * time.Millisecond
+
+	// programVariable names the program that a test process stands for.
+	programVariable = "HOLLYFORK_TEST_PROGRAM"
+	gatewayProgram  = "gateway"
+	sidecarProgram  = "sidecar"
+)
+
+// Cluster is the whole system as separate processes. Create it with New.
+type Cluster struct {
+	Store    *fakes.Store
+	Gateways []*Program
+	Sidecars []*Program
+	Workers  []*fakes.Worker
+	Runs     *fakes.Recorder
+
+	t testing.TB
+	// storeAddress is that of the store itself.
+	storeAddress string
+}
+
+// Main runs the tests of a package that uses clusters, or, in a process that a cluster has
+// started, the program that it stands for. TestMain calls it.
+func Main(m *testing.M) {
+	switch os.Getenv(programVariable) {
+	case gatewayProgram:
+		os.Exit(gatewayd.Main(os.Args[1:], os.Stdout, os.Stderr))
+	case sidecarProgram:
+		os.Exit(sidecard.Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// New starts gateways, and workers with their sidecars, and waits until the gateways are
+// ready.
+func New(t testing.TB, gateways, workers int) *Cluster {
+	t.Helper()
+	c := &Cluster{t: t, Store: fakes.NewStore(time.Now()), Runs: fakes.NewRecorder(Attempts)}
+	server := httptest.NewServer(c.Store.Handler())
+	t.Cleanup(server.Close)
+	c.storeAddress = strings.TrimPrefix(server.URL, "http://")
+	c.Configure(1, APIKey)
+	for i := range workers {
+		c.addWorker(i)
+	}
+	for i := range gateways {
+		c.addGateway(i)
+	}
+	for _, g := range c.Gateways {
+		g.AwaitReady()
+	}
+	return c
+}
+
+// Configure writes a version of the configuration in which one key is known.
+func (c *Cluster) Configure(version int, key string) {
+	const form = `{"version":%d,
+		"routes":[{"name":"captions","host":%q,"prefix":%q,"type":"unsafe","timeout_ms":3000,"goal_ms":1000,
+			"priority":0,"service":"encoders","attempts":%d,"stretch":2.0}],
+		"services":[{"name":"encoders"}],
+		"limits":{"max_body_bytes":65536},
+		"tenants":[{"name":"lectures","api_keys":[%q],"guaranteed":{"gpu":8}}]}`
+	c.Store.Put("op", "", "config", fmt.Appendf(nil, form, version, host, Prefix, Attempts, key))
+}
+
+func (c *Cluster) addWorker(number int) {
+	c.t.Helper()
+	done := make(chan struct{})
+	c.t.Cleanup(func() { close(done) })
+	control := c.freeAddress()
+	w := fakes.NewWorker(time.Now(), fmt.Sprintf("worker-%d", number), control, c.Runs)
+	server := httptest.NewServer(w.Handler())
+	c.t.Cleanup(server.Close)
+	go w.Run(done)
+	c.Workers = append(c.Workers, w)
+
+	holders := c.freeAddress()
+	fromHolder, toStore := c.proxy(holders), c.proxy(c.storeAddress)
+	config := fmt.Sprintf("[sidecar]\nname = sidecar-%d\npool = encoders\nholders = %s\nadvertise = %s\nheartbeats = %s\nworker = %s\n\n[platform]\nstore = %s\n",
+		number, holders, fromHolder.Address(), control, strings.TrimPrefix(server.URL, "http://"), toStore.Address())
+	p := c.start(sidecarProgram, number, config)
+	p.Links = []*fakes.Proxy{fromHolder, toStore}
+	c.Sidecars = append(c.Sidecars, p)
+}
+
+func (c *Cluster) addGateway(number int) {
+	c.t.Helper()
+	callers, admin := c.freeAddress(), c.freeAddress()
+	toStore := c.proxy(c.storeAddress)
+	config := fmt.Sprintf("[gateway]\nname = gateway-%d\ncallers = %s\nready = %s\nmetrics = %s\n\n[platform]\nstore = %s\n",
+		number, callers, c.freeAddress(), admin, toStore.Address())
+	p := c.start(gatewayProgram, number, config)
+	p.address = callers
+	p.admin = admin
+	p.Links = []*fakes.Proxy{toStore}
+	c.Gateways = append(c.Gateways, p)
+}
+
+func (c *Cluster) proxy(target string) *fakes.Proxy {
+	c.t.Helper()
+	p, err := fakes.NewProxy(target)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(p.Close)
+	return p
+}
+
+// freeAddress returns a loopback address that nobody listens on. Its port is below those
+// that the kernel gives to outgoing connections, and apart from those of other processes
+// that run tests.
+func (c *Cluster) freeAddress() string {
+	c.t.Helper()
+	const firstPort, blocks, block = 10000, 100, 200
+	config := net.ListenConfig{}
+	for range block {
+		number := int(nextPort.Add(1)) % block
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+os.Getpid()%blocks*block+number)
+		listener, err := config.Listen(context.Background(), "tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return address
+	}
+	c.t.Fatal("no port is free")
+	return ""
+}
+
+// nextPort counts the ports that were handed out.
+var nextPort atomic.Int64
+
+// JobPath is the path of the job with a number.
+func JobPath(id int) string {
+	return fmt.Sprintf("%s%016x", Prefix, id)
+}
+
+// Submit hands a job in until a gateway accepts it.
+func (c *Cluster) Submit(id int, body string) {
+	c.t.Helper()
+	Eventually(c.t, "a job is accepted", func() bool {
+		for _, g := range c.Gateways {
+			if status, _ := g.Call(http.MethodPost, JobPath(id), APIKey, body); status == http.StatusOK {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// State returns where a job stands; empty when no gateway tells.
+func (c *Cluster) State(id int) string {
+	for _, g := range c.Gateways {
+		status, content := g.Call(http.MethodGet, JobPath(id), APIKey, "")
+		answer := struct{ State string }{}
+		if status == http.StatusOK && json.Unmarshal([]byte(content), &answer) == nil {
+			return answer.State
+		}
+	}
+	return ""
+}
+
+// Await waits until a job is in a state.
+func (c *Cluster) Await(id int, state string) {
+	c.t.Helper()
+	Eventually(c.t, fmt.Sprintf("job %d is %s", id, state), func() bool { return c.State(id) == state })
+}
+
+// AwaitAll waits until the jobs from 1 to count are done, and checks the runs.
+func (c *Cluster) AwaitAll(count int) {
+	c.t.Helper()
+	for id := 1; id <= count; id++ {
+		c.Await(id, "done")
+	}
+	c.Check()
+}
+
+// Check fails the test if a worker did what it never should.
+func (c *Cluster) Check() {
+	c.t.Helper()
+	for _, line := range c.Runs.Broken() {
+		c.t.Error(line)
+	}
+}
+
+// Holder returns the number of the gateway that took the pool last, by the logs.
+func (c *Cluster) Holder() int {
+	last, at := -1, ""
+	for i, g := range c.Gateways {
+		for line := range strings.SplitSeq(g.Output(), "\n") {
+			entry := struct{ Time, Message string }{}
+			if json.Unmarshal([]byte(line), &entry) != nil {
+				continue
+			}
+			if entry.Message == "holder: this process holds the pool" && entry.Time > at {
+				last, at = i, entry.Time
+			}
+		}
+	}
+	return last
+}
+
+// Eventually waits until something holds, and fails the test when it does not in time.
+func Eventually(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(lookEvery)
+	}
+}
+
+// Tasks returns a job of some tasks that run for a time.
+func Tasks(count int, length string) string {
+	return fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":4000,"mem_mb":1000,"gpu":1,"est_ms":500}]}`, length, count)
+}
+
+// Gang returns a job of one gang.
+func Gang(count, accelerators int, length string) string {
+	return fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":4000,"mem_mb":1000,"gpu":%d,"est_ms":500,"gang":true}]}`, length, count, accelerators)
+}
--- a/program/pooltest/pool_test.go
+++ b/program/pooltest/pool_test.go
@@ -12,80 +12,81 @@
 	"github.com/matryer/is"
 
 	"hollyfork.example/hollyfork/platform/fakes"
+	"hollyfork.example/hollyfork/program/cluster"
 )
 
+func TestMain(m *testing.M) {
+	cluster.Main(m)
+}
+
 func TestJobsAreDone(t *testing.T) {
-	c := newCluster(t, 2, 3)
-	c.submit(1, tasks(4, "200ms"))
-	c.submit(2, gang(3, 8, "300ms"))
-	c.awaitAll(2)
+	c := cluster.New(t, 2, 3)
+	c.Submit(1, cluster.Tasks(4, "200ms"))
+	c.Submit(2, cluster.Gang(3, 8, "300ms"))
+	c.AwaitAll(2)
 }
 
 func TestRepeatedRequestIsOneJob(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 2, 2)
-	c.submit(1, tasks(1, "100ms"))
-	c.awaitAll(1)
-	for _, g := range c.gateways {
-		status, _ := g.call(http.MethodPost, jobPath(1), apiKey, tasks(1, "100ms"))
+	c := cluster.New(t, 2, 2)
+	c.Submit(1, cluster.Tasks(1, "100ms"))
+	c.AwaitAll(1)
+	for _, g := range c.Gateways {
+		status, _ := g.Call(http.MethodPost, cluster.JobPath(1), cluster.APIKey, cluster.Tasks(1, "100ms"))
 		is.Equal(status, http.StatusOK)
 	}
 	time.Sleep(500 * time.Millisecond)
-	c.runs.check()
-	is.Equal(c.runs.count(), 1)
+	c.Check()
+	is.Equal(c.Runs.StartCount(), 1)
 }
 
 func TestRefusals(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 1, 1)
-	g := c.gateways[0]
+	c := cluster.New(t, 1, 1)
+	g := c.Gateways[0]
 	for _, test := range []struct {
 		method, path, key, body string
 		status                  int
 	}{
-		{http.MethodPost, jobPath(1), "no such key", tasks(1, "1s"), http.StatusUnauthorized},
-		{http.MethodPost, "/nowhere/0000000000000001", apiKey, tasks(1, "1s"), http.StatusNotFound},
-		{http.MethodPost, jobPath(1), apiKey, "{", http.StatusBadRequest},
-		{http.MethodPost, jobPath(1), apiKey, `{"spec":"1s","steps":[]}`, http.StatusBadRequest},
-		{http.MethodPost, prefix + "short", apiKey, tasks(1, "1s"), http.StatusBadRequest},
-		{http.MethodGet, jobPath(1), apiKey, "", http.StatusGone},
-		{http.MethodDelete, jobPath(1), apiKey, "", http.StatusGone},
-		{http.MethodPut, jobPath(1), apiKey, "", http.StatusMethodNotAllowed},
+		{http.MethodPost, cluster.JobPath(1), "no such key", cluster.Tasks(1, "1s"), http.StatusUnauthorized},
+		{http.MethodPost, "/nowhere/0000000000000001", cluster.APIKey, cluster.Tasks(1, "1s"), http.StatusNotFound},
+		{http.MethodPost, cluster.JobPath(1), cluster.APIKey, "{", http.StatusBadRequest},
+		{http.MethodPost, cluster.JobPath(1), cluster.APIKey, `{"spec":"1s","steps":[]}`, http.StatusBadRequest},
+		{http.MethodPost, cluster.Prefix + "short", cluster.APIKey, cluster.Tasks(1, "1s"), http.StatusBadRequest},
+		{http.MethodGet, cluster.JobPath(1), cluster.APIKey, "", http.StatusGone},
+		{http.MethodDelete, cluster.JobPath(1), cluster.APIKey, "", http.StatusGone},
+		{http.MethodPut, cluster.JobPath(1), cluster.APIKey, "", http.StatusMethodNotAllowed},
 	} {
-		status, _ := g.call(test.method, test.path, test.key, test.body)
+		status, _ := g.Call(test.method, test.path, test.key, test.body)
 		is.Equal(status, test.status) // a refusal's status
 	}
-	is.Equal(c.runs.count(), 0)
+	is.Equal(c.Runs.StartCount(), 0)
 }
 
 func TestCancelledJobStops(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 1, 2)
-	c.submit(1, tasks(2, "60s"))
-	c.await(1, "running")
-	status, _ := c.gateways[0].call(http.MethodDelete, jobPath(1), apiKey, "")
+	c := cluster.New(t, 1, 2)
+	c.Submit(1, cluster.Tasks(2, "60s"))
+	c.Await(1, "running")
+	status, _ := c.Gateways[0].Call(http.MethodDelete, cluster.JobPath(1), cluster.APIKey, "")
 	is.Equal(status, http.StatusOK)
-	c.await(1, "cancelled")
-	eventually(t, "its tasks have ended", func() bool {
-		c.runs.mu.Lock()
-		defer c.runs.mu.Unlock()
-		return len(c.runs.on) == 0
-	})
+	c.Await(1, "cancelled")
+	cluster.Eventually(t, "its tasks have ended", func() bool { return c.Runs.Running() == 0 })
 }
 
 func TestRevokedKeyIsRefused(t *testing.T) {
-	c := newCluster(t, 2, 1)
-	c.configure(2, "another key")
-	for _, g := range c.gateways {
-		eventually(t, "the old key is refused", func() bool {
-			status, _ := g.call(http.MethodGet, prefix, apiKey, "")
+	c := cluster.New(t, 2, 1)
+	c.Configure(2, "another key")
+	for _, g := range c.Gateways {
+		cluster.Eventually(t, "the old key is refused", func() bool {
+			status, _ := g.Call(http.MethodGet, cluster.Prefix, cluster.APIKey, "")
 			return status == http.StatusUnauthorized
 		})
 	}
-	c.configure(1, apiKey)
+	c.Configure(1, cluster.APIKey)
 	time.Sleep(300 * time.Millisecond)
-	for _, g := range c.gateways {
-		status, _ := g.call(http.MethodGet, prefix, apiKey, "")
+	for _, g := range c.Gateways {
+		status, _ := g.Call(http.MethodGet, cluster.Prefix, cluster.APIKey, "")
 		if status != http.StatusUnauthorized {
 			t.Errorf("an older configuration came into force: %d", status)
 		}
@@ -93,167 +94,184 @@
 }
 
 func TestKilledHolderIsReplaced(t *testing.T) {
-	c := newCluster(t, 3, 3)
+	c := cluster.New(t, 3, 3)
 	for id := 1; id <= 5; id++ {
-		c.submit(id, tasks(2, "1500ms"))
+		c.Submit(id, cluster.Tasks(2, "1500ms"))
 	}
-	c.await(5, "running")
-	c.gateways[c.holder()].kill()
-	c.awaitAll(5)
+	c.Await(5, "running")
+	c.Gateways[c.Holder()].Kill()
+	c.AwaitAll(5)
 }
 
 func TestFrozenHolderIsReplacedAndStepsDown(t *testing.T) {
-	c := newCluster(t, 2, 3)
+	c := cluster.New(t, 2, 3)
 	for id := 1; id <= 4; id++ {
-		c.submit(id, tasks(2, "2s"))
+		c.Submit(id, cluster.Tasks(2, "2s"))
 	}
-	c.await(4, "running")
-	frozen := c.gateways[c.holder()]
-	frozen.signal(syscall.SIGSTOP)
+	c.Await(4, "running")
+	frozen := c.Gateways[c.Holder()]
+	frozen.Signal(syscall.SIGSTOP)
 	time.Sleep(3500 * time.Millisecond)
-	frozen.signal(syscall.SIGCONT)
+	frozen.Signal(syscall.SIGCONT)
 	for id := 5; id <= 8; id++ {
-		c.submit(id, tasks(2, "300ms"))
+		c.Submit(id, cluster.Tasks(2, "300ms"))
 	}
-	c.awaitAll(8)
+	c.AwaitAll(8)
 }
 
 func TestStoppedHolderHandsOver(t *testing.T) {
-	c := newCluster(t, 2, 2)
-	c.submit(1, tasks(2, "1s"))
-	c.await(1, "running")
-	stopped := c.holder()
-	c.gateways[stopped].signal(syscall.SIGTERM)
-	eventually(t, "another gateway holds the pool", func() bool { return c.holder() != stopped })
-	c.submit(2, tasks(2, "100ms"))
-	c.awaitAll(2)
+	c := cluster.New(t, 2, 2)
+	c.Submit(1, cluster.Tasks(2, "1s"))
+	c.Await(1, "running")
+	stopped := c.Holder()
+	c.Gateways[stopped].Signal(syscall.SIGTERM)
+	cluster.Eventually(t, "another gateway holds the pool", func() bool { return c.Holder() != stopped })
+	c.Submit(2, cluster.Tasks(2, "100ms"))
+	c.AwaitAll(2)
 }
 
 func TestKilledSidecarAdoptsWhatRuns(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 1, 2)
-	c.submit(1, tasks(4, "4s"))
-	c.await(1, "running")
+	c := cluster.New(t, 1, 2)
+	c.Submit(1, cluster.Tasks(4, "4s"))
+	c.Await(1, "running")
 	time.Sleep(500 * time.Millisecond)
-	for _, s := range c.sidecars {
-		s.kill()
+	for _, s := range c.Sidecars {
+		s.Kill()
 	}
 	time.Sleep(300 * time.Millisecond)
-	for _, s := range c.sidecars {
-		s.launch()
+	for _, s := range c.Sidecars {
+		s.Launch()
 	}
-	c.awaitAll(1)
-	is.Equal(c.runs.count(), 4)
+	c.AwaitAll(1)
+	is.Equal(c.Runs.StartCount(), 4)
 }
 
 func TestAllProcessesDie(t *testing.T) {
-	c := newCluster(t, 2, 2)
+	c := cluster.New(t, 2, 2)
 	for id := 1; id <= 3; id++ {
-		c.submit(id, tasks(3, "2s"))
+		c.Submit(id, cluster.Tasks(3, "2s"))
 	}
-	c.await(3, "running")
-	all := append(append([]*program{}, c.gateways...), c.sidecars...)
+	c.Await(3, "running")
+	all := append(append([]*cluster.Program{}, c.Gateways...), c.Sidecars...)
 	for _, p := range all {
-		p.kill()
+		p.Kill()
 	}
 	time.Sleep(time.Second)
 	for _, p := range all {
-		p.launch()
+		p.Launch()
 	}
-	c.awaitAll(3)
+	c.AwaitAll(3)
 }
 
 func TestRestartedWorkerLosesItsTasks(t *testing.T) {
-	c := newCluster(t, 1, 2)
-	c.submit(1, tasks(6, "1s"))
-	c.await(1, "running")
-	c.workers[0].Restart()
-	c.awaitAll(1)
+	c := cluster.New(t, 1, 2)
+	c.Submit(1, cluster.Tasks(6, "1s"))
+	c.Await(1, "running")
+	c.Workers[0].Restart()
+	c.AwaitAll(1)
 }
 
 func TestSilentWorkerIsReplacedAfterItsLease(t *testing.T) {
-	c := newCluster(t, 1, 2)
-	c.submit(1, tasks(8, "2s"))
-	c.await(1, "running")
-	c.workers[0].SetSilent(true)
-	c.awaitAll(1)
+	c := cluster.New(t, 1, 2)
+	c.Submit(1, cluster.Tasks(8, "2s"))
+	c.Await(1, "running")
+	c.Workers[0].SetSilent(true)
+	c.AwaitAll(1)
 }
 
 func TestDrainingWorkerGetsNothingNew(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 1, 2)
-	c.workers[0].Drain()
+	c := cluster.New(t, 1, 2)
+	c.Workers[0].Drain()
 	time.Sleep(time.Second)
-	before := c.runs.count()
+	before := c.Runs.StartCount()
 	for id := 1; id <= 3; id++ {
-		c.submit(id, tasks(4, "200ms"))
+		c.Submit(id, cluster.Tasks(4, "200ms"))
 	}
-	c.awaitAll(3)
-	is.Equal(c.runs.count()-before, 12)
-	is.Equal(c.workers[0].Runs(), 0)
+	c.AwaitAll(3)
+	is.Equal(c.Runs.StartCount()-before, 12)
+	is.Equal(c.Workers[0].Runs(), 0)
 }
 
 func TestStoreOutageInterruptsNothing(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 2, 2)
-	c.submit(1, tasks(4, "5s"))
-	c.await(1, "running")
+	c := cluster.New(t, 2, 2)
+	c.Submit(1, cluster.Tasks(4, "5s"))
+	c.Await(1, "running")
 	time.Sleep(500 * time.Millisecond)
-	c.store.SetFault(fakes.Fault{Refuse: true})
+	c.Store.SetFault(fakes.Fault{Refuse: true})
 	time.Sleep(3 * time.Second)
-	status, _ := c.gateways[0].call(http.MethodPost, jobPath(2), apiKey, tasks(1, "100ms"))
+	status, _ := c.Gateways[0].Call(http.MethodPost, cluster.JobPath(2), cluster.APIKey, cluster.Tasks(1, "100ms"))
+	is.Equal(status, http.StatusServiceUnavailable)
+	c.Store.SetFault(fakes.Fault{})
+	c.Submit(2, cluster.Tasks(1, "100ms"))
+	c.AwaitAll(2)
+	is.Equal(c.Runs.StartCount(), 5)
+}
+
+// Gateways that knew that the store was away wrote all the same, and then could not say
+// whether the job was taken.
+func TestNothingIsWrittenToAStoreThatIsAway(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(t, 1, 1)
+	link := c.Gateways[0].Links[0]
+	link.SetMode(fakes.Reset)
+	time.Sleep(300 * time.Millisecond)
+	status, _ := c.Gateways[0].Call(http.MethodPost, cluster.JobPath(1), cluster.APIKey, cluster.Tasks(1, "100ms"))
 	is.Equal(status, http.StatusServiceUnavailable)
-	c.store.SetFault(fakes.Fault{})
-	c.submit(2, tasks(1, "100ms"))
-	c.awaitAll(2)
-	is.Equal(c.runs.count(), 5)
+	link.SetMode(fakes.Pass)
+	c.Submit(2, cluster.Tasks(1, "100ms"))
+	c.Await(2, "done")
+	is.Equal(c.State(1), "")
+	is.Equal(c.Runs.StartCount(), 1)
 }
 
 func TestLostAndLateAnswersOfTheStore(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 2, 2)
-	c.submit(1, tasks(2, "200ms"))
-	c.await(1, "done")
-	c.store.SetFault(fakes.Fault{Lose: 3, Late: 3})
+	c := cluster.New(t, 2, 2)
+	c.Submit(1, cluster.Tasks(2, "200ms"))
+	c.Await(1, "done")
+	c.Store.SetFault(fakes.Fault{Lose: 3, Late: 3})
 	for id := 2; id <= 6; id++ {
-		c.submit(id, tasks(2, "200ms"))
+		c.Submit(id, cluster.Tasks(2, "200ms"))
 	}
-	c.awaitAll(6)
-	is.Equal(c.runs.count(), 12)
+	c.AwaitAll(6)
+	is.Equal(c.Runs.StartCount(), 12)
 }
 
 func TestForgottenHistoryIsNoticed(t *testing.T) {
-	c := newCluster(t, 2, 2)
-	c.store.ForgetHistory()
-	c.submit(1, tasks(2, "200ms"))
-	c.store.ForgetHistory()
-	c.submit(2, tasks(2, "200ms"))
-	c.awaitAll(2)
+	c := cluster.New(t, 2, 2)
+	c.Store.ForgetHistory()
+	c.Submit(1, cluster.Tasks(2, "200ms"))
+	c.Store.ForgetHistory()
+	c.Submit(2, cluster.Tasks(2, "200ms"))
+	c.AwaitAll(2)
 }
 
 func TestSlowStore(t *testing.T) {
-	c := newCluster(t, 2, 2)
-	c.store.SetFault(fakes.Fault{Delay: 250 * time.Millisecond})
+	c := cluster.New(t, 2, 2)
+	c.Store.SetFault(fakes.Fault{Delay: 250 * time.Millisecond})
 	for id := 1; id <= 3; id++ {
-		c.submit(id, tasks(2, "500ms"))
+		c.Submit(id, cluster.Tasks(2, "500ms"))
 	}
-	c.awaitAll(3)
+	c.AwaitAll(3)
 }
 
 func TestHopelessJobFails(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 1, 3)
-	c.submit(1, tasks(1, "fail"))
-	c.await(1, "failed")
-	is.Equal(c.runs.count(), 3)
+	c := cluster.New(t, 1, 3)
+	c.Submit(1, cluster.Tasks(1, "fail"))
+	c.Await(1, "failed")
+	is.Equal(c.Runs.StartCount(), 3)
 }
 
 func TestMetricsAndStateDump(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 1, 2)
-	c.submit(1, tasks(2, "100ms"))
-	c.awaitAll(1)
-	page := c.gateways[0].fetch("/metrics")
+	c := cluster.New(t, 1, 2)
+	c.Submit(1, cluster.Tasks(2, "100ms"))
+	c.AwaitAll(1)
+	page := c.Gateways[0].Fetch("/metrics")
 	for _, name := range []string{
 		`hollyfork_gateway_requests_total{op="submit",outcome="ok"} 1`,
 		`hollyfork_gateway_request_seconds_bucket{op="submit"`,
@@ -272,7 +290,7 @@
 			} `json:"workers"`
 		} `json:"pools"`
 	}{}
-	is.NoErr(json.Unmarshal([]byte(c.gateways[0].fetch("/debug/state")), &dump))
+	is.NoErr(json.Unmarshal([]byte(c.Gateways[0].Fetch("/debug/state")), &dump))
 	is.Equal(dump.Pools[0].Jobs["done"], 1)
 	is.Equal(len(dump.Pools[0].Workers), 2)
 }
@@ -280,20 +298,20 @@
 // Nobody reads the log: the pipe is full, and the gateway must go on all the same.
 func TestBlockedLogReaderBlocksNothing(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 1, 2)
-	g := c.gateways[0]
-	g.kill()
+	c := cluster.New(t, 1, 2)
+	g := c.Gateways[0]
+	g.Kill()
 	reader, writer, err := os.Pipe()
 	is.NoErr(err)
 	defer func() { _ = reader.Close() }()
 	defer func() { _ = writer.Close() }()
-	g.stdout = writer
-	g.launch()
-	g.awaitReady()
+	g.Stdout = writer
+	g.Launch()
+	g.AwaitReady()
 	for range 1500 {
-		status, _ := g.call(http.MethodGet, jobPath(77), apiKey, "")
+		status, _ := g.Call(http.MethodGet, cluster.JobPath(77), cluster.APIKey, "")
 		is.Equal(status, http.StatusGone)
 	}
-	c.submit(1, tasks(2, "100ms"))
-	c.awaitAll(1)
+	c.Submit(1, cluster.Tasks(2, "100ms"))
+	c.AwaitAll(1)
 }
--- a/program/sidecard/main.go
+++ b/program/sidecard/main.go
@@ -51,6 +51,7 @@
 	name       *string
 	pool       *string
 	holders    *string
+	advertise  *string
 	heartbeats *string
 	worker     *string
 	admin      *string
@@ -65,6 +66,7 @@
 		name:       settings.Add(s, "sidecar.name", "", "name of this agent", settings.Text),
 		pool:       settings.Add(s, "sidecar.pool", "", "name of the worker's pool", settings.Text),
 		holders:    settings.Add(s, "sidecar.holders", "", "IP address and port for the pool's holder", settings.Address),
+		advertise:  settings.Add(s, "sidecar.advertise", "", "IP address and port at which the holder reaches the agent, if it is another", settings.OptionalAddress),
 		heartbeats: settings.Add(s, "sidecar.heartbeats", "", "IP address and port for the worker's heartbeats", settings.Address),
 		worker:     settings.Add(s, "sidecar.worker", "", "IP address and port of the worker", settings.Address),
 		admin:      settings.Add(s, "sidecar.metrics", "", "IP address and port for metrics and the state dump; empty for none", settings.OptionalAddress),
@@ -128,7 +130,11 @@
 // register makes the agent's address known in the store, and again when no holder calls.
 func register(ctx context.Context, o options, agent *sidecar.Agent, logger *log.Logger) {
 	client := adapter.NewStore(*o.store)
-	row := pool.Encode(&poolpb.AgentRow{Address: *o.holders})
+	address := *o.advertise
+	if address == "" {
+		address = *o.holders
+	}
+	row := pool.Encode(&poolpb.AgentRow{Address: address})
 	write := store.Txn{Writes: []store.Write{{Key: pool.AgentKey(*o.pool, *o.name), Value: row}}}
 	for ctx.Err() == nil {
 		if _, err := client.Commit(ctx, write); err != nil {
@@ -136,7 +142,7 @@
 			store.Sleep(ctx, registerRetry)
 			continue
 		}
-		logger.Info().Str("address", *o.holders).Msg("agent: its address is known")
+		logger.Info().Str("address", address).Msg("agent: its address is known")
 		awaitSilence(ctx, agent)
 	}
 }
--- /dev/null
+++ b/program/soak/soak_test.go
@@ -0,0 +1,206 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"hollyfork.example/hollyfork/platform/fakes"
+	"hollyfork.example/hollyfork/program/cluster"
+)
+
+const (
+	// gateways and workers are the size of a cluster: some ten processes.
+	gateways = 3
+	workers  = 5
+	// trouble is how long harm is done, and jobs how many are handed in meanwhile.
+	trouble = 15 * time.Second
+	jobs    = 30
+	// settle is how long the jobs may take to end afterwards: above the longest lease, a
+	// change of holder and the longest job, several times.
+	settle = 60 * time.Second
+)
+
+var (
+	seeds = flag.Int("seeds", 1, "number of seeds to run")
+	first = flag.Uint64("first", 1, "first seed")
+)
+
+// regressions are the seeds that ever failed, with their causes.
+var regressions = map[uint64]string{}
+
+func TestMain(m *testing.M) {
+	cluster.Main(m)
+}
+
+func TestSeeds(t *testing.T) {
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, seed)
+		})
+	}
+}
+
+func TestRegressions(t *testing.T) {
+	for seed, cause := range regressions {
+		t.Run(fmt.Sprintf("%d %s", seed, cause), func(t *testing.T) {
+			t.Parallel()
+			play(t, seed)
+		})
+	}
+}
+
+// soak is one run.
+type soak struct {
+	*cluster.Cluster
+
+	t      *testing.T
+	random *rand.Rand
+	// standing is the harm that lasts, with what ends it.
+	standing []func()
+	// accepted are the jobs with a success, refused those whose every answer said that they
+	// were not taken.
+	accepted []int
+	refused  []int
+}
+
+func play(t *testing.T, seed uint64) {
+	s := &soak{
+		Cluster: cluster.New(t, gateways, workers),
+		t:       t,
+		random:  rand.New(rand.NewPCG(seed, seed)),
+	}
+	pause := trouble / jobs
+	for id := 1; id <= jobs; id++ {
+		s.harm()
+		s.handIn(id)
+		time.Sleep(time.Duration(s.random.Int64N(int64(2 * pause))))
+	}
+	s.heal()
+	s.check()
+}
+
+// harm starts one kind of harm, or ends one that lasts.
+func (s *soak) harm() {
+	if len(s.standing) > 2 || len(s.standing) > 0 && s.random.IntN(2) == 0 {
+		s.mend(s.random.IntN(len(s.standing)))
+		return
+	}
+	gateway := s.Gateways[s.random.IntN(gateways)]
+	number := s.random.IntN(workers)
+	sidecar, worker := s.Sidecars[number], s.Workers[number]
+	either := []*cluster.Program{gateway, sidecar}[s.random.IntN(2)]
+	switch s.random.IntN(10) {
+	case 0, 1:
+		either.Kill()
+		s.last(either.Launch)
+	case 2:
+		either.Signal(syscall.SIGSTOP)
+		s.last(func() { either.Signal(syscall.SIGCONT) })
+	case 3:
+		gateway.Stop()
+		s.last(gateway.Launch)
+	case 4, 5, 6:
+		link := either.Links[s.random.IntN(len(either.Links))]
+		link.SetMode([]fakes.Mode{fakes.Delay, fakes.Mute, fakes.MuteBack, fakes.Reset}[s.random.IntN(4)])
+		s.last(func() { link.SetMode(fakes.Pass) })
+	case 7:
+		worker.Restart()
+	case 8:
+		worker.SetSilent(true)
+		s.last(func() { worker.SetSilent(false) })
+	case 9:
+		s.harmStore()
+	}
+}
+
+func (s *soak) harmStore() {
+	switch s.random.IntN(5) {
+	case 0:
+		s.Store.SetFault(fakes.Fault{Refuse: true})
+	case 1:
+		s.Store.SetFault(fakes.Fault{Silent: true})
+	case 2:
+		s.Store.SetFault(fakes.Fault{Lose: 3, Late: 2})
+	case 3:
+		s.Store.SetFault(fakes.Fault{Delay: 200 * time.Millisecond})
+	case 4:
+		s.Store.ForgetHistory()
+		return
+	}
+	s.last(func() { s.Store.SetFault(fakes.Fault{}) })
+}
+
+// last notes what ends harm that lasts.
+func (s *soak) last(mend func()) {
+	s.standing = append(s.standing, mend)
+}
+
+func (s *soak) mend(i int) {
+	s.standing[i]()
+	s.standing = append(s.standing[:i], s.standing[i+1:]...)
+}
+
+// heal ends all harm.
+func (s *soak) heal() {
+	for len(s.standing) > 0 {
+		s.mend(len(s.standing) - 1)
+	}
+}
+
+// handIn hands a job in as callers do: at another gateway when one does not accept it.
+func (s *soak) handIn(id int) {
+	body := s.body()
+	certain := true
+	for range 3 {
+		status, _ := s.Gateways[s.random.IntN(gateways)].Call(http.MethodPost, cluster.JobPath(id), cluster.APIKey, body)
+		switch status {
+		case http.StatusOK:
+			s.accepted = append(s.accepted, id)
+			return
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		default:
+			certain = false
+		}
+	}
+	if certain {
+		s.refused = append(s.refused, id)
+	}
+}
+
+func (s *soak) body() string {
+	length := fmt.Sprintf("%dms", 100+s.random.IntN(2500))
+	if s.random.IntN(2) == 0 {
+		return cluster.Gang(1+s.random.IntN(4), 1+s.random.IntN(4), length)
+	}
+	return cluster.Tasks(1+s.random.IntN(6), length)
+}
+
+// check waits until all accepted jobs are done, and fails the test if a promise was broken.
+func (s *soak) check() {
+	deadline := time.Now().Add(settle)
+	for _, id := range s.accepted {
+		for s.State(id) != "done" {
+			if time.Now().After(deadline) {
+				s.t.Errorf("job %d was accepted and is not done: %q", id, s.State(id))
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	for _, id := range s.refused {
+		task := strings.TrimPrefix(cluster.JobPath(id), cluster.Prefix) + ".0.0.0"
+		if s.Runs.Ran(task) {
+			s.t.Errorf("job %d ran although every answer said that it was not taken", id)
+		}
+	}
+	s.Check()
+	s.t.Logf("%d jobs accepted, %d refused, %d runs", len(s.accepted), len(s.refused), s.Runs.StartCount())
+}
