--- a/table/backoff.go
+++ b/backoff/backoff.go
@@ -1,4 +1,5 @@
-package table
+// Package backoff spaces retries.
+package backoff
 
 import (
 	"context"
@@ -6,23 +7,18 @@
 	"time"
 )
 
-// Bounds of the waits between the tries of Commit.
-const (
-	FirstRetry = 50 * time.Millisecond
-	LastRetry  = 2 * time.Second
-)
-
-// Backoff spaces retries: each waits up to twice as long as the one before, and a
-// random part of that, so that those who failed together do not come back together.
-// Create it with NewBackoff.
+// Backoff spaces retries: each waits up to twice as long as the one before, and a random
+// part of that, so that those who failed together do not come back together. Create it
+// with New.
 type Backoff struct {
-	next time.Duration
-	last time.Duration
+	first time.Duration
+	next  time.Duration
+	last  time.Duration
 }
 
-// NewBackoff returns a Backoff whose waits grow from first to last.
-func NewBackoff(first, last time.Duration) *Backoff {
-	return &Backoff{next: first, last: last}
+// New returns a Backoff whose waits grow from first to last.
+func New(first, last time.Duration) *Backoff {
+	return &Backoff{first: first, next: first, last: last}
 }
 
 // Delay returns how long to wait before the next try.
@@ -38,6 +34,11 @@
 	return Sleep(ctx, b.Delay())
 }
 
+// Reset makes the next wait a first one, after a success.
+func (b *Backoff) Reset() {
+	b.next = b.first
+}
+
 // Sleep waits, and says false when ctx is done first.
 func Sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- /dev/null
+++ b/backoff/backoff_test.go
@@ -0,0 +1,29 @@
+package backoff
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestDelaysGrowUpToABound(t *testing.T) {
+	is := is.New(t)
+	b := New(100*time.Millisecond, 350*time.Millisecond)
+	for _, most := range []time.Duration{100, 200, 350, 350} {
+		delay := b.Delay()
+		is.True(delay >= most*time.Millisecond/2)
+		is.True(delay <= most*time.Millisecond)
+	}
+	b.Reset()
+	is.True(b.Delay() <= 100*time.Millisecond)
+}
+
+func TestSleepEndsWithItsContext(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	is.True(Sleep(ctx, time.Millisecond))
+	cancel()
+	is.True(!Sleep(ctx, time.Hour))
+}
--- a/entry/config.go
+++ b/entry/config.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"hollyfork.example/hollyfork/api"
+	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/hall"
 	"hollyfork.example/hollyfork/platform"
 	"hollyfork.example/hollyfork/table"
@@ -43,7 +44,7 @@
 		if !errors.Is(err, errRaced) {
 			return err
 		}
-		table.Sleep(ctx, changePause)
+		backoff.Sleep(ctx, changePause)
 	}
 	return api.NewError(api.KindOverloaded, "others change the configuration at the same time").WithRetryAfter(retryAfter)
 }
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -9,8 +9,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"hollyfork.example/hollyfork/api"
+	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/hall"
-	"hollyfork.example/hollyfork/table"
 	"hollyfork.example/rpc"
 	"hollyfork.example/wire"
 )
@@ -130,7 +130,7 @@
 		if time.Now().After(deadline) || ctx.Err() != nil {
 			return nil, hallUnavailable(name)
 		}
-		table.Sleep(ctx, routeRetry)
+		backoff.Sleep(ctx, routeRetry)
 	}
 }
 
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"hollyfork.example/hollyfork/api"
-	"hollyfork.example/hollyfork/table"
+	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/wire"
 )
 
@@ -109,7 +109,7 @@
 		reply, err := ask[wire.WatchReply](callCtx, e.directory, name, "Watch", request)
 		cancel()
 		if err != nil {
-			table.Sleep(ctx, watchRetry)
+			backoff.Sleep(ctx, watchRetry)
 			continue
 		}
 		select {
--- /dev/null
+++ b/gateway/cancel.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"hollyfork.example/hollyfork/pool"
+	"hollyfork.example/hollyfork/store"
+)
+
+// Cancel ends a job.
+func (g *Gateway) Cancel(ctx context.Context, call Call) error {
+	began := time.Now()
+	err := g.cancel(ctx, call)
+	g.logAnswer(time.Now(), "cancel", call, began, err)
+	return err
+}
+
+func (g *Gateway) cancel(ctx context.Context, call Call) error {
+	const op = "cancel"
+	t, err := g.resolve(time.Now(), op, call)
+	if err != nil {
+		return err
+	}
+	found, err := g.find(ctx, op, call, t)
+	if err != nil || found.cancelled {
+		return err
+	}
+	key := pool.CancelKey(t.queue.Pool, found.id)
+	row := pool.Encode(pool.CancelRow(g.follower.StoreClock(time.Now())))
+	txn := store.Txn{Writes: []store.Write{{Key: key, Value: row}}}
+	unsettled, err := g.retry(ctx, call, func(ctx context.Context) error { return g.write(ctx, txn) })
+	return writeError(op, unsettled, err)
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/catalog"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
@@ -88,7 +88,7 @@
 // Run follows the configuration until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	version := uint64(0)
-	retry := firstRetry
+	pause := backoff.New(firstRetry, lastRetry)
 	up := true
 	for ctx.Err() == nil {
 		sent := time.Now()
@@ -100,11 +100,10 @@
 		}
 		if err != nil {
 			version = 0
-			store.Sleep(ctx, retry/2+rand.N(retry/2))
-			retry = min(2*retry, lastRetry)
+			pause.Wait(ctx)
 			continue
 		}
-		retry = firstRetry
+		pause.Reset()
 		version = stamp.Version
 		f.clock.Store(&pool.Clock{Now: time.Now(), Store: stamp.Clock})
 		f.take(sent, next)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,20 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
-	"google.golang.org/protobuf/proto"
 
+	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/catalog"
-	"hollyfork.example/hollyfork/job"
-	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
-	"hollyfork.example/wire/poolpb"
 )
 
 const (
@@ -147,7 +143,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, budget)
 	defer cancel()
-	wait := firstRetry
+	pause := backoff.New(firstRetry, lastRetry)
 	for {
 		err = try(ctx)
 		switch store.KindOf(err) {
@@ -157,223 +153,8 @@
 		default:
 			return unsettled, err
 		}
-		if !store.Sleep(ctx, wait/2+rand.N(wait/2)) {
+		if !pause.Wait(ctx) {
 			return unsettled, err
 		}
-		wait = min(2*wait, lastRetry)
 	}
 }
-
-// Submit accepts a job under the identifier in the path. The job is read with decode once
-// it is known that the caller may hand it in.
-func (g *Gateway) Submit(ctx context.Context, call Call, decode func() (job.Job, error)) error {
-	began := time.Now()
-	err := g.submit(ctx, call, decode)
-	g.logAnswer(time.Now(), "submit", call, began, err)
-	return err
-}
-
-func (g *Gateway) submit(ctx context.Context, call Call, decode func() (job.Job, error)) error {
-	const op = "submit"
-	t, err := g.resolve(time.Now(), op, call)
-	if err != nil {
-		return err
-	}
-	j, err := decode()
-	if err != nil {
-		return &Error{Op: op, Kind: KindInvalid, Err: err}
-	}
-	j.ID = job.ID(t.rest)
-	j.Queue = t.queue.Name
-	j.Workspace = t.workspace
-	j.Terms = t.queue.Terms
-	if err := j.Validate(); err != nil {
-		return &Error{Op: op, Kind: KindInvalid, Err: err}
-	}
-	return g.accept(ctx, call, t.queue.Pool, j)
-}
-
-// accept writes a job's row, unless it is there.
-func (g *Gateway) accept(ctx context.Context, call Call, poolName string, j job.Job) error {
-	key := pool.JobKey(poolName, j.ID)
-	row := pool.Encode(pool.JobRow(j, g.follower.StoreClock(time.Now())))
-	txn := store.Txn{
-		Checks: []store.Check{{Key: key}},
-		Writes: []store.Write{{Key: key, Value: row}},
-	}
-	unsettled, err := g.retry(ctx, call, func(ctx context.Context) error { return g.write(ctx, txn) })
-	if store.KindOf(err) == store.KindConflict {
-		// The job was accepted before: by this request, by an earlier one, or elsewhere.
-		return nil
-	}
-	return writeError("submit", unsettled, err)
-}
-
-// write commits a transaction, unless the store is known to be away: then it is certain that
-// nothing was done, and the caller can be told so.
-func (g *Gateway) write(ctx context.Context, txn store.Txn) error {
-	if g.follower.StoreAway() {
-		return &store.Error{Op: "commit", Kind: store.KindRefused, Err: errAway}
-	}
-	_, err := g.store.Commit(ctx, txn)
-	return err
-}
-
-// writeError says what a caller is told of a write that failed.
-func writeError(op string, unsettled bool, err error) error {
-	switch {
-	case err == nil:
-		return nil
-	case unsettled:
-		return &Error{Op: op, Kind: KindUnsettled, Err: err}
-	default:
-		return &Error{Op: op, Kind: KindUnavailable, RetryAfter: RetryAfter, Err: err}
-	}
-}
-
-// State tells where a job stands.
-func (g *Gateway) State(ctx context.Context, call Call) (pool.State, error) {
-	began := time.Now()
-	state, err := g.state(ctx, call)
-	g.logAnswer(time.Now(), "state", call, began, err)
-	return state, err
-}
-
-func (g *Gateway) state(ctx context.Context, call Call) (pool.State, error) {
-	const op = "state"
-	t, err := g.resolve(time.Now(), op, call)
-	if err != nil {
-		return 0, err
-	}
-	found, err := g.find(ctx, op, call, t)
-	if err != nil {
-		return 0, err
-	}
-	row, err := g.readRow(ctx, op, call, pool.StateKey(t.queue.Pool, found.id))
-	if err != nil {
-		return 0, err
-	}
-	state, err := pool.StateOf(row)
-	if err != nil {
-		return 0, &Error{Op: op, Kind: KindUnavailable, RetryAfter: RetryAfter, Err: err}
-	}
-	if found.cancelled && state != pool.Done && state != pool.Failed {
-		return pool.Cancelled, nil
-	}
-	return state, nil
-}
-
-// found is what callers wrote of a job.
-type found struct {
-	id        job.ID
-	cancelled bool
-}
-
-// find reads what callers wrote of the job that a call names.
-func (g *Gateway) find(ctx context.Context, op string, call Call, t target) (found, error) {
-	id := job.ID(t.rest)
-	if !job.ValidID(t.rest) {
-		return found{}, &Error{Op: op, Kind: KindNoJob}
-	}
-	page, err := g.read(ctx, op, call, pool.JobRange(t.queue.Pool, id))
-	if err != nil {
-		return found{}, err
-	}
-	result := found{id: id}
-	exists := false
-	for _, row := range page.Rows {
-		switch row.Key {
-		case pool.JobKey(t.queue.Pool, id):
-			exists = g.mayRead(t, row)
-		case pool.CancelKey(t.queue.Pool, id):
-			result.cancelled = true
-		}
-	}
-	if !exists {
-		return found{}, &Error{Op: op, Kind: KindNoJob}
-	}
-	return result, nil
-}
-
-// mayRead says whether a job belongs to the caller's workspace.
-func (g *Gateway) mayRead(t target, row store.Row) bool {
-	content := &poolpb.JobRow{}
-	if err := proto.Unmarshal(row.Value, content); err != nil {
-		g.logger.Error().Err(err).Str("row", row.Key.Name).Msg("gateway: a row can not be read")
-		return false
-	}
-	return content.GetWorkspace() == t.workspace || t.queue.Open
-}
-
-func (g *Gateway) read(ctx context.Context, op string, call Call, r store.Range) (store.Page, error) {
-	var page store.Page
-	_, err := g.retry(ctx, call, func(ctx context.Context) error {
-		var err error
-		page, err = g.store.Read(ctx, r)
-		return err
-	})
-	if err != nil {
-		return page, &Error{Op: op, Kind: KindUnavailable, RetryAfter: RetryAfter, Err: err}
-	}
-	return page, nil
-}
-
-// readRow reads one row; one that does not exist has version 0.
-func (g *Gateway) readRow(ctx context.Context, op string, call Call, key store.Key) (store.Row, error) {
-	page, err := g.read(ctx, op, call, store.Range{Table: key.Table, Part: key.Part, From: key.Name, To: key.Name + "~"})
-	if err != nil {
-		return store.Row{}, err
-	}
-	for _, row := range page.Rows {
-		if row.Key == key {
-			return row, nil
-		}
-	}
-	return store.Row{Key: key}, nil
-}
-
-// Cancel ends a job.
-func (g *Gateway) Cancel(ctx context.Context, call Call) error {
-	began := time.Now()
-	err := g.cancel(ctx, call)
-	g.logAnswer(time.Now(), "cancel", call, began, err)
-	return err
-}
-
-func (g *Gateway) cancel(ctx context.Context, call Call) error {
-	const op = "cancel"
-	t, err := g.resolve(time.Now(), op, call)
-	if err != nil {
-		return err
-	}
-	found, err := g.find(ctx, op, call, t)
-	if err != nil || found.cancelled {
-		return err
-	}
-	key := pool.CancelKey(t.queue.Pool, found.id)
-	row := pool.Encode(pool.CancelRow(g.follower.StoreClock(time.Now())))
-	txn := store.Txn{Writes: []store.Write{{Key: key, Value: row}}}
-	unsettled, err := g.retry(ctx, call, func(ctx context.Context) error { return g.write(ctx, txn) })
-	return writeError(op, unsettled, err)
-}
-
-// Waiting counts a queue's jobs of which no task has begun.
-func (g *Gateway) Waiting(ctx context.Context, call Call) (int, error) {
-	began := time.Now()
-	count, err := g.waiting(ctx, call)
-	g.logAnswer(time.Now(), "waiting", call, began, err)
-	return count, err
-}
-
-func (g *Gateway) waiting(ctx context.Context, call Call) (int, error) {
-	const op = "waiting"
-	t, err := g.resolve(time.Now(), op, call)
-	if err != nil {
-		return 0, err
-	}
-	row, err := g.readRow(ctx, op, call, pool.SummaryKey(t.queue.Pool))
-	if err != nil {
-		return 0, err
-	}
-	return pool.WaitingOf(row, t.queue.Name), nil
-}
--- /dev/null
+++ b/gateway/lookup.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"hollyfork.example/hollyfork/job"
+	"hollyfork.example/hollyfork/pool"
+	"hollyfork.example/hollyfork/store"
+	"hollyfork.example/wire/poolpb"
+)
+
+// State tells where a job stands.
+func (g *Gateway) State(ctx context.Context, call Call) (pool.State, error) {
+	began := time.Now()
+	state, err := g.state(ctx, call)
+	g.logAnswer(time.Now(), "state", call, began, err)
+	return state, err
+}
+
+func (g *Gateway) state(ctx context.Context, call Call) (pool.State, error) {
+	const op = "state"
+	t, err := g.resolve(time.Now(), op, call)
+	if err != nil {
+		return 0, err
+	}
+	found, err := g.find(ctx, op, call, t)
+	if err != nil {
+		return 0, err
+	}
+	row, err := g.readRow(ctx, op, call, pool.StateKey(t.queue.Pool, found.id))
+	if err != nil {
+		return 0, err
+	}
+	state, err := pool.StateOf(row)
+	if err != nil {
+		return 0, &Error{Op: op, Kind: KindUnavailable, RetryAfter: RetryAfter, Err: err}
+	}
+	if found.cancelled && state != pool.Done && state != pool.Failed {
+		return pool.Cancelled, nil
+	}
+	return state, nil
+}
+
+// found is what callers wrote of a job.
+type found struct {
+	id        job.ID
+	cancelled bool
+}
+
+// find reads what callers wrote of the job that a call names.
+func (g *Gateway) find(ctx context.Context, op string, call Call, t target) (found, error) {
+	id := job.ID(t.rest)
+	if !job.ValidID(t.rest) {
+		return found{}, &Error{Op: op, Kind: KindNoJob}
+	}
+	page, err := g.read(ctx, op, call, pool.JobRange(t.queue.Pool, id))
+	if err != nil {
+		return found{}, err
+	}
+	result := found{id: id}
+	exists := false
+	for _, row := range page.Rows {
+		switch row.Key {
+		case pool.JobKey(t.queue.Pool, id):
+			exists = g.mayRead(t, row)
+		case pool.CancelKey(t.queue.Pool, id):
+			result.cancelled = true
+		}
+	}
+	if !exists {
+		return found{}, &Error{Op: op, Kind: KindNoJob}
+	}
+	return result, nil
+}
+
+// mayRead says whether a job belongs to the caller's workspace.
+func (g *Gateway) mayRead(t target, row store.Row) bool {
+	content := &poolpb.JobRow{}
+	if err := proto.Unmarshal(row.Value, content); err != nil {
+		g.logger.Error().Err(err).Str("row", row.Key.Name).Msg("gateway: a row can not be read")
+		return false
+	}
+	return content.GetWorkspace() == t.workspace || t.queue.Open
+}
+
+func (g *Gateway) read(ctx context.Context, op string, call Call, r store.Range) (store.Page, error) {
+	var page store.Page
+	_, err := g.retry(ctx, call, func(ctx context.Context) error {
+		var err error
+		page, err = g.store.Read(ctx, r)
+		return err
+	})
+	if err != nil {
+		return page, &Error{Op: op, Kind: KindUnavailable, RetryAfter: RetryAfter, Err: err}
+	}
+	return page, nil
+}
+
+// readRow reads one row; one that does not exist has version 0.
+func (g *Gateway) readRow(ctx context.Context, op string, call Call, key store.Key) (store.Row, error) {
+	page, err := g.read(ctx, op, call, store.Range{Table: key.Table, Part: key.Part, From: key.Name, To: key.Name + "~"})
+	if err != nil {
+		return store.Row{}, err
+	}
+	for _, row := range page.Rows {
+		if row.Key == key {
+			return row, nil
+		}
+	}
+	return store.Row{Key: key}, nil
+}
+
+// Waiting counts a queue's jobs of which no task has begun.
+func (g *Gateway) Waiting(ctx context.Context, call Call) (int, error) {
+	began := time.Now()
+	count, err := g.waiting(ctx, call)
+	g.logAnswer(time.Now(), "waiting", call, began, err)
+	return count, err
+}
+
+func (g *Gateway) waiting(ctx context.Context, call Call) (int, error) {
+	const op = "waiting"
+	t, err := g.resolve(time.Now(), op, call)
+	if err != nil {
+		return 0, err
+	}
+	row, err := g.readRow(ctx, op, call, pool.SummaryKey(t.queue.Pool))
+	if err != nil {
+		return 0, err
+	}
+	return pool.WaitingOf(row, t.queue.Name), nil
+}
--- /dev/null
+++ b/gateway/submit.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"hollyfork.example/hollyfork/job"
+	"hollyfork.example/hollyfork/pool"
+	"hollyfork.example/hollyfork/store"
+)
+
+// Submit accepts a job under the identifier in the path. The job is read with decode once
+// it is known that the caller may hand it in.
+func (g *Gateway) Submit(ctx context.Context, call Call, decode func() (job.Job, error)) error {
+	began := time.Now()
+	err := g.submit(ctx, call, decode)
+	g.logAnswer(time.Now(), "submit", call, began, err)
+	return err
+}
+
+func (g *Gateway) submit(ctx context.Context, call Call, decode func() (job.Job, error)) error {
+	const op = "submit"
+	t, err := g.resolve(time.Now(), op, call)
+	if err != nil {
+		return err
+	}
+	j, err := decode()
+	if err != nil {
+		return &Error{Op: op, Kind: KindInvalid, Err: err}
+	}
+	j.ID = job.ID(t.rest)
+	j.Queue = t.queue.Name
+	j.Workspace = t.workspace
+	j.Terms = t.queue.Terms
+	if err := j.Validate(); err != nil {
+		return &Error{Op: op, Kind: KindInvalid, Err: err}
+	}
+	return g.accept(ctx, call, t.queue.Pool, j)
+}
+
+// accept writes a job's row, unless it is there.
+func (g *Gateway) accept(ctx context.Context, call Call, poolName string, j job.Job) error {
+	key := pool.JobKey(poolName, j.ID)
+	row := pool.Encode(pool.JobRow(j, g.follower.StoreClock(time.Now())))
+	txn := store.Txn{
+		Checks: []store.Check{{Key: key}},
+		Writes: []store.Write{{Key: key, Value: row}},
+	}
+	unsettled, err := g.retry(ctx, call, func(ctx context.Context) error { return g.write(ctx, txn) })
+	if store.KindOf(err) == store.KindConflict {
+		// The job was accepted before: by this request, by an earlier one, or elsewhere.
+		return nil
+	}
+	return writeError("submit", unsettled, err)
+}
+
+// write commits a transaction, unless the store is known to be away: then it is certain that
+// nothing was done, and the caller can be told so.
+func (g *Gateway) write(ctx context.Context, txn store.Txn) error {
+	if g.follower.StoreAway() {
+		return &store.Error{Op: "commit", Kind: store.KindRefused, Err: errAway}
+	}
+	_, err := g.store.Commit(ctx, txn)
+	return err
+}
+
+// writeError says what a caller is told of a write that failed.
+func writeError(op string, unsettled bool, err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case unsettled:
+		return &Error{Op: op, Kind: KindUnsettled, Err: err}
+	default:
+		return &Error{Op: op, Kind: KindUnavailable, RetryAfter: RetryAfter, Err: err}
+	}
+}
--- a/hall/host.go
+++ b/hall/host.go
@@ -8,8 +8,8 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 
+	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/platform"
-	"hollyfork.example/hollyfork/table"
 	"hollyfork.example/wire"
 )
 
@@ -66,7 +66,7 @@
 			candidate = &Candidate{TTL: h.settings.HolderLease}
 			continue
 		}
-		table.Sleep(ctx, h.pollInterval())
+		backoff.Sleep(ctx, h.pollInterval())
 	}
 }
 
--- a/hall/link.go
+++ b/hall/link.go
@@ -6,8 +6,8 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 
+	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/mailbox"
-	"hollyfork.example/hollyfork/table"
 	"hollyfork.example/rpc"
 	"hollyfork.example/wire"
 )
@@ -60,7 +60,7 @@
 }
 
 func (l *link) run(ctx context.Context) {
-	retry := table.NewBackoff(firstReconnect, lastReconnect)
+	retry := backoff.New(firstReconnect, lastReconnect)
 	for ctx.Err() == nil {
 		answered := make(chan bool, 1)
 		go l.sync(ctx, answered)
@@ -71,7 +71,7 @@
 			// The agent answers the earlier renewal when it gets the new one.
 		case ok := <-answered:
 			if ok {
-				retry = table.NewBackoff(firstReconnect, lastReconnect)
+				retry = backoff.New(firstReconnect, lastReconnect)
 			} else if !retry.Wait(ctx) {
 				return
 			}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -7,6 +7,7 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 
+	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/mailbox"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
@@ -50,7 +51,6 @@
 	host   *Host
 	ledger *Ledger
 	core   *pool.Core
-	clock  pool.Clock
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -65,6 +65,8 @@
 	// writing says that a transaction is under way, and wroteAt when the last one began.
 	writing bool
 	wroteAt time.Time
+	// version is that of the store from which on new jobs are followed, and pending the
+	// agents that were known then.
 	version uint64
 	pending []pool.AgentAddress
 	// lost is closed when another process holds the pool, settled when the holder was
@@ -77,11 +79,10 @@
 
 func newHolder(h *Host, ledger *Ledger, r *restored, confirmed time.Time) *Holder {
 	ctx, cancel := context.WithCancel(context.Background())
-	holder := &Holder{
+	return &Holder{
 		host:    h,
 		ledger:  ledger,
 		core:    r.core,
-		clock:   r.clock,
 		ctx:     ctx,
 		cancel:  cancel,
 		root:    h.deps.System.Root,
@@ -93,7 +94,6 @@
 		lost:    make(chan struct{}),
 		settled: make(chan struct{}),
 	}
-	return holder
 }
 
 // Receive implements actor.Actor.
@@ -314,7 +314,7 @@
 }
 
 func (h *Holder) ticker() {
-	for store.Sleep(h.ctx, tickEvery) {
+	for backoff.Sleep(h.ctx, tickEvery) {
 		h.send(tick{})
 	}
 }
@@ -325,18 +325,17 @@
 // followIntake tells the actor of changes of the intake table.
 func (h *Holder) followIntake() {
 	version := h.version
-	retry := firstRetry
+	pause := backoff.New(firstRetry, lastRetry)
 	for h.ctx.Err() == nil {
 		page, err := h.host.deps.Store.Follow(h.ctx, pool.IntakeTable, version, intakeWait)
 		if store.KindOf(err) == store.KindHistoryGone {
 			page, err = h.host.deps.Store.Read(h.ctx, store.Range{Table: pool.IntakeTable, Part: h.host.pool})
 		}
 		if err != nil {
-			store.Sleep(h.ctx, retry)
-			retry = min(2*retry, lastRetry)
+			pause.Wait(h.ctx)
 			continue
 		}
-		retry = firstRetry
+		pause.Reset()
 		version = page.Stamp.Version
 		if len(page.Rows) > 0 {
 			h.send(arrived{page: page})
--- a/holder/host.go
+++ b/holder/host.go
@@ -10,6 +10,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
 
+	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/catalog"
 	"hollyfork.example/hollyfork/mailbox"
 	"hollyfork.example/hollyfork/pool"
@@ -63,7 +64,7 @@
 		ledger, confirmed, err := Acquire(ctx, h.deps.Store, h.pool, h.name, h.address, row.Version, h.storeTrouble)
 		if err != nil {
 			h.deps.Logger.Info().Err(err).Str("pool", h.pool).Msg("holder: the pool was not taken")
-			store.Sleep(ctx, rand.N(firstRetry))
+			backoff.Sleep(ctx, rand.N(firstRetry))
 			continue
 		}
 		h.deps.Logger.Info().Str("pool", h.pool).Uint64("epoch", ledger.Epoch()).Msg("holder: this process holds the pool")
@@ -79,17 +80,16 @@
 // awaitFree watches the lease until the pool is free, and returns the lease's row.
 func (h *Host) awaitFree(ctx context.Context) (store.Row, bool) {
 	candidate := &Candidate{}
-	retry := firstRetry
+	pause := backoff.New(firstRetry, lastRetry)
 	for ctx.Err() == nil {
 		sent := time.Now()
 		row, stamp, err := readLease(ctx, h.deps.Store, h.pool)
 		if err != nil {
 			candidate.Unread()
-			store.Sleep(ctx, retry/2+rand.N(retry/2))
-			retry = min(2*retry, lastRetry)
+			pause.Wait(ctx)
 			continue
 		}
-		retry = firstRetry
+		pause.Reset()
 		candidate.Observe(sent, row)
 		if candidate.Free(sent.Add(-h.deps.Patience)) {
 			return row, true
--- a/holder/link.go
+++ b/holder/link.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/pool"
-	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/rpc"
 	"hollyfork.example/wire/poolpb"
 )
@@ -69,7 +69,7 @@
 		}
 		if err != nil {
 			l.client.Reset()
-			if !store.Sleep(ctx, retryAgent) {
+			if !backoff.Sleep(ctx, retryAgent) {
 				return
 			}
 			continue
--- /dev/null
+++ b/pool/intake.go
@@ -0,0 +1,176 @@
+package pool
+
+import (
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"hollyfork.example/hollyfork/job"
+	"hollyfork.example/hollyfork/store"
+	"hollyfork.example/wire/poolpb"
+)
+
+// Intake is a row of the intake table: a NewJob, a Cancellation or an AgentAddress.
+type Intake interface {
+	intake()
+}
+
+type (
+	// NewJob is a job that was accepted.
+	NewJob struct {
+		Job job.Job
+	}
+
+	// Cancellation is a caller's wish to end a job.
+	Cancellation struct {
+		ID job.ID
+	}
+
+	// AgentAddress says where an agent is reached; the address is empty when the agent is
+	// gone for good.
+	AgentAddress struct {
+		Agent   string
+		Address string
+	}
+)
+
+func (NewJob) intake()       {}
+func (Cancellation) intake() {}
+func (AgentAddress) intake() {}
+
+// Clock relates the store's steady clock to this process's.
+type Clock struct {
+	Now   time.Time
+	Store time.Duration
+}
+
+// Time returns when the store's clock had a reading.
+func (c Clock) Time(reading time.Duration) time.Time {
+	return c.Now.Add(reading - c.Store)
+}
+
+// DecodeIntake reads a row of the intake table. Rows of jobs that were removed give nil.
+func DecodeIntake(row store.Row, clock Clock) (Intake, error) {
+	name := row.Key.Name
+	switch {
+	case strings.HasPrefix(name, agentPrefix):
+		return decodeAgent(row, strings.TrimPrefix(name, agentPrefix))
+	case row.Deleted:
+		return nil, nil
+	case strings.HasSuffix(name, jobSuffix):
+		return decodeJob(row, jobOf(name, jobSuffix), clock)
+	case strings.HasSuffix(name, cancelSuffix):
+		return Cancellation{ID: jobOf(name, cancelSuffix)}, nil
+	default:
+		return nil, &Error{Op: "decode row " + name, Kind: KindCorrupt}
+	}
+}
+
+// jobOf returns the job that a row of the intake table is about.
+func jobOf(name, suffix string) job.ID {
+	return job.ID(strings.TrimSuffix(strings.TrimPrefix(name, jobPrefix), suffix))
+}
+
+func decodeAgent(row store.Row, agent string) (Intake, error) {
+	content := &poolpb.AgentRow{}
+	if row.Deleted {
+		return AgentAddress{Agent: agent}, nil
+	}
+	if err := proto.Unmarshal(row.Value, content); err != nil {
+		return nil, &Error{Op: "decode agent " + agent, Kind: KindCorrupt, Err: err}
+	}
+	return AgentAddress{Agent: agent, Address: content.GetAddress()}, nil
+}
+
+func decodeJob(row store.Row, id job.ID, clock Clock) (Intake, error) {
+	content := &poolpb.JobRow{}
+	if err := proto.Unmarshal(row.Value, content); err != nil {
+		return nil, &Error{Op: "decode job " + string(id), Kind: KindCorrupt, Err: err}
+	}
+	j := job.Job{
+		ID:        id,
+		Queue:     content.GetQueue(),
+		Workspace: content.GetWorkspace(),
+		Spec:      content.GetSpec(),
+		Accepted:  clock.Time(time.Duration(content.GetAcceptedMs()) * time.Millisecond),
+		Terms: job.Terms{
+			Priority: int(content.GetPriority()),
+			Attempts: int(content.GetAttempts()),
+			Stretch:  content.GetStretch(),
+			Goal:     time.Duration(content.GetGoalMs()) * time.Millisecond,
+		},
+	}
+	for _, step := range content.GetSteps() {
+		j.Steps = append(j.Steps, stepFromRow(step))
+	}
+	if err := j.Validate(); err != nil {
+		return nil, &Error{Op: "decode job " + string(id), Kind: KindCorrupt, Err: err}
+	}
+	return NewJob{Job: j}, nil
+}
+
+func stepFromRow(row *poolpb.Step) job.Step {
+	step := job.Step{
+		Count: int(row.GetCount()),
+		Shape: job.Shape{
+			CPUMillis:    int(row.GetCpuMillis()),
+			MemoryMB:     int(row.GetMemoryMb()),
+			Accelerators: int(row.GetAccelerators()),
+		},
+		Estimate:     time.Duration(row.GetEstimateMs()) * time.Millisecond,
+		Checkpoint:   row.GetCheckpoint(),
+		Gang:         row.GetGang(),
+		SameRack:     row.GetSameRack(),
+		Label:        row.GetLabel(),
+		DataRack:     row.GetDataRack(),
+		MaxPerWorker: int(row.GetMaxPerWorker()),
+		Speculative:  row.GetSpeculative(),
+		LongRunning:  row.GetLongRunning(),
+	}
+	for _, before := range row.GetAfter() {
+		step.After = append(step.After, int(before))
+	}
+	return step
+}
+
+// JobRow is what is written of an accepted job. Its time of acceptance is a reading of the
+// store's clock.
+func JobRow(j job.Job, accepted time.Duration) *poolpb.JobRow {
+	row := &poolpb.JobRow{
+		Queue:      j.Queue,
+		Workspace:  j.Workspace,
+		Spec:       j.Spec,
+		AcceptedMs: accepted.Milliseconds(),
+		Priority:   int32(j.Terms.Priority),
+		Attempts:   int32(j.Terms.Attempts),
+		Stretch:    j.Terms.Stretch,
+		GoalMs:     int32(j.Terms.Goal.Milliseconds()),
+	}
+	for _, step := range j.Steps {
+		row.Steps = append(row.Steps, stepToRow(step))
+	}
+	return row
+}
+
+func stepToRow(step job.Step) *poolpb.Step {
+	row := &poolpb.Step{
+		Count:        int32(step.Count),
+		CpuMillis:    int32(step.Shape.CPUMillis),
+		MemoryMb:     int32(step.Shape.MemoryMB),
+		Accelerators: int32(step.Shape.Accelerators),
+		EstimateMs:   int32(step.Estimate.Milliseconds()),
+		Checkpoint:   step.Checkpoint,
+		Gang:         step.Gang,
+		SameRack:     step.SameRack,
+		Label:        step.Label,
+		DataRack:     step.DataRack,
+		MaxPerWorker: int32(step.MaxPerWorker),
+		Speculative:  step.Speculative,
+		LongRunning:  step.LongRunning,
+	}
+	for _, before := range step.After {
+		row.After = append(row.After, int32(before))
+	}
+	return row
+}
--- /dev/null
+++ b/process/launch/launch.go
@@ -0,0 +1,62 @@
+// Package launch has what the main functions of all programs do first: read the settings,
+// and open addresses.
+package launch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+
+	"github.com/phuslu/log"
+
+	"hollyfork.example/hollyfork/process"
+	"hollyfork.example/hollyfork/settings"
+)
+
+// Exit codes of programs.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+	ExitUsage   = 2
+)
+
+// Parse reads a program's settings. When the program has to end, done says so, with its
+// exit code.
+func Parse(s *settings.Set, args []string, stdout, stderr io.Writer) (code int, done bool) {
+	err := s.Parse(args)
+	switch {
+	case errors.Is(err, settings.ErrHelp):
+		return ExitOK, true
+	case err != nil:
+		_, _ = fmt.Fprintln(stderr, err)
+		return ExitUsage, true
+	case s.CheckOnly():
+		_, _ = fmt.Fprintln(stdout, "The settings are good.")
+		return ExitOK, true
+	}
+	return ExitOK, false
+}
+
+// LogLevel adds the setting of the log's level.
+func LogLevel(s *settings.Set) *string {
+	return settings.Add(s, "log.level", "info", "debug, info, warn or error", settings.OneOf("debug", "info", "warn", "error"))
+}
+
+// Run runs a program that logs to stdout, and returns its exit code.
+func Run(name, level string, stdout, stderr io.Writer, run func(*log.Logger) error) int {
+	logger := process.NewDroppingLogger(stdout, level)
+	if err := run(logger); err != nil {
+		logger.Error().Err(err).Msg(name + ": cannot start")
+		_, _ = fmt.Fprintln(stderr, err)
+		return ExitFailure
+	}
+	return ExitOK
+}
+
+// Listen opens a TCP address.
+func Listen(address string) (net.Listener, error) {
+	config := net.ListenConfig{}
+	return config.Listen(context.Background(), "tcp", address)
+}
--- a/program/admin.go
+++ b/program/admin.go
@@ -1,20 +1,12 @@
 package program
 
 import (
-	"context"
-	"net"
-
 	"github.com/VictoriaMetrics/metrics"
 
 	"hollyfork.example/hollyfork/process"
+	"hollyfork.example/hollyfork/process/launch"
 )
 
-// listen opens a TCP address.
-func listen(address string) (net.Listener, error) {
-	config := net.ListenConfig{}
-	return config.Listen(context.Background(), "tcp", address)
-}
-
 // startAdmin serves a process's state and metrics at an address, or nothing when it
 // is empty.
 func startAdmin(address string, dump func() any, set *metrics.Set) (*process.Admin, error) {
@@ -22,7 +14,7 @@
 	if address == "" {
 		return admin, nil
 	}
-	listener, err := listen(address)
+	listener, err := launch.Listen(address)
 	if err != nil {
 		return nil, err
 	}
--- a/program/agent.go
+++ b/program/agent.go
@@ -19,6 +19,7 @@
 	"hollyfork.example/hollyfork/platform"
 	"hollyfork.example/hollyfork/process"
 	"hollyfork.example/hollyfork/process/actors"
+	"hollyfork.example/hollyfork/process/launch"
 	"hollyfork.example/hollyfork/settings"
 	"hollyfork.example/rpc"
 )
@@ -67,14 +68,14 @@
 	vm := settings.Add(s, "agent.vm", "", "the platform's identifier of this VM", settings.Text)
 	worker := settings.Add(s, "platform.worker", "", "base URL of the worker on this VM", settings.URL)
 	hallSettings := addHall(s)
-	if code, done := parse(s, args, stdout, stderr); done {
+	if code, done := launch.Parse(s, args, stdout, stderr); done {
 		return code
 	}
 	logger := process.NewLogger(stderr, *c.level)
-	listener, err := listen(*address)
+	listener, err := launch.Listen(*address)
 	if err != nil {
 		logger.Error().Err(err).Msg("agent: cannot listen")
-		return exitFailure
+		return launch.ExitFailure
 	}
 	config := agentConfig{
 		name:     *name,
@@ -97,19 +98,19 @@
 	p, err := startAgent(time.Now(), config, listener, actors.NewSystem(logger), logger)
 	if err != nil {
 		logger.Error().Err(err).Msg("agent: cannot start")
-		return exitFailure
+		return launch.ExitFailure
 	}
 	admin, err := startAdmin(config.admin, p.dump, p.metrics())
 	if err != nil {
 		logger.Error().Err(err).Msg("agent: cannot serve operators")
-		return exitFailure
+		return launch.ExitFailure
 	}
 	logger.Info().Str("worker", config.name).Str("address", config.address).Msg("agent: ready")
 	<-ctx.Done()
 	logger.Info().Msg("agent: stopping")
 	p.stop()
 	_ = admin.Close()
-	return exitOK
+	return launch.ExitOK
 }
 
 // startAgent starts an agent and its host on a listener.
--- a/program/ctl.go
+++ b/program/ctl.go
@@ -16,6 +16,7 @@
 	"hollyfork.example/hollyfork/api"
 	"hollyfork.example/hollyfork/client"
 	"hollyfork.example/hollyfork/declare"
+	"hollyfork.example/hollyfork/process/launch"
 )
 
 // Exit codes of hollyforkctl beyond those of all programs.
@@ -60,9 +61,9 @@
 	err := c.command().ParseAndRun(ctx, args)
 	switch {
 	case err == nil:
-		return exitOK
+		return launch.ExitOK
 	case errors.Is(err, flag.ErrHelp):
-		return exitOK
+		return launch.ExitOK
 	}
 	_, _ = fmt.Fprintln(stderr, describeError(err))
 	return exitCode(err)
@@ -84,11 +85,11 @@
 	var wrong usageError
 	var declaration *declare.Error
 	if errors.As(err, &wrong) || errors.As(err, &declaration) {
-		return exitUsage
+		return launch.ExitUsage
 	}
 	var failure *api.Error
 	if !errors.As(err, &failure) {
-		return exitFailure
+		return launch.ExitFailure
 	}
 	switch failure.Kind {
 	case api.KindPreconditionFailed, api.KindPreconditionRequired:
--- a/program/demo.go
+++ b/program/demo.go
@@ -10,11 +10,11 @@
 	"time"
 
 	"hollyfork.example/hollyfork/api"
+	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/client"
 	"hollyfork.example/hollyfork/declare"
 	"hollyfork.example/hollyfork/platform"
 	"hollyfork.example/hollyfork/platform/standin"
-	"hollyfork.example/hollyfork/table"
 	"hollyfork.example/wire"
 )
 
@@ -63,7 +63,7 @@
 // await waits for a condition until ctx is done.
 func (d *demo) await(ctx context.Context, what string, condition func() bool) error {
 	for !condition() {
-		if !table.Sleep(ctx, readyPoll) {
+		if !backoff.Sleep(ctx, readyPoll) {
 			return errors.New("waited too long for " + what)
 		}
 	}
@@ -109,7 +109,7 @@
 			return nil
 		}
 		var failure *api.Error
-		if !errors.As(err, &failure) || failure.RetryAfter == 0 || !table.Sleep(ctx, failure.RetryAfter) {
+		if !errors.As(err, &failure) || failure.RetryAfter == 0 || !backoff.Sleep(ctx, failure.RetryAfter) {
 			return fmt.Errorf("job %s: %w", key, err)
 		}
 	}
--- a/program/dev.go
+++ b/program/dev.go
@@ -25,6 +25,7 @@
 	"hollyfork.example/hollyfork/platform/standin"
 	"hollyfork.example/hollyfork/process"
 	"hollyfork.example/hollyfork/process/actors"
+	"hollyfork.example/hollyfork/process/launch"
 	"hollyfork.example/hollyfork/settings"
 	"hollyfork.example/rpc"
 )
@@ -70,7 +71,7 @@
 	demo := settings.AddBool(s, "demo", "apply the example's declarations, run its jobs and end")
 	address := settings.Add(s, "listen", anyPort, "IP address and port of the API", settings.Address)
 	level := settings.Add(s, "log.level", "warn", "debug, info, warn or error", settings.OneOf("debug", "info", "warn", "error"))
-	if code, done := parse(s, args, stdout, stderr); done {
+	if code, done := launch.Parse(s, args, stdout, stderr); done {
 		return code
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -78,7 +79,7 @@
 	d, err := startDev(*example, *address, process.NewLogger(stderr, *level))
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
-		return exitFailure
+		return launch.ExitFailure
 	}
 	defer d.stop()
 	if *demo {
@@ -86,7 +87,7 @@
 	}
 	_, _ = fmt.Fprintln(stdout, "The API is at", d.base)
 	<-ctx.Done()
-	return exitOK
+	return launch.ExitOK
 }
 
 // dev is every part of the system in one process, on loopback.
@@ -125,7 +126,7 @@
 	var listeners []net.Listener
 	for _, s := range l.sites {
 		for i := range s.workers {
-			listener, err := listen(anyPort)
+			listener, err := launch.Listen(anyPort)
 			if err != nil {
 				return nil, nil, err
 			}
@@ -153,7 +154,7 @@
 }
 
 func (d *dev) startPlatform(vms []platform.VM) (string, error) {
-	listener, err := listen(anyPort)
+	listener, err := launch.Listen(anyPort)
 	if err != nil {
 		return "", err
 	}
@@ -183,7 +184,7 @@
 }
 
 func (d *dev) startEntry(l layout, address, platformURL string, system *actor.ActorSystem) error {
-	listener, err := listen(address)
+	listener, err := launch.Listen(address)
 	if err != nil {
 		return err
 	}
@@ -219,17 +220,17 @@
 	set, err := declare.Read(folder)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
-		return exitUsage
+		return launch.ExitUsage
 	}
 	run := newDemo(client.New(d.base), stdout)
 	if err := run.play(ctx, set, len(d.agents)); err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
-		return exitFailure
+		return launch.ExitFailure
 	}
 	tally := run.tally(d.platform.Record(time.Now()))
 	_, _ = fmt.Fprintln(stdout, tally)
 	if !tally.good() {
-		return exitFailure
+		return launch.ExitFailure
 	}
-	return exitOK
+	return launch.ExitOK
 }
--- a/program/entry.go
+++ b/program/entry.go
@@ -16,6 +16,7 @@
 	"hollyfork.example/hollyfork/platform"
 	"hollyfork.example/hollyfork/process"
 	"hollyfork.example/hollyfork/process/actors"
+	"hollyfork.example/hollyfork/process/launch"
 	"hollyfork.example/hollyfork/settings"
 	"hollyfork.example/rpc"
 )
@@ -42,14 +43,14 @@
 	halls := settings.Add(s, "entry.halls", "", "halls that the entry serves, with commas between them", settings.Names)
 	maxRequests := settings.Add(s, "entry.max-requests", "512", "requests at work at once", settings.Int(1, maxRequestsHigh))
 	lameDuck := settings.Add(s, "entry.lame-duck", "3s", "how long to serve on after being told to stop", settings.Duration(0, time.Minute))
-	if code, done := parse(s, args, stdout, stderr); done {
+	if code, done := launch.Parse(s, args, stdout, stderr); done {
 		return code
 	}
 	logger := process.NewLogger(stderr, *c.level)
-	listener, err := listen(*address)
+	listener, err := launch.Listen(*address)
 	if err != nil {
 		logger.Error().Err(err).Msg("entry: cannot listen")
-		return exitFailure
+		return launch.ExitFailure
 	}
 	config := entryConfig{
 		settings: entry.Settings{Name: *name, Halls: *halls, MaxRequests: *maxRequests},
@@ -72,14 +73,14 @@
 	admin, err := startAdmin(config.admin, func() any { return e.View() }, set)
 	if err != nil {
 		logger.Error().Err(err).Msg("entry: cannot serve operators")
-		return exitFailure
+		return launch.ExitFailure
 	}
 	logger.Info().Str("address", listener.Addr().String()).Msg("entry: ready")
 	<-ctx.Done()
 	logger.Info().Msg("entry: stopping")
 	stopEntry(e, config.lameDuck, logger)
 	_ = admin.Close()
-	return exitOK
+	return launch.ExitOK
 }
 
 func startEntry(config entryConfig, listener net.Listener, system *actor.ActorSystem, traffic *rpc.Traffic, set *metrics.Set, logger *log.Logger) *entry.Entry {
--- a/program/gatewayd/main.go
+++ b/program/gatewayd/main.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"io"
 	"maps"
 	"net"
@@ -19,22 +17,20 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/gateway"
 	"hollyfork.example/hollyfork/holder"
 	"hollyfork.example/hollyfork/platform/adapter"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/process"
 	"hollyfork.example/hollyfork/process/actors"
+	"hollyfork.example/hollyfork/process/launch"
 	"hollyfork.example/hollyfork/settings"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/rpc"
 )
 
 const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
-
 	// lameDuck is how long the gateway answers new connections after it was told to stop:
 	// the balancer asks each second and turns away after two misses.
 	lameDuck = 2500 * time.Millisecond
@@ -73,25 +69,12 @@
 		admin:   settings.Add(s, "gateway.metrics", "", "IP address and port for metrics and the state dump; empty for none", settings.OptionalAddress),
 		store:   settings.Add(s, "platform.store", "", "IP address and port of the store", settings.Address),
 		share:   settings.Add(s, "gateway.processor-share", "1", "part of a processor that the gateway may use", settings.Share),
-		level:   settings.Add(s, "log.level", "info", "debug, info, warn or error", settings.OneOf("debug", "info", "warn", "error")),
-	}
-	switch err := s.Parse(args); {
-	case errors.Is(err, settings.ErrHelp):
-		return exitOK
-	case err != nil:
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitUsage
-	case s.CheckOnly():
-		_, _ = fmt.Fprintln(stdout, "The settings are good.")
-		return exitOK
+		level:   launch.LogLevel(s),
 	}
-	logger := process.NewDroppingLogger(stdout, *o.level)
-	if err := run(o, logger); err != nil {
-		logger.Error().Err(err).Msg("gateway: cannot start")
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitFailure
+	if code, done := launch.Parse(s, args, stdout, stderr); done {
+		return code
 	}
-	return exitOK
+	return launch.Run("gateway", *o.level, stdout, stderr, func(logger *log.Logger) error { return run(o, logger) })
 }
 
 // gatewayProcess is all that runs in the process.
@@ -174,7 +157,7 @@
 			for _, name := range p.follower.Catalog().Pools {
 				p.hostPool(ctx, name, deps)
 			}
-			store.Sleep(ctx, lookForPools)
+			backoff.Sleep(ctx, lookForPools)
 		}
 	})
 }
@@ -275,12 +258,11 @@
 // listenAll opens addresses; empty ones give nil.
 func listenAll(addresses ...string) ([]net.Listener, error) {
 	listeners := make([]net.Listener, len(addresses))
-	config := net.ListenConfig{}
 	for i, address := range addresses {
 		if address == "" {
 			continue
 		}
-		listener, err := config.Listen(context.Background(), "tcp", address)
+		listener, err := launch.Listen(address)
 		if err != nil {
 			return nil, err
 		}
--- a/program/settings.go
+++ b/program/settings.go
@@ -1,22 +1,14 @@
 package program
 
 import (
-	"errors"
 	"fmt"
-	"io"
 	"time"
 
 	"hollyfork.example/hollyfork/hall"
+	"hollyfork.example/hollyfork/process/launch"
 	"hollyfork.example/hollyfork/settings"
 )
 
-// Exit codes.
-const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
-)
-
 // addHall adds the settings of holders, with their defaults, and returns a function
 // that yields the result after the settings were parsed.
 func addHall(s *settings.Set) func() hall.Settings {
@@ -57,22 +49,6 @@
 		table: settings.Add(s, "platform.table", "", "base URL of the table service", settings.URL),
 		vms:   settings.Add(s, "platform.vms", "", "base URL of the list of VMs", settings.URL),
 		admin: settings.Add(s, "admin.listen", "", "IP address and port for metrics and the state dump; empty for none", settings.OptionalAddress),
-		level: settings.Add(s, "log.level", "info", "debug, info, warn or error", settings.OneOf("debug", "info", "warn", "error")),
-	}
-}
-
-// parse reads the settings. When the program has to end, done says so with its code.
-func parse(s *settings.Set, args []string, stdout, stderr io.Writer) (code int, done bool) {
-	err := s.Parse(args)
-	switch {
-	case errors.Is(err, settings.ErrHelp):
-		return exitOK, true
-	case err != nil:
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitUsage, true
-	case s.CheckOnly():
-		_, _ = fmt.Fprintln(stdout, "The settings are good.")
-		return exitOK, true
+		level: launch.LogLevel(s),
 	}
-	return exitOK, false
 }
--- a/program/sidecard/main.go
+++ b/program/sidecard/main.go
@@ -3,10 +3,7 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os/signal"
 	"syscall"
@@ -15,10 +12,12 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/holder"
 	"hollyfork.example/hollyfork/platform/adapter"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/process"
+	"hollyfork.example/hollyfork/process/launch"
 	"hollyfork.example/hollyfork/settings"
 	"hollyfork.example/hollyfork/sidecar"
 	"hollyfork.example/hollyfork/store"
@@ -27,10 +26,6 @@
 )
 
 const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
-
 	// headerTimeout and idleTimeout bound the worker's requests.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 30 * time.Second
@@ -71,25 +66,12 @@
 		worker:     settings.Add(s, "sidecar.worker", "", "IP address and port of the worker", settings.Address),
 		admin:      settings.Add(s, "sidecar.metrics", "", "IP address and port for metrics and the state dump; empty for none", settings.OptionalAddress),
 		store:      settings.Add(s, "platform.store", "", "IP address and port of the store", settings.Address),
-		level:      settings.Add(s, "log.level", "info", "debug, info, warn or error", settings.OneOf("debug", "info", "warn", "error")),
-	}
-	switch err := s.Parse(args); {
-	case errors.Is(err, settings.ErrHelp):
-		return exitOK
-	case err != nil:
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitUsage
-	case s.CheckOnly():
-		_, _ = fmt.Fprintln(stdout, "The settings are good.")
-		return exitOK
+		level:      launch.LogLevel(s),
 	}
-	logger := process.NewDroppingLogger(stdout, *o.level)
-	if err := run(o, logger); err != nil {
-		logger.Error().Err(err).Msg("agent: cannot start")
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitFailure
+	if code, done := launch.Parse(s, args, stdout, stderr); done {
+		return code
 	}
-	return exitOK
+	return launch.Run("agent", *o.level, stdout, stderr, func(logger *log.Logger) error { return run(o, logger) })
 }
 
 func run(o options, logger *log.Logger) error {
@@ -102,11 +84,11 @@
 	if err := server.Register(holder.ServiceName, agent.Service()); err != nil {
 		return err
 	}
-	holders, err := listen(*o.holders)
+	holders, err := launch.Listen(*o.holders)
 	if err != nil {
 		return err
 	}
-	beats, err := listen(*o.heartbeats)
+	beats, err := launch.Listen(*o.heartbeats)
 	if err != nil {
 		return err
 	}
@@ -139,7 +121,7 @@
 	for ctx.Err() == nil {
 		if _, err := client.Commit(ctx, write); err != nil {
 			logger.Warn().Err(err).Msg("agent: its address could not be made known")
-			store.Sleep(ctx, registerRetry)
+			backoff.Sleep(ctx, registerRetry)
 			continue
 		}
 		logger.Info().Str("address", address).Msg("agent: its address is known")
@@ -150,7 +132,7 @@
 // awaitSilence waits until no holder has called for some time.
 func awaitSilence(ctx context.Context, agent *sidecar.Agent) {
 	began := time.Now()
-	for store.Sleep(ctx, registerAgain/4) {
+	for backoff.Sleep(ctx, registerAgain/4) {
 		if now := time.Now(); now.Sub(began) > registerAgain && now.Sub(agent.SyncedAt()) > registerAgain {
 			return
 		}
@@ -161,15 +143,10 @@
 	if address == "" {
 		return nil
 	}
-	listener, err := listen(address)
+	listener, err := launch.Listen(address)
 	if err != nil {
 		return err
 	}
 	go process.NewAdmin(func() any { return agent.State(time.Now()) }, set).Serve(listener)
 	return nil
 }
-
-func listen(address string) (net.Listener, error) {
-	config := net.ListenConfig{}
-	return config.Listen(context.Background(), "tcp", address)
-}
--- a/program/standin.go
+++ b/program/standin.go
@@ -13,6 +13,7 @@
 
 	"hollyfork.example/hollyfork/platform"
 	"hollyfork.example/hollyfork/platform/standin"
+	"hollyfork.example/hollyfork/process/launch"
 	"hollyfork.example/hollyfork/settings"
 )
 
@@ -23,18 +24,18 @@
 	address := settings.Add(s, "standin.listen", "", "IP address and port", settings.Address)
 	file := settings.Add(s, "standin.vms", "", "JSON file with the list of VMs", settings.Text)
 	lag := settings.Add(s, "standin.lag", "0s", "how late the list of VMs shows changes", settings.Duration(0, time.Hour))
-	if code, done := parse(s, args, stdout, stderr); done {
+	if code, done := launch.Parse(s, args, stdout, stderr); done {
 		return code
 	}
 	vms, err := readVMs(*file)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
-		return exitUsage
+		return launch.ExitUsage
 	}
-	listener, err := listen(*address)
+	listener, err := launch.Listen(*address)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
-		return exitFailure
+		return launch.ExitFailure
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -42,7 +43,7 @@
 	go func() { _ = server.Serve(listener) }()
 	<-ctx.Done()
 	_ = server.Close()
-	return exitOK
+	return launch.ExitOK
 }
 
 func readVMs(file string) ([]platform.VM, error) {
--- a/store/settle.go
+++ b/store/settle.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
+
+	"hollyfork.example/hollyfork/backoff"
 )
 
 // Bounds of the waits between the tries of Settle.
@@ -39,7 +40,7 @@
 // KindUnsettled that ctx ended first. Unless nil, trouble is told of each failed try.
 func Settle(ctx context.Context, s Store, guard Guard, txn Txn, trouble func(error)) (Outcome, error) {
 	txn = guarded(guard, txn)
-	wait := firstRetry
+	pause := backoff.New(firstRetry, lastRetry)
 	for {
 		sent := time.Now()
 		stamp, err := s.Commit(ctx, txn)
@@ -55,10 +56,9 @@
 		if trouble != nil {
 			trouble(err)
 		}
-		if !Sleep(ctx, wait/2+rand.N(wait/2)) {
+		if !pause.Wait(ctx) {
 			return Outcome{}, &Error{Op: "settle", Kind: KindUnsettled, Err: err}
 		}
-		wait = min(2*wait, lastRetry)
 	}
 }
 
@@ -80,15 +80,3 @@
 		return Outcome{}, &Error{Op: "settle", Kind: KindLost, Err: err}
 	}
 }
-
-// Sleep waits, and says false when ctx is done first.
-func Sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/table/table.go
+++ b/table/table.go
@@ -11,7 +11,9 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
 
+	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/platform"
 )
 
@@ -27,6 +29,12 @@
 	KindCorrupt
 )
 
+// Bounds of the waits between the tries of Commit.
+const (
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 2 * time.Second
+)
+
 // Kind tells errors of this package apart.
 type Kind int
 
@@ -85,7 +93,7 @@
 func Commit(ctx context.Context, store Store, guard Guard, txn platform.Txn, trouble func(error)) (int64, error) {
 	txn.Checks = append([]platform.Check{{Key: guard.Key, Version: guard.Version}}, txn.Checks...)
 	txn.Writes = append([]platform.Write{{Key: guard.Key, Value: guard.Value}}, txn.Writes...)
-	retry := NewBackoff(FirstRetry, LastRetry)
+	retry := backoff.New(firstRetry, lastRetry)
 	for {
 		versions, err := store.Commit(ctx, txn)
 		if err == nil {
