Agents that are gone are forgotten; dials to silent agents are spaced

Change: an agent that is silent for two minutes, with nothing placed on its worker, has its row deleted; one that lives makes itself known again. Waits between dials grow from 0.2 s to 0.8 s.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -242,8 +242,7 @@
 		case pool.Cancellation:
 			h.core.CancelJob(now, i.ID)
 		case pool.AgentAddress:
-			h.core.AddAgent(now, i.Agent)
-			h.setAgent(i)
+			h.takeAgent(now, i)
 		}
 	}
 }
@@ -282,6 +281,16 @@
 	}
 }
 
+// takeAgent takes over where an agent is reached, or that its row was deleted.
+func (h *Holder) takeAgent(now time.Time, a pool.AgentAddress) {
+	if a.Address == "" {
+		h.core.ForgetAgent(a.Agent)
+	} else {
+		h.core.AddAgent(now, a.Agent)
+	}
+	h.setAgent(a)
+}
+
 // setAgent makes an agent reachable, or drops it when it has no address any more.
 func (h *Holder) setAgent(a pool.AgentAddress) {
 	if l, ok := h.links[a.Agent]; ok {
--- a/holder/link.go
+++ b/holder/link.go
@@ -58,6 +58,7 @@
 	defer l.close()
 	last := &poolpb.SyncReply{}
 	up := true
+	pause := backoff.New(firstRetryAgent, lastRetryAgent)
 	for ctx.Err() == nil {
 		reply, err := l.sync(ctx, last)
 		if ctx.Err() != nil {
@@ -69,11 +70,12 @@
 		}
 		if err != nil {
 			l.client.Reset()
-			if !backoff.Sleep(ctx, retryAgent) {
+			if !pause.Wait(ctx) {
 				return
 			}
 			continue
 		}
+		pause.Reset()
 		last = reply
 		l.holder.send(synced{agent: l.agent, at: time.Now(), reply: reply})
 	}
--- a/holder/settings.go
+++ b/holder/settings.go
@@ -26,8 +26,10 @@
 	syncTimeout = 800 * time.Millisecond
 	// orderTimeout bounds an order's call: the agent gives a worker about half of it.
 	orderTimeout = 1200 * time.Millisecond
-	// retryAgent is how long to wait before an agent that can't be reached is dialled again.
-	retryAgent = 200 * time.Millisecond
+	// firstRetryAgent and lastRetryAgent bound the waits before an agent that can't be
+	// reached is dialled again: one that was restarted is to keep its lease up in time.
+	firstRetryAgent = 200 * time.Millisecond
+	lastRetryAgent  = 800 * time.Millisecond
 
 	// firstRetry and lastRetry bound the waits after a failure of the store.
 	firstRetry = 50 * time.Millisecond
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -19,8 +19,9 @@
 	Batch struct {
 		Writes []store.Write
 
-		items   []batchItem
-		summary map[string]int
+		items     []batchItem
+		summary   map[string]int
+		forgotten []string
 	}
 
 	batchItem struct {
@@ -53,6 +54,7 @@
 	}
 	c.dirty = c.dirty[count:]
 	c.addSummary(b)
+	c.addForgotten(b)
 	if len(b.Writes) == 0 {
 		return nil
 	}
@@ -94,6 +96,19 @@
 	b.Writes = append(b.Writes, store.Write{Key: SummaryKey(c.name), Value: Encode(row)})
 }
 
+// maxBatchForgotten bounds the agents' rows that a batch deletes.
+const maxBatchForgotten = 5
+
+// addForgotten adds the deletion of agents' rows.
+func (c *Core) addForgotten(b *Batch) {
+	count := min(len(c.forgotten), maxBatchForgotten)
+	b.forgotten = c.forgotten[:count]
+	c.forgotten = c.forgotten[count:]
+	for _, agent := range b.forgotten {
+		b.Writes = append(b.Writes, store.Write{Key: AgentKey(c.name, agent), Delete: true})
+	}
+}
+
 // waitingByQueue counts the jobs of which no task has begun.
 func (c *Core) waitingByQueue() map[string]int {
 	waiting := map[string]int{}
@@ -130,6 +145,7 @@
 func (c *Core) BatchFailed() {
 	b := c.flying
 	c.flying = nil
+	c.forgotten = append(b.forgotten, c.forgotten...)
 	for _, item := range b.items {
 		if !item.job.dirty {
 			item.job.dirty = true
--- a/pool/core.go
+++ b/pool/core.go
@@ -28,6 +28,8 @@
 
 	dirty  []*jobState
 	flying *Batch
+	// forgotten are the agents whose rows are to be deleted.
+	forgotten []string
 	// summary is the number of waiting jobs by queue as it was committed last.
 	summary map[string]int
 }
--- a/pool/event.go
+++ b/pool/event.go
@@ -16,6 +16,7 @@
 	EventBack      EventKind = "worker back"
 	EventStray     EventKind = "stray run stopped"
 	EventWorker    EventKind = "worker incarnation"
+	EventForgotten EventKind = "agent forgotten"
 )
 
 type (
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"hollyfork.example/hollyfork/job"
+	"hollyfork.example/hollyfork/store"
 )
 
 func TestJobIsDone(t *testing.T) {
@@ -237,7 +238,7 @@
 	w.submit(guaranteed)
 	w.run(time.Second)
 	is.Equal(w.state(guaranteed.ID), Active)
-	is.True(w.starts < 150)
+	is.True(w.count(EventDisplaced) <= 12) // as many as it needs, once
 }
 
 // A plan counted the room of one victim twice, so that it freed too little. When the victim
@@ -264,6 +265,22 @@
 	is.Equal(w.count(EventDisplaced), 2)
 }
 
+func TestAgentThatIsGoneIsForgotten(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2)
+	key := AgentKey("pool", "worker-0")
+	w.rows[key] = store.Row{Key: key, Value: []byte("an address")}
+	w.run(time.Second)
+	w.workers[0].silent = true
+	w.run(90 * time.Second)
+	_, there := w.rows[key]
+	is.True(there)
+	w.run(40 * time.Second)
+	_, there = w.rows[key]
+	is.True(!there)
+	is.Equal(len(w.core.workers), 1)
+}
+
 func TestCancelledJobIsStopped(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 3)
--- a/pool/settings.go
+++ b/pool/settings.go
@@ -39,6 +39,9 @@
 	// DisplaceFactor is how much work of others may be lost for urgent work beyond a
 	// guarantee, in parts of that work itself.
 	DisplaceFactor float64
+	// ForgetAfter is how long an agent may be silent before its row is deleted. One that
+	// lives makes itself known again when no holder has called it for 10 s.
+	ForgetAfter time.Duration
 	// KeepEnded is how long the state of an ended job is kept.
 	KeepEnded time.Duration
 }
@@ -59,6 +62,7 @@
 		RetryRefused:   time.Second,
 		FarFactor:      3,
 		DisplaceFactor: 1.5,
+		ForgetAfter:    2 * time.Minute,
 		KeepEnded:      10 * time.Minute,
 	}
 }
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -25,7 +25,9 @@
 		// has lapsed if it does not answer again.
 		heard    time.Time
 		leaseEnd time.Time
-		listing  uint64
+		// knownSince is when the agent became known to this holder.
+		knownSince time.Time
+		listing    uint64
 
 		members map[*member]struct{}
 		// strays are runs that belong to no member.
@@ -66,10 +68,11 @@
 	w, known := c.workers[agent]
 	if !known {
 		w = &worker{
-			agent:    agent,
-			leaseEnd: c.settings.leaseEnd(now),
-			members:  map[*member]struct{}{},
-			strays:   map[runKey]*stray{},
+			agent:      agent,
+			leaseEnd:   c.settings.leaseEnd(now),
+			knownSince: now,
+			members:    map[*member]struct{}{},
+			strays:     map[runKey]*stray{},
 		}
 		c.workers[agent] = w
 	}
@@ -81,6 +84,28 @@
 	c.worker(now, agent)
 }
 
+// ForgetAgent drops an agent whose row was deleted.
+func (c *Core) ForgetAgent(agent string) {
+	if w, known := c.workers[agent]; known && len(w.members) == 0 {
+		delete(c.workers, agent)
+	}
+}
+
+// checkSilent has the row of an agent deleted that has been silent for long, and on whose
+// worker nothing is placed.
+func (c *Core) checkSilent(now time.Time, w *worker) {
+	last := w.knownSince
+	if w.heard.After(last) {
+		last = w.heard
+	}
+	if len(w.members) > 0 || now.Sub(last) < c.settings.ForgetAfter {
+		return
+	}
+	c.tell(Event{Kind: EventForgotten, Worker: w.agent, Detail: "silent for " + now.Sub(last).Round(time.Second).String()})
+	c.forgotten = append(c.forgotten, w.agent)
+	delete(c.workers, w.agent)
+}
+
 // Heard notes that an agent answered.
 func (c *Core) Heard(now time.Time, agent string) {
 	w := c.worker(now, agent)
@@ -138,6 +163,7 @@
 		c.workerLost(now, w, "its agent is silent and its lease has lapsed")
 		w.instance = ""
 	}
+	c.checkSilent(now, w)
 	if w.health.returns(now) {
 		c.roomChanged = true
 		c.tell(Event{Kind: EventBack, Worker: w.agent})
