--- a/program/cluster/program.go
+++ b/program/cluster/program.go
@@ -174,6 +174,11 @@
 	return response.StatusCode, string(answer), err
 }
 
+// Admin returns the base URL of the gateway's metrics and state.
+func (p *Program) Admin() string {
+	return "http://" + p.admin
+}
+
 // Fetch reads a page of the gateway's metrics address.
 func (p *Program) Fetch(path string) string {
 	p.t.Helper()
--- a/program/ctl.go
+++ b/program/ctl.go
@@ -128,6 +128,7 @@
 			c.drainCommand("drain", true),
 			c.drainCommand("undrain", false),
 			c.configCommand(),
+			c.poolsCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
--- /dev/null
+++ b/program/ctl_pools.go
@@ -0,0 +1,130 @@
+package program
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"hollyfork.example/hollyfork/pool"
+	"hollyfork.example/hollyfork/program/gatewayd"
+)
+
+const (
+	// stateTimeout bounds the wait for a gateway's state.
+	stateTimeout = 3 * time.Second
+	// maxStateBytes bounds the state that is read.
+	maxStateBytes = 64 << 20
+)
+
+// poolsCommand shows the pools that a gateway holds, from the state that it serves beside
+// its metrics.
+func (c *ctl) poolsCommand() *ffcli.Command {
+	flags := c.flagSet("pools")
+	return &ffcli.Command{
+		Name:       "pools",
+		ShortUsage: "hollyforkctl -server http://VM:9464 pools",
+		ShortHelp:  "show the workers and live jobs of the pools that a gateway holds",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return usage("pools takes no arguments")
+			}
+			content, err := c.gatewayState(ctx)
+			if err != nil {
+				return err
+			}
+			return c.printState(content)
+		},
+	}
+}
+
+// gatewayState reads a gateway's state.
+func (c *ctl) gatewayState(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.server+"/debug/state", http.NoBody)
+	if err != nil {
+		return nil, usage("-server: %v", err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("the gateway's state can not be read: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("the gateway answers %s; -server is to be its metrics address", response.Status)
+	}
+	return io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
+}
+
+// printState writes a gateway's state in the form that was asked for.
+func (c *ctl) printState(content []byte) error {
+	if c.output == outputJSON {
+		_, err := c.stdout.Write(content)
+		return err
+	}
+	state := gatewayd.State{}
+	if err := json.Unmarshal(content, &state); err != nil {
+		return fmt.Errorf("the gateway's state can not be understood: %w", err)
+	}
+	if len(state.Pools) == 0 {
+		_, err := fmt.Fprintln(c.stdout, "This gateway holds no pool; ask another.")
+		return err
+	}
+	for _, p := range state.Pools {
+		if _, err := fmt.Fprintf(c.stdout, "pool %s, configuration %d, %d changes to be committed\n\n", p.Pool, p.ConfigVersion, p.Uncommitted); err != nil {
+			return err
+		}
+		if err := c.printTable(poolWorkerRows(p.Workers)); err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintln(c.stdout); err != nil {
+			return err
+		}
+		if err := c.printTable(poolJobRows(p.Live)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func poolWorkerRows(workers []pool.WorkerSnapshot) []row {
+	rows := []row{{"WORKER", "STANDING", "RACK", "TASKS", "FREE", "HEARD"}}
+	for _, w := range workers {
+		rows = append(rows, row{w.Agent, standing(w), w.Rack, fmt.Sprint(w.Tasks), w.Free, fmt.Sprintf("%d ms ago", w.HeardAgoMS)})
+	}
+	return rows
+}
+
+// standing says in a word whether a worker gets work.
+func standing(w pool.WorkerSnapshot) string {
+	switch {
+	case w.Instance == "":
+		return "unknown"
+	case w.Draining:
+		return "draining"
+	case w.SetAside:
+		return "set aside"
+	case !w.Usable:
+		return "silent"
+	default:
+		return "usable"
+	}
+}
+
+func poolJobRows(jobs []pool.JobSnapshot) []row {
+	rows := []row{{"JOB", "QUEUE", "WORKSPACE", "STATE", "DONE", "PLACED", "FAILURES", "DUE"}}
+	for _, j := range jobs {
+		rows = append(rows, row{
+			j.ID, j.Queue, j.Workspace, j.State,
+			fmt.Sprintf("%d of %d", j.Done, j.Groups), fmt.Sprint(j.Placed), fmt.Sprint(j.Failures),
+			fmt.Sprintf("in %s", (time.Duration(j.DueInMS) * time.Millisecond).Round(time.Second)),
+		})
+	}
+	return rows
+}
--- a/program/gatewayd/main.go
+++ b/program/gatewayd/main.go
@@ -191,8 +191,8 @@
 // lookForPools is how often the configuration is looked at for new pools.
 const lookForPools = 50 * time.Millisecond
 
-// dump is the process's state, for operators.
-type dump struct {
+// State is the process's state, for operators.
+type State struct {
 	ConfigVersion uint64        `json:"config_version"`
 	ConfigAge     time.Duration `json:"config_age_ns"`
 	Ready         bool          `json:"ready"`
@@ -203,7 +203,7 @@
 
 func (p *gatewayProcess) dump() any {
 	now := time.Now()
-	return dump{
+	return State{
 		ConfigVersion: p.follower.Catalog().Version,
 		ConfigAge:     p.follower.Age(now),
 		Ready:         p.gateway.Ready(now),
--- a/program/pooltest/pool_test.go
+++ b/program/pooltest/pool_test.go
@@ -1,6 +1,7 @@
 package pooltest
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"os"
@@ -12,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"hollyfork.example/hollyfork/platform/fakes"
+	"hollyfork.example/hollyfork/program"
 	"hollyfork.example/hollyfork/program/cluster"
 )
 
@@ -315,3 +317,19 @@
 	c.Submit(1, cluster.Tasks(2, "100ms"))
 	c.AwaitAll(1)
 }
+
+func TestCtlShowsPools(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(t, 1, 2)
+	c.Submit(1, cluster.Tasks(2, "60s"))
+	c.Await(1, "running")
+	var stdout, stderr bytes.Buffer
+	code := program.Ctl([]string{"-server", c.Gateways[0].Admin(), "pools"}, &stdout, &stderr)
+	is.Equal(code, 0)
+	for _, text := range []string{"pool encoders, configuration 1", "sidecar-0", "usable", "0000000000000001", "captions", "0 of 2"} {
+		is.True(strings.Contains(stdout.String(), text)) // it is shown
+	}
+	code = program.Ctl([]string{"-server", "http://127.0.0.1:1", "pools"}, &stdout, &stderr)
+	is.True(code != 0)
+	is.True(strings.Contains(stderr.String(), "can not be read"))
+}
