Fields that nothing reads are gone

Cause: read as a newcomer: limits and time-outs of the configuration were decoded and not used; a member's started was written and never read. Measured: vet, linter and tests of the packages pass.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -5,7 +5,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"hollyfork.example/hollyfork/job"
 )
@@ -22,8 +21,6 @@
 		Terms job.Terms
 		// Open queues need no key.
 		Open bool
-		// Timeout bounds the time for a request.
-		Timeout time.Duration
 	}
 
 	// Workspace is a tenant.
@@ -36,10 +33,8 @@
 
 	// Limits bound callers' requests.
 	Limits struct {
-		HeaderBytes   int
-		BodyBytes     int
-		HeaderTimeout time.Duration
-		IdleTimeout   time.Duration
+		// BodyBytes is the most bytes of a request's body.
+		BodyBytes int
 	}
 
 	// Catalog is one version of the configuration. The zero value has version 0 and
--- a/pool/group.go
+++ b/pool/group.go
@@ -69,8 +69,6 @@
 		// have sent it.
 		maybeSent bool
 		restored  bool
-		// started says that the worker has confirmed the start, or was seen running it.
-		started bool
 		// inFlight says that an order was sent whose result is awaited.
 		inFlight bool
 		sendAt   time.Time
--- a/pool/report.go
+++ b/pool/report.go
@@ -132,12 +132,9 @@
 // memberStarted notes that a member runs.
 func (c *Core) memberStarted(now time.Time, m *member) {
 	m.phase = memberRunning
-	m.started = true
 	g := m.group
 	c.tell(Event{Kind: EventStarted, Job: g.job.job.ID, Step: g.step, First: m.index, Run: g.run, Worker: m.worker.agent})
-	if !g.job.begun {
-		g.job.begun = true
-	}
+	g.job.begun = true
 	if g.running() {
 		g.progressAt = time.Time{}
 		g.noteProgress(now)
