--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -57,6 +57,7 @@
 	incarnation string
 	capacity    job.Shape
 	rack        string
+	labels      []string
 	running     map[runKey]*fakeRun
 	ended       []Ended
 	number      uint64
@@ -389,6 +390,7 @@
 		Instance:    f.instance,
 		Capacity:    f.capacity,
 		Rack:        f.rack,
+		Labels:      f.labels,
 		Draining:    f.draining,
 		Listing:     f.listing,
 		Ended:       slices.Clone(f.ended),
