Jobs that repeat at times are run at their times

Change: job.Schedule (rounds, first time, interval, of the time of day); a job's groups belong to a round, which is opened when it is due and forgotten when it is done, 32 at most at once. The state row says which rounds are done, so that a new holder repeats none and forgets none. Jobs with times do not count as waiting.

--- a/job/job.go
+++ b/job/job.go
@@ -61,6 +61,7 @@
 		// Accepted is when the job was accepted, on the clock of whoever holds the job.
 		Accepted time.Time
 		Terms    Terms
+		Schedule Schedule
 	}
 
 	// Terms are what a queue promises its jobs.
@@ -166,7 +167,7 @@
 	return longest
 }
 
-// Due is when the job should be done.
+// Due is when the job should be done, the first round of one that repeats.
 func (j Job) Due() time.Time {
-	return j.Accepted.Add(time.Duration(j.Terms.Stretch * float64(j.Chain()))).Add(j.Terms.Goal)
+	return j.DueBy(0)
 }
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -28,6 +28,9 @@
 		{"negative amount", func(j *Job) { j.Steps[0].Shape.MemoryMB = -1 }, "negative"},
 		{"follows itself", func(j *Job) { j.Steps[1].After = []int{1} }, "earlier"},
 		{"follows nothing", func(j *Job) { j.Steps[1].After = []int{-1} }, "earlier"},
+		{"negative rounds", func(j *Job) { j.Schedule.Repeats = -1 }, "repeats"},
+		{"rounds without a first time", func(j *Job) { j.Schedule.Repeats = 2 }, "first time"},
+		{"negative interval", func(j *Job) { j.Schedule = Schedule{Repeats: 2, First: time.Unix(1, 0), Interval: -1} }, "interval"},
 		{"long label", func(j *Job) { j.Steps[0].Label = strings.Repeat("x", maxLabel+1) }, "label"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/job/validate.go
+++ b/job/validate.go
@@ -52,6 +52,9 @@
 	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
 		return invalid("a job has 1 to %d steps", MaxSteps)
 	}
+	if err := j.Schedule.validate(); err != nil {
+		return err
+	}
 	tasks := 0
 	for i, step := range j.Steps {
 		if err := step.validate(i); err != nil {
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -109,11 +110,11 @@
 	}
 }
 
-// waitingByQueue counts the jobs of which no task has begun.
+// waitingByQueue counts the jobs without times of which no task has begun.
 func (c *Core) waitingByQueue() map[string]int {
 	waiting := map[string]int{}
 	for _, j := range c.live {
-		if !j.begun && !j.state.ended() {
+		if !j.begun && !j.state.ended() && j.job.Schedule.None() {
 			waiting[j.job.Queue]++
 		}
 	}
@@ -178,7 +179,10 @@
 
 // row is what is written of a job.
 func (j *jobState) row() *poolpb.StateRow {
-	row := &poolpb.StateRow{Layout: rowLayout, State: stateToRow[j.state]}
+	row := &poolpb.StateRow{Layout: rowLayout, State: stateToRow[j.state], DoneRoundsBelow: int32(j.log.below)}
+	for _, number := range slices.Sorted(maps.Keys(j.log.done)) {
+		row.DoneRounds = append(row.DoneRounds, int32(number))
+	}
 	for _, g := range j.groups {
 		if g.run == 0 && !g.done {
 			continue
@@ -190,6 +194,7 @@
 
 func (g *group) row() *poolpb.GroupState {
 	row := &poolpb.GroupState{
+		Round:     int32(g.round.number),
 		Step:      int32(g.step),
 		First:     int32(g.first),
 		Done:      g.done,
--- a/pool/core.go
+++ b/pool/core.go
@@ -92,11 +92,15 @@
 		c.tickWorker(now, w)
 	}
 	for _, j := range c.live {
+		if !j.state.ended() {
+			c.openRounds(now, j)
+		}
 		for _, g := range j.groups {
 			if g.placed() {
 				c.tickGroup(now, g)
 			}
 		}
+		j.closeRounds()
 		c.retire(j)
 	}
 	for _, j := range c.jobs {
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -116,8 +116,9 @@
 func (p *pass) compare(a, b *group) int {
 	return cmp.Or(
 		cmp.Compare(p.rank(a), p.rank(b)),
-		a.job.job.Due().Compare(b.job.job.Due()),
+		a.due().Compare(b.due()),
 		cmp.Compare(a.job.job.ID, b.job.job.ID),
+		cmp.Compare(a.round.number, b.round.number),
 		cmp.Compare(a.step, b.step),
 		cmp.Compare(a.first, b.first),
 	)
@@ -170,7 +171,7 @@
 		Worker: strings.Join(names, " "),
 		Detail: fmt.Sprintf("priority %d, %d tasks of %s, expected to take %s, due in %s, waited %s",
 			g.job.job.Terms.Priority, g.size, g.spec().Shape, g.spec().Estimate,
-			g.job.job.Due().Sub(p.now).Round(time.Millisecond), p.now.Sub(g.readySince).Round(time.Millisecond)),
+			g.due().Sub(p.now).Round(time.Millisecond), p.now.Sub(g.readySince).Round(time.Millisecond)),
 	})
 }
 
--- a/pool/group.go
+++ b/pool/group.go
@@ -26,8 +26,9 @@
 	// group is a gang, or one task that runs by itself. Its members start together and
 	// share the number of their run.
 	group struct {
-		job  *jobState
-		step int
+		job   *jobState
+		round *round
+		step  int
 		// first is the index of its first task in the step.
 		first int
 		size  int
@@ -89,13 +90,18 @@
 }
 
 func (g *group) task(index int) job.TaskID {
-	return job.TaskID{Job: g.job.job.ID, Step: g.step, Index: index}
+	return job.TaskID{Job: g.job.job.ID, Round: g.round.number, Step: g.step, Index: index}
 }
 
 func (m *member) task() job.TaskID {
 	return m.group.task(m.index)
 }
 
+// due is when the group's round should be done.
+func (g *group) due() time.Time {
+	return g.job.job.DueBy(g.round.number)
+}
+
 // placed says whether the group has a run under way.
 func (g *group) placed() bool {
 	return len(g.members) > 0
@@ -119,7 +125,7 @@
 // ready says whether the steps before the group's are done.
 func (g *group) ready() bool {
 	for _, before := range g.spec().After {
-		if !g.job.stepDone(before) {
+		if !g.round.stepDone(before) {
 			return false
 		}
 	}
--- a/pool/intake.go
+++ b/pool/intake.go
@@ -101,6 +101,13 @@
 			Goal:     time.Duration(content.GetGoalMs()) * time.Millisecond,
 		},
 	}
+	if content.GetRepeats() > 0 {
+		j.Schedule = job.Schedule{
+			Repeats:  int(content.GetRepeats()),
+			First:    time.UnixMilli(content.GetFirstMs()),
+			Interval: time.Duration(content.GetIntervalMs()) * time.Millisecond,
+		}
+	}
 	for _, step := range content.GetSteps() {
 		j.Steps = append(j.Steps, stepFromRow(step))
 	}
@@ -147,6 +154,11 @@
 		Stretch:    j.Terms.Stretch,
 		GoalMs:     int32(j.Terms.Goal.Milliseconds()),
 	}
+	if !j.Schedule.None() {
+		row.Repeats = int32(j.Schedule.Repeats)
+		row.FirstMs = j.Schedule.First.UnixMilli()
+		row.IntervalMs = j.Schedule.Interval.Milliseconds()
+	}
 	for _, step := range j.Steps {
 		row.Steps = append(row.Steps, stepToRow(step))
 	}
--- a/pool/jobstate.go
+++ b/pool/jobstate.go
@@ -22,10 +22,10 @@
 	// jobState is a job with all that the pool knows of it.
 	jobState struct {
 		job job.Job
-		// groups are ordered by step and task.
+		// rounds are those under way, groups all of their groups.
+		rounds []*round
 		groups []*group
-		// byStep holds the same groups by step.
-		byStep [][]*group
+		log    roundLog
 		state  State
 		// begun says that a task of it was started.
 		begun   bool
@@ -47,53 +47,30 @@
 
 // newJob returns a job of which nothing has run.
 func newJob(now time.Time, j job.Job) *jobState {
-	state := &jobState{job: j, byStep: make([][]*group, len(j.Steps))}
-	for number, step := range j.Steps {
-		size := 1
-		if step.Gang {
-			size = step.Count
-		}
-		for first := 0; first < step.Count; first += size {
-			g := &group{
-				job:        state,
-				step:       number,
-				first:      first,
-				size:       size,
-				readySince: now,
-				failedOn:   map[string]int{},
-			}
-			state.groups = append(state.groups, g)
-			state.byStep[number] = append(state.byStep[number], g)
-		}
+	state := &jobState{job: j}
+	if j.Schedule.None() {
+		state.open(now, 0)
 	}
 	return state
 }
 
 // find returns the group of a task, or nil.
 func (j *jobState) find(task job.TaskID) *group {
-	if task.Round != 0 || task.Step >= len(j.byStep) || task.Index >= j.job.Steps[task.Step].Count {
+	r := j.roundOf(task.Round)
+	if r == nil {
 		return nil
 	}
-	groups := j.byStep[task.Step]
-	return groups[task.Index/groups[0].size]
-}
-
-func (j *jobState) stepDone(step int) bool {
-	for _, g := range j.byStep[step] {
-		if !g.done {
-			return false
-		}
-	}
-	return true
+	return r.find(j.job, task)
 }
 
+// allDone says whether all rounds are done.
 func (j *jobState) allDone() bool {
-	for _, g := range j.groups {
-		if !g.done {
+	for _, r := range j.rounds {
+		if !r.done() {
 			return false
 		}
 	}
-	return true
+	return j.log.next == j.job.Schedule.Rounds()
 }
 
 // checkJob ends a job whose last group is done, or one of whose groups has no attempt left.
--- a/pool/restore.go
+++ b/pool/restore.go
@@ -38,8 +38,9 @@
 	}
 	j.begun = j.state != Queued
 	j.endedAt = now
+	j.restoreRounds(now, row)
 	for _, saved := range row.GetGroups() {
-		g := j.find(job.TaskID{Job: j.job.ID, Step: int(saved.GetStep()), Index: int(saved.GetFirst())})
+		g := j.find(job.TaskID{Job: j.job.ID, Round: int(saved.GetRound()), Step: int(saved.GetStep()), Index: int(saved.GetFirst())})
 		if g != nil {
 			c.restoreGroup(now, g, saved)
 		}
@@ -53,6 +54,31 @@
 	}
 }
 
+// restoreRounds takes over which rounds of a job are done, and opens the others of which
+// something was placed. Those before them that have no group in the row are due as well.
+func (j *jobState) restoreRounds(now time.Time, row *poolpb.StateRow) {
+	if j.job.Schedule.None() {
+		return
+	}
+	j.log = roundLog{below: int(row.GetDoneRoundsBelow())}
+	for _, number := range row.GetDoneRounds() {
+		j.log.finish(int(number))
+	}
+	opened := j.log.below
+	for number := range j.log.done {
+		opened = max(opened, number+1)
+	}
+	for _, g := range row.GetGroups() {
+		opened = max(opened, int(g.GetRound())+1)
+	}
+	j.log.next = opened
+	for number := j.log.below; number < opened; number++ {
+		if !j.log.has(number) {
+			j.open(now, number)
+		}
+	}
+}
+
 func (c *Core) restoreGroup(now time.Time, g *group, row *poolpb.GroupState) {
 	g.done = row.GetDone()
 	g.doneAt = now
--- /dev/null
+++ b/pool/round_test.go
@@ -0,0 +1,91 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/job"
+)
+
+// repeating returns a job of one task that runs at times.
+func repeating(w *world, work, in, interval time.Duration, rounds int) job.Job {
+	j := oneTask(1, work)
+	j.Schedule = job.Schedule{Repeats: rounds, First: w.now.Add(in), Interval: interval}
+	return j
+}
+
+func TestRoundsStartAtTheirTimes(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.run(300 * time.Millisecond)
+	j := repeating(w, 200*time.Millisecond, time.Second, time.Second, 3)
+	w.submit(j)
+	w.run(900 * time.Millisecond)
+	is.Equal(w.starts, 0)
+	is.Equal(w.state(j.ID), Queued)
+	is.Equal(len(w.core.waitingByQueue()), 0) // a job with times does not count as waiting
+	w.run(400 * time.Millisecond)
+	is.Equal(w.starts, 1)
+	is.Equal(w.state(j.ID), Active) // two rounds are to come
+	w.run(time.Second)
+	is.Equal(w.starts, 2)
+	w.run(2 * time.Second)
+	is.Equal(w.starts, 3)
+	is.Equal(w.state(j.ID), Done)
+}
+
+func TestRoundsMayOverlap(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.run(300 * time.Millisecond)
+	j := repeating(w, 2*time.Second, 0, 500*time.Millisecond, 3)
+	w.submit(j)
+	w.run(1300 * time.Millisecond)
+	is.Equal(w.starts, 3)
+	is.Equal(len(w.core.jobs[j.ID].rounds), 3)
+	w.run(3 * time.Second)
+	is.Equal(w.state(j.ID), Done)
+	is.Equal(len(w.core.jobs[j.ID].groups), 0) // rounds that are done take no memory
+}
+
+// A new holder neither repeats rounds that are done nor forgets those to come.
+func TestRoundsOutlastTheHolder(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.run(300 * time.Millisecond)
+	j := repeating(w, 300*time.Millisecond, 0, time.Second, 4)
+	w.submit(j)
+	w.run(1500 * time.Millisecond)
+	is.Equal(w.starts, 2)
+	w.takeOver()
+	w.run(300 * time.Millisecond)
+	is.Equal(w.starts, 2) // what was done is not done again
+	w.run(4 * time.Second)
+	is.Equal(w.starts, 4)
+	is.Equal(w.state(j.ID), Done)
+}
+
+func TestRoundsUnderWayAreBounded(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.run(300 * time.Millisecond)
+	j := repeating(w, time.Hour, 0, time.Millisecond, 10*maxOpenRounds)
+	w.submit(j)
+	w.run(2 * time.Second)
+	is.Equal(len(w.core.jobs[j.ID].rounds), maxOpenRounds)
+}
+
+func TestCancelledJobOpensNoRound(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.run(300 * time.Millisecond)
+	j := repeating(w, 100*time.Millisecond, time.Second, time.Second, 3)
+	w.submit(j)
+	w.run(500 * time.Millisecond)
+	w.core.CancelJob(w.now, j.ID)
+	w.run(5 * time.Second)
+	is.Equal(w.starts, 0)
+	is.Equal(w.state(j.ID), Cancelled)
+}
--- a/pool/trouble_test.go
+++ b/pool/trouble_test.go
@@ -22,6 +22,13 @@
 	step.Gang = w.random.IntN(2) == 0
 	step.Checkpoint = w.random.IntN(2) == 0
 	step.Shape.Accelerators = 1 << w.random.IntN(4)
+	if w.random.IntN(5) == 0 {
+		j.Schedule = job.Schedule{
+			Repeats:  1 + w.random.IntN(4),
+			First:    w.now.Add(time.Duration(w.random.IntN(4000)-1000) * time.Millisecond),
+			Interval: time.Duration(w.random.IntN(3000)) * time.Millisecond,
+		}
+	}
 	if w.random.IntN(3) == 0 {
 		next := *step
 		next.After = []int{0}
