Tasks that last give way as far as they may; fillers stay away from what they would slow

Change: steps carry how many tasks may be away at once, the target of their answers and whether they fill. A step that says how many may be away loses no more to others; one that does not gives way to guaranteed work alone. Fillers take no processor room and share no worker with a task that has a target: how much they slow it is not known, so they are kept apart instead of being paced. Failures of tasks that last count against the worker, not against the job.

--- a/job/job.go
+++ b/job/job.go
@@ -48,6 +48,14 @@
 		Speculative bool
 		// LongRunning says that the tasks run until the job is cancelled.
 		LongRunning bool
+		// MayMiss is how many tasks of a long-running step may be stopped for others at once.
+		MayMiss int
+		// Target is the time in which most answers of a long-running task to its own users
+		// should come; 0 for a task without users of its own.
+		Target time.Duration
+		// Filler says that the tasks take the processor time that others leave unused, and
+		// none of a worker's room. They slow down tasks that have a Target.
+		Filler bool
 	}
 
 	// Job is a job as it was accepted.
@@ -85,6 +93,15 @@
 	}
 )
 
+// Takes is what a task takes of its worker's room.
+func (s Step) Takes() Shape {
+	shape := s.Shape
+	if s.Filler {
+		shape.CPUMillis = 0
+	}
+	return shape
+}
+
 // Add returns the sum of two shapes.
 func (s Shape) Add(o Shape) Shape {
 	return Shape{s.CPUMillis + o.CPUMillis, s.MemoryMB + o.MemoryMB, s.Accelerators + o.Accelerators}
--- a/job/validate.go
+++ b/job/validate.go
@@ -72,7 +72,7 @@
 	switch {
 	case s.Count < 1 || s.Count > MaxTasks:
 		return invalid("step %d: a step has 1 to %d tasks", number, MaxTasks)
-	case s.Shape.CPUMillis < 0 || s.Shape.MemoryMB < 0 || s.Shape.Accelerators < 0 || s.Estimate < 0 || s.MaxPerWorker < 0:
+	case s.Shape.CPUMillis < 0 || s.Shape.MemoryMB < 0 || s.Shape.Accelerators < 0 || s.Estimate < 0 || s.MaxPerWorker < 0 || s.MayMiss < 0 || s.Target < 0:
 		return invalid("step %d: an amount is negative", number)
 	case len(s.Label) > maxLabel || len(s.DataRack) > maxLabel:
 		return invalid("step %d: a label has over %d bytes", number, maxLabel)
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -145,7 +145,7 @@
 // committed.
 func (p *pass) place(g *group, places []*worker) {
 	c := p.core
-	shape := g.spec().Shape
+	shape := g.spec().Takes()
 	g.run++
 	g.ending = false
 	g.progressAt = time.Time{}
@@ -177,7 +177,7 @@
 
 // promise keeps room for a group that waits for others to end.
 func (p *pass) promise(g *group, places []*worker) {
-	shape := g.spec().Shape
+	shape := g.spec().Takes()
 	for _, w := range places {
 		p.free[w] = p.free[w].Sub(shape)
 	}
@@ -192,7 +192,7 @@
 	for _, v := range victims {
 		for _, m := range v.members {
 			if _, usable := room[m.worker]; usable && m.phase != memberGone {
-				room[m.worker] = room[m.worker].Add(v.spec().Shape)
+				room[m.worker] = room[m.worker].Add(v.spec().Takes())
 			}
 		}
 	}
--- a/pool/displace.go
+++ b/pool/displace.go
@@ -136,7 +136,7 @@
 		if v.job.job.Terms.Priority <= g.job.job.Terms.Priority || v.ending || v.done || m.phase == memberStopping {
 			continue
 		}
-		if !slices.Contains(list, v) && !slices.Contains(chosen, v) {
+		if !slices.Contains(list, v) && !slices.Contains(chosen, v) && p.mayStop(v, g, slices.Concat(chosen, list)) {
 			list = append(list, v)
 		}
 	}
@@ -157,7 +157,7 @@
 	shape := job.Shape{}
 	for _, m := range g.members {
 		if m.worker == w && m.phase != memberGone {
-			shape = shape.Add(g.spec().Shape)
+			shape = shape.Add(g.spec().Takes())
 		}
 	}
 	return shape
@@ -171,7 +171,7 @@
 		}
 		for _, m := range v.members {
 			if _, usable := p.free[m.worker]; usable && m.phase != memberGone {
-				p.releasing[m.worker] = p.releasing[m.worker].Add(v.spec().Shape)
+				p.releasing[m.worker] = p.releasing[m.worker].Add(v.spec().Takes())
 			}
 		}
 		p.core.tell(Event{
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -76,7 +76,7 @@
 
 // slots returns the workers that could take any of a group's tasks.
 func (p *pass) slots(g *group, room map[*worker]job.Shape) []slot {
-	shape := g.spec().Shape
+	shape := g.spec().Takes()
 	var slots []slot
 	for _, w := range p.workers {
 		if count := p.count(g, w, room[w]); count > 0 {
@@ -92,7 +92,7 @@
 		return 0
 	}
 	step := g.spec()
-	count := min(room.Holds(step.Shape), g.size)
+	count := min(room.Holds(step.Takes()), g.size)
 	if step.MaxPerWorker > 0 {
 		count = min(count, step.MaxPerWorker-w.tasksOf(g.job, g.step))
 	}
@@ -121,6 +121,8 @@
 		return false
 	case step.DataRack != "" && w.rack != step.DataRack && c.rackExists(step.DataRack):
 		return false
+	case w.disturbs(step):
+		return false
 	case now.Before(g.avoided[w]):
 		return false
 	case g.failedOn[w.agent] > 0 && c.othersThan(g):
@@ -169,7 +171,7 @@
 		if w.instance == "" {
 			continue
 		}
-		racks[w.rack] += w.capacity.Holds(step.Shape)
+		racks[w.rack] += w.capacity.Holds(step.Takes())
 		if racks[w.rack] >= g.size {
 			return true
 		}
--- a/pool/group.go
+++ b/pool/group.go
@@ -207,13 +207,15 @@
 	c.checkJob(now, g.job)
 }
 
-// runFailed counts a failed run once.
+// runFailed counts a failed run once. Tasks that last may fail as often as they do.
 func (c *Core) runFailed(now time.Time, g *group, run int, w *worker) {
-	if g.spec().LongRunning || run <= g.failedRun {
+	if run <= g.failedRun {
 		return
 	}
 	g.failedRun = run
-	g.failures++
+	if !g.spec().LongRunning {
+		g.failures++
+	}
 	g.failedOn[w.agent]++
 	c.markDirty(g.job)
 	c.noteFailure(now, w, g.job.job.ID)
--- a/pool/hold.go
+++ b/pool/hold.go
@@ -37,7 +37,7 @@
 	}
 	p.heldUntil = ends[first].at
 	for _, w := range p.fit(g, p.roomAt(room, ends, p.heldUntil)) {
-		p.held[w] = p.held[w].Add(g.spec().Shape)
+		p.held[w] = p.held[w].Add(g.spec().Takes())
 	}
 }
 
@@ -113,7 +113,7 @@
 		}
 		for _, m := range e.group.members {
 			if _, usable := later[m.worker]; usable && m.phase != memberGone && m.phase != memberStopping {
-				later[m.worker] = later[m.worker].Add(e.group.spec().Shape)
+				later[m.worker] = later[m.worker].Add(e.group.spec().Takes())
 			}
 		}
 	}
--- a/pool/intake.go
+++ b/pool/intake.go
@@ -134,6 +134,9 @@
 		MaxPerWorker: int(row.GetMaxPerWorker()),
 		Speculative:  row.GetSpeculative(),
 		LongRunning:  row.GetLongRunning(),
+		MayMiss:      int(row.GetMayMiss()),
+		Target:       time.Duration(row.GetTargetMs()) * time.Millisecond,
+		Filler:       row.GetFiller(),
 	}
 	for _, before := range row.GetAfter() {
 		step.After = append(step.After, int(before))
@@ -180,6 +183,9 @@
 		MaxPerWorker: int32(step.MaxPerWorker),
 		Speculative:  step.Speculative,
 		LongRunning:  step.LongRunning,
+		MayMiss:      int32(step.MayMiss),
+		TargetMs:     int32(step.Target.Milliseconds()),
+		Filler:       step.Filler,
 	}
 	for _, before := range step.After {
 		row.After = append(row.After, int32(before))
--- /dev/null
+++ b/pool/lasting.go
@@ -0,0 +1,43 @@
+package pool
+
+import "hollyfork.example/hollyfork/job"
+
+// disturbs says whether a task of a step would slow a task with a target down on the worker,
+// or be one that is slowed down. How much is not known, so the two never share a worker.
+func (w *worker) disturbs(step job.Step) bool {
+	if !step.Filler && step.Target == 0 {
+		return false
+	}
+	for m := range w.members {
+		other := m.group.spec()
+		if step.Filler && other.Target > 0 || step.Target > 0 && other.Filler {
+			return true
+		}
+	}
+	return false
+}
+
+// mayStop says whether a group may be stopped for another, beside those that were chosen
+// already. Of a step that lasts, only so many tasks may be away at once as its job says; one
+// that says nothing gives way to what is guaranteed alone.
+func (p *pass) mayStop(v, g *group, chosen []*group) bool {
+	step := v.spec()
+	if !step.LongRunning {
+		return true
+	}
+	if step.MayMiss == 0 {
+		return p.guaranteed(g.job)
+	}
+	away := 0
+	for _, other := range v.round.byStep[v.step] {
+		if other != v && !other.running() {
+			away += other.size
+		}
+	}
+	for _, other := range chosen {
+		if other.round == v.round && other.step == v.step {
+			away += other.size
+		}
+	}
+	return away+v.size <= step.MayMiss
+}
--- a/pool/report.go
+++ b/pool/report.go
@@ -155,7 +155,7 @@
 		}
 		s := &stray{sendAt: now}
 		if j, ok := c.jobs[key.task.Job]; ok && key.task.Step < len(j.job.Steps) {
-			s.shape = j.job.Steps[key.task.Step].Shape
+			s.shape = j.job.Steps[key.task.Step].Takes()
 		}
 		w.strays[key] = s
 		c.ordersDue = true
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -131,7 +131,7 @@
 func (w *worker) free() job.Shape {
 	room := w.capacity
 	for m := range w.members {
-		room = room.Sub(m.group.spec().Shape)
+		room = room.Sub(m.group.spec().Takes())
 	}
 	for _, s := range w.strays {
 		room = room.Sub(s.shape)
@@ -144,7 +144,7 @@
 	room := job.Shape{}
 	for m := range w.members {
 		if m.phase == memberStopping || m.group.ending {
-			room = room.Add(m.group.spec().Shape)
+			room = room.Add(m.group.spec().Takes())
 		}
 	}
 	for _, s := range w.strays {
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -249,7 +249,7 @@
 	if w.now.After(f.leaseUntil) {
 		return ResultLate
 	}
-	shape := w.jobs[s.Task.Job].Steps[s.Task.Step].Shape
+	shape := w.jobs[s.Task.Job].Steps[s.Task.Step].Takes()
 	if f.free(w).Holds(shape) < 1 {
 		return ResultRoom
 	}
@@ -293,7 +293,7 @@
 func (f *fakeWorker) free(w *world) job.Shape {
 	room := f.capacity
 	for key := range f.running {
-		room = room.Sub(w.jobs[key.task.Job].Steps[key.task.Step].Shape)
+		room = room.Sub(w.jobs[key.task.Job].Steps[key.task.Step].Takes())
 	}
 	return room
 }
