Queues with advice: steps run only where the advice service lets them

Cause: a queue's policy may let only some workers run a step; a start without a ticket is rejected, so jobs of such a queue would never have run, and would have counted as lost. Change: queues with "advice" have advised terms, which go into the job's row. The pool asks for the most pressing group that it could not place, for up to 30 workers with room that were not asked for or whose tickets ran out, one question at a time, and again 0.3 s after one without an answer. A worker without a good ticket does not suit; a ticket that a worker did not take is asked for anew. The gateway's settings name the service (platform.advice); the adapter has its client.

--- /dev/null
+++ b/holder/advise.go
@@ -0,0 +1,41 @@
+package holder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"hollyfork.example/hollyfork/pool"
+)
+
+var errNoAdvisor = errors.New("the settings name no advice service")
+
+// Advisor knows which workers the policy of a queue lets run a step.
+type Advisor interface {
+	Ask(ctx context.Context, q pool.Question) (pool.Answer, error)
+}
+
+// askAdvice sends the next question to the advice service, if there is one to ask.
+func (h *Holder) askAdvice(now time.Time) {
+	q, ok := h.core.TakeQuestion(now)
+	if !ok {
+		return
+	}
+	go func() {
+		answer, err := h.ask(q)
+		entry := h.host.deps.Logger.Info()
+		if err != nil {
+			entry = h.host.deps.Logger.Warn().Err(err)
+		}
+		entry.Str("pool", h.host.pool).Str("job", string(q.Step.Job)).Int("step", q.Step.Step).
+			Int("workers", len(q.Workers)).Int("tickets", len(answer.Tickets)).Dur("valid", answer.Valid).Msg("holder: asked for advice")
+		h.send(advised{question: q, answer: answer, err: err})
+	}()
+}
+
+func (h *Holder) ask(q pool.Question) (pool.Answer, error) {
+	if h.host.deps.Advisor == nil {
+		return pool.Answer{}, &Error{Op: "ask for advice", Kind: KindAdvice, Err: errNoAdvisor}
+	}
+	return h.host.deps.Advisor.Ask(h.ctx, q)
+}
--- a/holder/error.go
+++ b/holder/error.go
@@ -8,6 +8,8 @@
 	KindLost Kind = iota + 1
 	// KindStore means that the store could not be read or written.
 	KindStore
+	// KindAdvice means that the advice service gave no answer.
+	KindAdvice
 )
 
 type (
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -39,6 +39,12 @@
 	}
 	// question asks for the pool's state.
 	question struct{}
+	// advised tells the advice service's answer.
+	advised struct {
+		question pool.Question
+		answer   pool.Answer
+		err      error
+	}
 	// ordered tells the results of orders.
 	ordered struct {
 		orders pool.Orders
@@ -116,6 +122,8 @@
 		h.takeSync(m)
 	case ordered:
 		h.takeResults(now, m)
+	case advised:
+		h.core.TakeAnswer(now, m.question, m.answer, m.err == nil)
 	case mailbox.Ask[question, pool.Snapshot]:
 		m.Reply(h.core.Snapshot(now))
 		return
@@ -146,6 +154,7 @@
 			h.core.Decide(now)
 		}
 		h.sendOrders(now)
+		h.askAdvice(now)
 	}
 	h.commit(now)
 	h.tellLinks()
--- a/holder/host.go
+++ b/holder/host.go
@@ -29,6 +29,9 @@
 		Logger  *log.Logger
 		// Catalog returns the configuration in force.
 		Catalog func() *catalog.Catalog
+		// Advisor is asked which workers may run a step, in queues that need it; nil when
+		// there is none.
+		Advisor Advisor
 		// Patience is how long this process leaves a free pool to others, which may be
 		// better placed to hold it.
 		Patience time.Duration
--- a/holder/translate.go
+++ b/holder/translate.go
@@ -29,6 +29,7 @@
 		poolpb.OrderResult_REFUSED:        pool.ResultRefused,
 		poolpb.OrderResult_DRAINING:       pool.ResultDraining,
 		poolpb.OrderResult_INVALID:        pool.ResultInvalid,
+		poolpb.OrderResult_TICKET:         pool.ResultTicket,
 	}
 )
 
@@ -80,6 +81,8 @@
 			Run:   int32(s.Run),
 			Spec:  s.Spec,
 			Saved: s.Saved,
+
+			Ticket: s.Ticket,
 		})
 	}
 	for _, s := range orders.Stops {
--- a/job/job.go
+++ b/job/job.go
@@ -82,6 +82,9 @@
 		// longest chain of work, plus Goal.
 		Stretch float64
 		Goal    time.Duration
+		// Advised says that the queue's policy lets only some workers run a step; the advice
+		// service knows which.
+		Advised bool
 	}
 
 	// TaskID names one task of a job.
@@ -151,6 +154,11 @@
 	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Round, t.Step, t.Index)
 }
 
+// StepName writes the name of the task's step, as the advice service is asked for it.
+func (t TaskID) StepName() string {
+	return fmt.Sprintf("%s.%d.%d", t.Job, t.Round, t.Step)
+}
+
 // ParseTaskID reads a task's name.
 func ParseTaskID(text string) (TaskID, bool) {
 	words := strings.Split(text, ".")
--- /dev/null
+++ b/pool/advice.go
@@ -0,0 +1,155 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"hollyfork.example/hollyfork/job"
+)
+
+const (
+	// maxAsked is the most workers that one question names: the users count one call on 30
+	// workers into a job's objective.
+	maxAsked = 30
+	// ticketMargin is how much longer a ticket must hold than now for a placement: its commit
+	// and its order take some 30 ms, and several times that when the store is slow.
+	ticketMargin = 400 * time.Millisecond
+	// askAgain is how long the advice service is left alone after it gave no answer.
+	askAgain = 300 * time.Millisecond
+)
+
+type (
+	// Question asks which workers the policy of a queue lets run a step.
+	Question struct {
+		// Step names a task of the step.
+		Step job.TaskID
+		// Workers are the incarnations that are asked for.
+		Workers []string
+	}
+
+	// Answer holds a ticket for each worker that may run the step.
+	Answer struct {
+		// Tickets are by incarnation.
+		Tickets map[string]string
+		// Valid is how long the tickets hold.
+		Valid time.Duration
+	}
+
+	// advice is what is known of the workers for a step. Which may run it never changes; the
+	// tickets run out.
+	advice struct {
+		asked   map[string]bool
+		tickets map[string]ticket
+	}
+
+	// ticket lets tasks of a step start on one incarnation of a worker.
+	ticket struct {
+		text  string
+		until time.Time
+	}
+)
+
+// good says whether the ticket holds long enough for a placement.
+func (t ticket) good(now time.Time) bool {
+	return now.Add(ticketMargin).Before(t.until)
+}
+
+// ticket returns what is known for a worker's incarnation; the zero value for nothing.
+func (r *round) ticket(step int, instance string) ticket {
+	a := r.advice[step]
+	if a == nil {
+		return ticket{}
+	}
+	return a.tickets[instance]
+}
+
+// dropTicket forgets a ticket that a worker did not take, so that it is asked for again.
+func (r *round) dropTicket(step int, instance string) {
+	if a := r.advice[step]; a != nil {
+		delete(a.tickets, instance)
+		delete(a.asked, instance)
+	}
+}
+
+// adviceOf returns what is known for a step.
+func (r *round) adviceOf(step int) *advice {
+	if r.advice == nil {
+		r.advice = map[int]*advice{}
+	}
+	a, known := r.advice[step]
+	if !known {
+		a = &advice{asked: map[string]bool{}, tickets: map[string]ticket{}}
+		r.advice[step] = a
+	}
+	return a
+}
+
+// TakeQuestion returns the next question to the advice service: for the most pressing group
+// that was not placed and for which there are workers that it may help to ask for. One
+// question is asked at a time.
+func (c *Core) TakeQuestion(now time.Time) (Question, bool) {
+	if !c.advised || c.asking || now.Before(c.askAt) {
+		return Question{}, false
+	}
+	ready := slices.DeleteFunc(c.readyGroups(), func(g *group) bool { return !g.job.job.Terms.Advised })
+	if len(ready) == 0 {
+		return Question{}, false
+	}
+	p := c.newPass(now)
+	slices.SortFunc(ready, p.compare)
+	for _, g := range ready {
+		if workers := p.toAsk(g); len(workers) > 0 {
+			c.asking = true
+			return Question{Step: g.task(g.first), Workers: workers}, true
+		}
+	}
+	return Question{}, false
+}
+
+// toAsk returns the workers whose tickets would let a group start there now: those with room
+// that were not asked for yet or whose tickets run out.
+func (p *pass) toAsk(g *group) []string {
+	known := g.round.adviceOf(g.step)
+	var workers []string
+	for _, w := range p.workers {
+		held, hasTicket := known.tickets[w.instance]
+		fresh := !known.asked[w.instance]
+		if !fresh && (!hasTicket || held.good(p.now)) {
+			continue
+		}
+		if p.free[w].Holds(g.spec().Takes()) == 0 || !w.has(g.spec().Label) {
+			continue
+		}
+		workers = append(workers, w.instance)
+		if len(workers) == maxAsked {
+			break
+		}
+	}
+	return workers
+}
+
+// TakeAnswer takes over what the advice service answered; ok is false when it did not.
+func (c *Core) TakeAnswer(now time.Time, q Question, answer Answer, ok bool) {
+	c.asking = false
+	if !ok {
+		c.askAt = now.Add(askAgain)
+		return
+	}
+	j, known := c.jobs[q.Step.Job]
+	if !known {
+		return
+	}
+	r := j.roundOf(q.Step.Round)
+	if r == nil {
+		return
+	}
+	a := r.adviceOf(q.Step.Step)
+	for _, instance := range q.Workers {
+		a.asked[instance] = true
+		delete(a.tickets, instance)
+		if text, may := answer.Tickets[instance]; may {
+			a.tickets[instance] = ticket{text: text, until: now.Add(answer.Valid)}
+		}
+	}
+	c.roomChanged = true
+}
--- /dev/null
+++ b/pool/advice_test.go
@@ -0,0 +1,79 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func newAdvisedWorld(t *testing.T, hold time.Duration) *world {
+	w := newWorld(t, 4)
+	w.policy = func(worker string) bool { return worker == "worker-1" || worker == "worker-3" }
+	w.ticketsHold = hold
+	w.run(300 * time.Millisecond)
+	return w
+}
+
+func TestAdvisedTasksRunWhereThePolicyLetsThem(t *testing.T) {
+	is := is.New(t)
+	w := newAdvisedWorld(t, 3*time.Second)
+	j := oneTask(1, 500*time.Millisecond)
+	j.Terms.Advised = true
+	j.Steps[0].Count = 6
+	w.submit(j)
+	w.run(2 * time.Second)
+	is.Equal(w.state(j.ID), Done)
+	is.Equal(w.starts, 6)
+	is.Equal(len(w.workers[0].highest)+len(w.workers[2].highest), 0)
+	is.Equal(w.asked, 1) // one question for all workers of the step
+	is.Equal(w.count(EventRejected), 0)
+}
+
+func TestTicketsThatRanOutAreAskedForAgain(t *testing.T) {
+	is := is.New(t)
+	w := newAdvisedWorld(t, time.Second)
+	j := gang(1, 2, 8, 3*time.Second)
+	j.Terms.Advised = true
+	w.submit(j)
+	w.run(500 * time.Millisecond)
+	second := gang(2, 2, 8, time.Second)
+	second.Terms.Advised = true
+	w.submit(second)
+	w.run(8 * time.Second)
+	is.Equal(w.state(j.ID), Done)
+	is.Equal(w.state(second.ID), Done)
+	is.True(w.asked < 10) // it is not asked for workers without room
+}
+
+func TestPolicyThatDoesNotAnswerIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	w := newAdvisedWorld(t, 3*time.Second)
+	silent := true
+	w.loses = func() bool { return silent }
+	j := oneTask(1, 300*time.Millisecond)
+	j.Terms.Advised = true
+	w.submit(j)
+	w.run(2 * time.Second)
+	is.Equal(w.starts, 0)
+	is.True(w.asked > 2 && w.asked < 10)
+	silent = false
+	w.run(2 * time.Second)
+	is.Equal(w.state(j.ID), Done)
+}
+
+// A ticket may run out while its placement is committed.
+func TestStartWithoutAGoodTicketIsTriedAnew(t *testing.T) {
+	is := is.New(t)
+	w := newAdvisedWorld(t, 3*time.Second)
+	j := oneTask(1, 300*time.Millisecond)
+	j.Terms.Advised = true
+	w.submit(j)
+	for len(w.tickets) == 0 {
+		w.run(worldStep)
+	}
+	w.tickets = map[string]time.Time{}
+	w.run(2 * time.Second)
+	is.Equal(w.count(EventRejected), 2) // once on each worker that it had a ticket for
+	is.Equal(w.state(j.ID), Done)
+}
--- a/pool/core.go
+++ b/pool/core.go
@@ -30,6 +30,13 @@
 	flying *Batch
 	// forgotten are the agents whose rows are to be deleted.
 	forgotten []string
+	// advised says that there was a job of a queue whose policy is asked.
+	advised bool
+	// asking says that a question to the advice service is under way; none is asked before
+	// askAt.
+	asking bool
+	askAt  time.Time
+
 	// summary is the number of waiting jobs by queue as it was committed last.
 	summary map[string]int
 }
@@ -71,6 +78,7 @@
 
 func (c *Core) addState(j *jobState) {
 	c.roomChanged = true
+	c.advised = c.advised || j.job.Terms.Advised
 	c.jobs[j.job.ID] = j
 	c.live[j.job.ID] = j
 }
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -121,6 +121,8 @@
 		return false
 	case step.DataRack != "" && w.rack != step.DataRack && c.rackExists(step.DataRack):
 		return false
+	case g.job.job.Terms.Advised && !g.round.ticket(g.step, w.instance).good(now):
+		return false
 	case w.disturbs(step):
 		return false
 	case now.Before(g.avoided[w]):
--- a/pool/intake.go
+++ b/pool/intake.go
@@ -99,6 +99,7 @@
 			Attempts: int(content.GetAttempts()),
 			Stretch:  content.GetStretch(),
 			Goal:     time.Duration(content.GetGoalMs()) * time.Millisecond,
+			Advised:  content.GetAdvised(),
 		},
 	}
 	if content.GetRepeats() > 0 {
@@ -156,6 +157,7 @@
 		Attempts:   int32(j.Terms.Attempts),
 		Stretch:    j.Terms.Stretch,
 		GoalMs:     int32(j.Terms.Goal.Milliseconds()),
+		Advised:    j.Terms.Advised,
 	}
 	if !j.Schedule.None() {
 		row.Repeats = int32(j.Schedule.Repeats)
--- a/pool/message.go
+++ b/pool/message.go
@@ -42,6 +42,9 @@
 	ResultDraining
 	// ResultInvalid means that the worker does not understand the order.
 	ResultInvalid
+	// ResultTicket means that the queue's policy does not let the worker run the task, or
+	// not any more.
+	ResultTicket
 )
 
 type (
@@ -97,6 +100,8 @@
 		Run   int
 		Spec  string
 		Saved string
+		// Ticket is the advice service's for the worker; empty for a queue without advice.
+		Ticket string
 	}
 
 	// Stop orders a run to be stopped, or never to start.
--- a/pool/order.go
+++ b/pool/order.go
@@ -45,6 +45,8 @@
 			Run:   m.group.run,
 			Spec:  m.group.job.job.Spec,
 			Saved: m.group.saved,
+
+			Ticket: m.group.round.ticket(m.group.step, m.instance).text,
 		})
 	case memberStopping:
 		if m.stopped {
@@ -141,6 +143,8 @@
 	switch result {
 	case ResultRefused:
 		c.setAside(now, m.worker, c.settings.RetryRefused, "it refuses starts")
+	case ResultTicket:
+		g.round.dropTicket(g.step, m.instance)
 	case ResultRoom, ResultOldRun, ResultInvalid:
 		g.avoid(m.worker, now.Add(c.settings.RetryRefused))
 	}
@@ -163,4 +167,5 @@
 	ResultRefused:       "the worker is unwell",
 	ResultDraining:      "the worker is draining",
 	ResultInvalid:       "the order was not understood",
+	ResultTicket:        "the queue's policy does not let it run there",
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -321,6 +321,8 @@
 	w := newWorld(t, 5)
 	w.random = newRandom(seed)
 	w.loses = func() bool { return w.random.IntN(10) == 0 }
+	w.policy = func(worker string) bool { return worker != "worker-0" }
+	w.ticketsHold = 3 * time.Second
 	w.run(300 * time.Millisecond)
 	for i := range 25 {
 		w.submit(randomJob(w, i))
--- a/pool/round.go
+++ b/pool/round.go
@@ -18,6 +18,8 @@
 	from time.Time
 	// byStep holds its groups.
 	byStep [][]*group
+	// advice holds what the advice service said of its steps, in queues that need it.
+	advice map[int]*advice
 }
 
 // roundLog says which rounds of a job were opened, and which of them are done.
--- a/pool/trouble_test.go
+++ b/pool/trouble_test.go
@@ -17,6 +17,7 @@
 	j := oneTask(id, work)
 	j.Terms.Attempts = 50
 	j.Terms.Priority = w.random.IntN(3)
+	j.Terms.Advised = w.random.IntN(6) == 0
 	step := &j.Steps[0]
 	step.Count = 1 + w.random.IntN(4)
 	step.Gang = w.random.IntN(2) == 0
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -43,6 +43,12 @@
 	// storeDown makes every commit fail.
 	storeDown bool
 	epoch     int
+	// policy says which workers may run the tasks of advised queues; nil for all. Its tickets
+	// hold for ticketsHold.
+	policy      func(worker string) bool
+	ticketsHold time.Duration
+	tickets     map[string]time.Time
+	asked       int
 }
 
 type event struct {
@@ -87,7 +93,9 @@
 		done:   map[job.TaskID]bool{},
 		noted:  map[job.TaskID]bool{},
 		failed: map[job.TaskID]int{},
-		loses:  func() bool { return false },
+
+		tickets: map[string]time.Time{},
+		loses:   func() bool { return false },
 	}
 	for i := range workers {
 		w.workers = append(w.workers, &fakeWorker{
@@ -187,11 +195,30 @@
 	for _, orders := range w.core.TakeOrders(w.now) {
 		w.order(orders)
 	}
+	if q, ok := w.core.TakeQuestion(w.now); ok {
+		w.after(20*time.Millisecond, w.ofHolder(func() { w.advise(q) }))
+	}
 	if batch := w.core.TakeBatch(); batch != nil {
 		w.after(4*time.Millisecond, w.ofHolder(func() { w.commit(batch) }))
 	}
 }
 
+// advise answers a question to the advice service.
+func (w *world) advise(q Question) {
+	w.asked++
+	answer := Answer{Tickets: map[string]string{}, Valid: w.ticketsHold}
+	for _, instance := range q.Workers {
+		for _, f := range w.workers {
+			if f.instance == instance && w.policy(f.name) {
+				text := fmt.Sprintf("%s for %s, %d", instance, q.Step.StepName(), w.asked)
+				answer.Tickets[instance] = text
+				w.tickets[text] = w.now.Add(w.ticketsHold)
+			}
+		}
+	}
+	w.core.TakeAnswer(w.now, q, answer, !w.loses())
+}
+
 func (w *world) commit(batch *Batch) {
 	if w.storeDown {
 		w.core.BatchFailed()
@@ -253,6 +280,9 @@
 	if f.free(w).Holds(shape) < 1 {
 		return ResultRoom
 	}
+	if w.jobs[s.Task.Job].Terms.Advised && w.now.After(w.tickets[s.Ticket]) {
+		return ResultTicket
+	}
 	w.checkStart(f, s)
 	w.starts++
 	f.running[key] = &fakeRun{begun: w.now, work: w.jobs[s.Task.Job].Steps[s.Task.Step].Estimate}
--- a/program/gatewayd/main.go
+++ b/program/gatewayd/main.go
@@ -55,6 +55,7 @@
 	ready   *string
 	admin   *string
 	store   *string
+	advice  *string
 	share   *float64
 	level   *string
 }
@@ -68,6 +69,7 @@
 		ready:   settings.Add(s, "gateway.ready", "", "IP address and port for the balancer's questions", settings.Address),
 		admin:   settings.Add(s, "gateway.metrics", "", "IP address and port for metrics and the state dump; empty for none", settings.OptionalAddress),
 		store:   settings.Add(s, "platform.store", "", "IP address and port of the store", settings.Address),
+		advice:  settings.Add(s, "platform.advice", "", "IP address and port of the advice service; empty for none", settings.OptionalAddress),
 		share:   settings.Add(s, "gateway.processor-share", "1", "part of a processor that the gateway may use", settings.Share),
 		level:   launch.LogLevel(s),
 	}
@@ -149,6 +151,9 @@
 		Logger:  p.logger,
 		Catalog: p.follower.Catalog,
 	}
+	if *p.options.advice != "" {
+		deps.Advisor = adapter.NewAdvice(*p.options.advice)
+	}
 	if *p.options.share < weakShare {
 		deps.Patience = weakPatience
 	}
