One client of the store, one way to settle: halls use the pools' own

Change: halls keep their rows in one table of the store, through store.Store and the adapter. The setting platform.table (a URL) is platform.store (an address).

--- a/entry/config.go
+++ b/entry/config.go
@@ -14,8 +14,7 @@
 	"hollyfork.example/hollyfork/api"
 	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/hall"
-	"hollyfork.example/hollyfork/platform"
-	"hollyfork.example/hollyfork/table"
+	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire"
 )
 
@@ -71,30 +70,29 @@
 }
 
 // commitConfig writes a configuration over the row's version.
-func (e *Entry) commitConfig(ctx context.Context, config *wire.Configuration, version int64) error {
+func (e *Entry) commitConfig(ctx context.Context, config *wire.Configuration, version uint64) error {
 	content, err := proto.Marshal(config)
 	if err != nil {
 		return err
 	}
-	guard := table.Guard{
+	guard := store.Guard{
 		Key:     hall.ConfigKey,
 		Version: version,
 		Value:   content,
-		Mine: func(row platform.Row) (bool, error) {
+		Mine: func(row store.Row) bool {
 			found := &wire.Configuration{}
-			err := proto.Unmarshal(row.Value, found)
-			return found.GetTransaction() == config.GetTransaction(), err
+			return proto.Unmarshal(row.Value, found) == nil && found.GetTransaction() == config.GetTransaction()
 		},
 	}
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	_, err = table.Commit(ctx, e.deps.Store, guard, platform.Txn{Writes: []platform.Write{
+	_, err = store.Settle(ctx, e.deps.Store, guard, store.Txn{Writes: []store.Write{
 		{Key: hall.ConfigVersionKey, Value: hall.ConfigVersionRow(config.GetVersion())},
 	}}, nil)
-	switch table.KindOf(err) {
-	case table.KindLost:
+	switch store.KindOf(err) {
+	case store.KindLost:
 		return errRaced
-	case table.KindUnsettled:
+	case store.KindUnsettled:
 		return api.NewError(api.KindStoreUnavailable, "the change was not confirmed; read the resource before repeating it").WithRetryAfter(retryAfter)
 	default:
 		return err
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -11,6 +11,7 @@
 	"hollyfork.example/hollyfork/api"
 	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/hall"
+	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/rpc"
 	"hollyfork.example/wire"
 )
@@ -29,7 +30,7 @@
 
 // directory finds the holder of each hall and keeps connections to them.
 type directory struct {
-	store   hall.Store
+	store   store.Store
 	traffic *rpc.Traffic
 
 	mu      sync.Mutex
@@ -43,9 +44,9 @@
 	readAt  time.Time
 }
 
-func newDirectory(store hall.Store, traffic *rpc.Traffic) *directory {
+func newDirectory(s store.Store, traffic *rpc.Traffic) *directory {
 	return &directory{
-		store:   store,
+		store:   s,
 		traffic: traffic,
 		routes:  map[string]route{},
 		clients: map[string]*rpc.Client{},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"hollyfork.example/hollyfork/api"
 	"hollyfork.example/hollyfork/hall"
 	"hollyfork.example/hollyfork/mailbox"
+	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/rpc"
 	"hollyfork.example/wire"
 )
@@ -45,7 +46,7 @@
 // Deps are what an entry works with.
 type Deps struct {
 	System  *actor.ActorSystem
-	Store   hall.Store
+	Store   store.Store
 	VMs     hall.VMLister
 	Traffic *rpc.Traffic
 	// Metrics gets the entry's counters.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -14,6 +14,7 @@
 
 	"hollyfork.example/hollyfork/api"
 	"hollyfork.example/hollyfork/platform"
+	"hollyfork.example/hollyfork/platform/adapter"
 	"hollyfork.example/hollyfork/platform/standin"
 	"hollyfork.example/hollyfork/process"
 	"hollyfork.example/hollyfork/process/actors"
@@ -29,7 +30,7 @@
 	logger := process.NewLogger(io.Discard, "error")
 	e := New(Settings{Name: "e", MaxRequests: maxRequests}, Deps{
 		System:  actors.NewSystem(logger),
-		Store:   platform.NewTable(server.URL),
+		Store:   adapter.NewStore(strings.TrimPrefix(server.URL, "http://")).WithTimeout(3 * time.Second),
 		VMs:     platform.NewVMs(server.URL),
 		Traffic: &rpc.Traffic{},
 		Metrics: metrics.NewSet(),
@@ -68,19 +69,19 @@
 func TestStoreDownIsSaidAtOnce(t *testing.T) {
 	is := is.New(t)
 	e, p := newTestEntry(t, 0)
-	p.SetFaults(standin.ServiceTable, standin.Faults{Down: true})
+	p.SetFaults(standin.ServiceStore, standin.Faults{Down: true})
 	answer, problem := do(t, e, http.MethodPut, "/v1/workspaces/captions", "{}")
 	is.Equal(answer.Code, http.StatusServiceUnavailable)
 	is.Equal(problem.GetKind(), api.KindStoreUnavailable)
 	is.True(answer.Header().Get("Retry-After") != "")
-	p.SetFaults(standin.ServiceTable, standin.Faults{})
-	is.Equal(p.Table.Counts().RowsWritten, int64(0)) // nothing half accepted
+	p.SetFaults(standin.ServiceStore, standin.Faults{})
+	is.Equal(p.Store.Counts().RowsWritten, int64(0)) // nothing half accepted
 }
 
 func TestTooManyRequestsAreShedAtOnce(t *testing.T) {
 	is := is.New(t)
 	e, p := newTestEntry(t, 1)
-	p.SetFaults(standin.ServiceTable, standin.Faults{DelayMS: 1000})
+	p.SetFaults(standin.ServiceStore, standin.Faults{DelayMS: 1000})
 	first := make(chan int)
 	go func() {
 		answer, _ := do(t, e, http.MethodGet, "/v1/workspaces", "")
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -94,23 +94,28 @@
 		return err
 	})
 	if err != nil {
-		return page, &Error{Op: op, Kind: KindUnavailable, RetryAfter: RetryAfter, Err: err}
+		return page, unread(op, err)
 	}
 	return page, nil
 }
 
 // readRow reads one row; one that does not exist has version 0.
 func (g *Gateway) readRow(ctx context.Context, op string, call Call, key store.Key) (store.Row, error) {
-	page, err := g.read(ctx, op, call, store.Range{Table: key.Table, Part: key.Part, From: key.Name, To: key.Name + "~"})
+	var row store.Row
+	_, err := g.retry(ctx, call, func(ctx context.Context) error {
+		var err error
+		row, err = store.Get(ctx, g.store, key)
+		return err
+	})
 	if err != nil {
-		return store.Row{}, err
+		return row, unread(op, err)
 	}
-	for _, row := range page.Rows {
-		if row.Key == key {
-			return row, nil
-		}
-	}
-	return store.Row{Key: key}, nil
+	return row, nil
+}
+
+// unread is what a caller is told when the store could not be read.
+func unread(op string, err error) error {
+	return &Error{Op: op, Kind: KindUnavailable, RetryAfter: RetryAfter, Err: err}
 }
 
 // Waiting counts a queue's jobs of which no task has begun.
--- a/hall/batch.go
+++ b/hall/batch.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"hollyfork.example/hollyfork/platform"
+	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire"
 )
 
@@ -16,8 +16,8 @@
 // Batch is a transaction that the Core wants committed. Its outcome goes to
 // Core.BatchDone.
 type Batch struct {
-	Checks []platform.Check
-	Writes []platform.Write
+	Checks []store.Check
+	Writes []store.Write
 
 	position uint64
 	items    []batchItem
@@ -70,9 +70,9 @@
 		key := endedKey(hall, b.position, j.id())
 		b.remove(live)
 		b.put(key, row)
-		b.put(ClaimKey(j.id()), encode(&wire.Claim{Hall: hall, EndedKey: key}))
+		b.put(ClaimKey(j.id()), encode(&wire.Claim{Hall: hall, EndedKey: key.Name}))
 	case !j.stored:
-		b.Checks = append(b.Checks, platform.Check{Key: ClaimKey(j.id())})
+		b.Checks = append(b.Checks, store.Check{Key: ClaimKey(j.id())})
 		b.put(ClaimKey(j.id()), encode(&wire.Claim{Hall: hall}))
 		b.put(live, row)
 	default:
@@ -80,12 +80,12 @@
 	}
 }
 
-func (b *Batch) put(key string, value []byte) {
-	b.Writes = append(b.Writes, platform.Write{Key: key, Value: value})
+func (b *Batch) put(key store.Key, value []byte) {
+	b.Writes = append(b.Writes, store.Write{Key: key, Value: value})
 }
 
-func (b *Batch) remove(key string) {
-	b.Writes = append(b.Writes, platform.Write{Key: key, Delete: true})
+func (b *Batch) remove(key store.Key) {
+	b.Writes = append(b.Writes, store.Write{Key: key, Delete: true})
 }
 
 // BatchDone takes over the outcome of the batch under way: nil when it was committed,
@@ -135,7 +135,7 @@
 	switch {
 	case item.phase == phaseCreating || item.phase == phaseReceiving:
 		j.phase = phaseQueued
-		j.receivedRow = platform.Row{}
+		j.receivedRow = store.Row{}
 		c.policy.Submit(now, policyJob(j.record))
 	case item.phase == phasePlacing && j.phase == phasePlacing:
 		c.startParts(now, j)
@@ -167,7 +167,7 @@
 		return
 	}
 	for _, key := range failure.Keys {
-		id := key[strings.LastIndex(key, "/")+1:]
+		id := key.Name[strings.LastIndex(key.Name, "/")+1:]
 		j, ok := c.jobs[id]
 		if !ok || j.stored {
 			continue
--- a/hall/error.go
+++ b/hall/error.go
@@ -1,6 +1,10 @@
 package hall
 
-import "errors"
+import (
+	"errors"
+
+	"hollyfork.example/hollyfork/store"
+)
 
 // Kind tells errors of this package apart.
 type Kind int
@@ -24,7 +28,7 @@
 	Op   string
 	Kind Kind
 	// Keys names the rows whose checks failed, for KindConflict.
-	Keys []string
+	Keys []store.Key
 	Err  error
 }
 
--- a/hall/history_test.go
+++ b/hall/history_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"hollyfork.example/hollyfork/platform"
+	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire"
 )
 
@@ -124,7 +125,7 @@
 
 // giveBack lets the other hall give back a job that it was given, and the holder see it.
 func (h *history) giveBack(t *rapid.T) {
-	rows := h.table.Scan(movedPrefix(otherHall), "", 1)
+	rows := h.store.Rows(rowsWith(movedPrefix(otherHall)))
 	if len(rows) == 0 {
 		t.Skip("nothing was moved")
 	}
@@ -134,7 +135,7 @@
 	}
 	stored.Job.Hall = worldHall
 	id := stored.GetJob().GetId()
-	h.table.Commit(platform.Txn{Writes: []platform.Write{
+	h.store.Apply(store.Txn{Writes: []store.Write{
 		{Key: rows[0].Key, Delete: true},
 		{Key: movedKey(worldHall, id), Value: encode(stored)},
 		{Key: ClaimKey(id), Value: encode(&wire.Claim{Hall: worldHall})},
@@ -148,7 +149,7 @@
 	if !holder.runs() {
 		return
 	}
-	for _, row := range h.table.Scan(movedPrefix(worldHall), "", 100) {
+	for _, row := range h.store.Rows(rowsWith(movedPrefix(worldHall))) {
 		stored := &wire.StoredJob{}
 		_ = decode(row, stored)
 		holder.core.Receive(h.now, row, stored)
@@ -232,7 +233,7 @@
 	h.check(t)
 	for id := range h.accepted {
 		row := h.row(id)
-		if h.table.Get(movedKey(otherHall, id)).Version > 0 {
+		if h.store.Row(movedKey(otherHall, id)).Version > 0 {
 			continue
 		}
 		if row == nil {
--- a/hall/holder.go
+++ b/hall/holder.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/platform"
+	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/rpc"
 	"hollyfork.example/wire"
 )
@@ -35,7 +36,7 @@
 // Deps are what a holder works with.
 type Deps struct {
 	System  *actor.ActorSystem
-	Store   Store
+	Store   store.Store
 	VMs     VMLister
 	Traffic *rpc.Traffic
 	Logger  *log.Logger
@@ -242,13 +243,15 @@
 
 // readMoved looks for jobs that other halls gave to this one.
 func (h *Holder) readMoved() {
-	rows, err := h.deps.Store.Scan(h.ctx, movedPrefix(h.core.hall), "", maxBatchJobs)
-	if err == nil && len(rows) > 0 {
-		h.root.Send(h.self, movedRead{rows: rows})
+	moved := rowsWith(movedPrefix(h.core.hall))
+	moved.Limit = maxBatchJobs
+	page, err := h.deps.Store.Read(h.ctx, moved)
+	if err == nil && len(page.Rows) > 0 {
+		h.root.Send(h.self, movedRead{rows: page.Rows})
 	}
 }
 
-func (h *Holder) receive(now time.Time, rows []platform.Row) {
+func (h *Holder) receive(now time.Time, rows []store.Row) {
 	for _, row := range rows {
 		stored := &wire.StoredJob{}
 		if err := decode(row, stored); err != nil {
--- a/hall/host.go
+++ b/hall/host.go
@@ -10,6 +10,7 @@
 
 	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/platform"
+	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire"
 )
 
@@ -211,33 +212,35 @@
 		snapshot.EndedFloor = snapshot.Position - endedWindow
 	}
 	var err error
-	snapshot.Live, err = h.scanJobs(ctx, ledger, livePrefix(h.hall), "")
+	snapshot.Live, err = h.scanJobs(ctx, ledger, rowsWith(livePrefix(h.hall)))
 	if err != nil {
 		return Snapshot{}, err
 	}
-	after := endedKey(h.hall, snapshot.EndedFloor+1, "")
-	snapshot.Ended, err = h.scanJobs(ctx, ledger, endedPrefix(h.hall), after)
+	since := rowsWith(endedPrefix(h.hall))
+	since.From = endedKey(h.hall, snapshot.EndedFloor+1, "").Name
+	snapshot.Ended, err = h.scanJobs(ctx, ledger, since)
 	return snapshot, err
 }
 
-// scanJobs reads all jobs with a prefix, page by page.
-func (h *Host) scanJobs(ctx context.Context, ledger *Ledger, prefix, after string) ([]*wire.StoredJob, error) {
+// scanJobs reads all jobs of a range, page by page.
+func (h *Host) scanJobs(ctx context.Context, ledger *Ledger, rows store.Range) ([]*wire.StoredJob, error) {
+	rows.Limit = scanPage
 	var jobs []*wire.StoredJob
 	renewed := time.Now()
 	for {
-		rows, err := h.deps.Store.Scan(ctx, prefix, after, scanPage)
+		page, err := h.deps.Store.Read(ctx, rows)
 		if err != nil {
 			return nil, &Error{Op: "read jobs", Kind: KindStore, Err: err}
 		}
-		for _, row := range rows {
+		for _, row := range page.Rows {
 			stored := &wire.StoredJob{}
 			if err := decode(row, stored); err != nil {
 				return nil, err
 			}
 			jobs = append(jobs, stored)
-			after = row.Key
+			rows.From = store.NextName(row.Key.Name)
 		}
-		if len(rows) < scanPage {
+		if len(page.Rows) < scanPage {
 			return jobs, nil
 		}
 		if time.Since(renewed) > h.settings.HolderLease/renewalsPerLease {
--- a/hall/job.go
+++ b/hall/job.go
@@ -7,7 +7,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
-	"hollyfork.example/hollyfork/platform"
+	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/policy"
 	"hollyfork.example/wire"
 )
@@ -97,7 +97,7 @@
 	// arrived is when the job came to this hall, or this holder took over.
 	arrived time.Time
 	// receivedRow is the row with which another hall gave the job to this one.
-	receivedRow platform.Row
+	receivedRow store.Row
 	// waiters are answered when the job's present record is committed; created says
 	// that the request is the one that made the job.
 	waiters []waiter
--- a/hall/lease.go
+++ b/hall/lease.go
@@ -24,12 +24,12 @@
 	// TTL is the lease's length.
 	TTL time.Duration
 
-	version int64
+	version uint64
 	since   time.Time
 }
 
 // Observe takes over what was read at a time and says what to do.
-func (c *Candidate) Observe(now time.Time, lease *wire.HolderLease, version int64) Verdict {
+func (c *Candidate) Observe(now time.Time, lease *wire.HolderLease, version uint64) Verdict {
 	if version == 0 || lease.GetReleased() {
 		return Take
 	}
--- a/hall/ledger.go
+++ b/hall/ledger.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
-	"hollyfork.example/hollyfork/platform"
-	"hollyfork.example/hollyfork/table"
+	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire"
 )
 
@@ -17,20 +15,20 @@
 // sent again, and never after another holder took the hall. Create it with Acquire.
 // Commit must not be called concurrently.
 type Ledger struct {
-	store Store
-	key   string
+	store store.Store
+	key   store.Key
 	// lease and version are the row as last written.
 	lease   *wire.HolderLease
-	version int64
+	version uint64
 	// trouble, unless nil, is told of each failed try.
 	trouble func(error)
 }
 
 // Acquire takes a hall whose lease was read with a version, and returns an error of
 // KindFenced when another was faster.
-func Acquire(ctx context.Context, store Store, hall string, held *wire.HolderLease, version int64, holder, address string) (*Ledger, error) {
+func Acquire(ctx context.Context, s store.Store, hall string, held *wire.HolderLease, version uint64, holder, address string) (*Ledger, error) {
 	l := &Ledger{
-		store:   store,
+		store:   s,
 		key:     LeaseKey(hall),
 		lease:   proto.CloneOf(held),
 		version: version,
@@ -61,7 +59,7 @@
 // outcome is known or ctx is done, whatever the store does. An error of KindFenced
 // means that the hall is another's; one of KindConflict, that checks on the named
 // rows failed and nothing was written.
-func (l *Ledger) Commit(ctx context.Context, checks []platform.Check, writes []platform.Write) error {
+func (l *Ledger) Commit(ctx context.Context, checks []store.Check, writes []store.Write) error {
 	next := proto.CloneOf(l.lease)
 	next.Counter++
 	return l.write(ctx, next, checks, writes)
@@ -76,44 +74,48 @@
 }
 
 // write sends one transaction until its outcome is known.
-func (l *Ledger) write(ctx context.Context, next *wire.HolderLease, checks []platform.Check, writes []platform.Write) error {
+func (l *Ledger) write(ctx context.Context, next *wire.HolderLease, checks []store.Check, writes []store.Write) error {
 	next.Transaction = uuid.NewString()
-	guard := table.Guard{
+	guard := store.Guard{
 		Key:     l.key,
 		Version: l.version,
 		Value:   encode(next),
-		Mine: func(row platform.Row) (bool, error) {
+		Mine: func(row store.Row) bool {
 			found := &wire.HolderLease{}
-			err := decode(row, found)
-			return found.GetTransaction() == next.GetTransaction(), err
+			return decode(row, found) == nil && found.GetTransaction() == next.GetTransaction()
 		},
 	}
-	version, err := table.Commit(ctx, l.store, guard, platform.Txn{Checks: checks, Writes: writes}, l.trouble)
+	outcome, err := store.Settle(ctx, l.store, guard, store.Txn{Checks: checks, Writes: writes}, l.trouble)
 	if err != nil {
-		return ledgerError(err)
+		return ledgerError(checks, err)
 	}
 	l.lease = next
-	l.version = version
+	l.version = outcome.Version
 	return nil
 }
 
-// ledgerError translates an error of a transaction.
-func ledgerError(err error) error {
+// ledgerError translates an error of a transaction with some checks.
+func ledgerError(checks []store.Check, err error) error {
 	failure := &Error{Op: "commit", Kind: KindStore, Err: err}
-	var cause *table.Error
-	if !errors.As(err, &cause) {
-		return failure
-	}
-	switch cause.Kind {
-	case table.KindLost:
+	switch store.KindOf(err) {
+	case store.KindLost:
 		failure.Kind = KindFenced
-	case table.KindConflict:
+	case store.KindConflict:
 		failure.Kind = KindConflict
-		failure.Keys = cause.Keys
-	case table.KindUnsettled:
+		failure.Keys = failedChecks(checks, err)
+	case store.KindUnsettled:
 		failure.Kind = KindStopped
-	case table.KindCorrupt:
-		failure.Kind = KindCorrupt
 	}
 	return failure
 }
+
+// failedChecks returns the rows whose checks failed.
+func failedChecks(checks []store.Check, err error) []store.Key {
+	var keys []store.Key
+	for _, c := range checks {
+		if row, found := store.ConflictRow(err, c.Key); found && row.Version != c.Version {
+			keys = append(keys, c.Key)
+		}
+	}
+	return keys
+}
--- a/hall/message.go
+++ b/hall/message.go
@@ -5,6 +5,7 @@
 
 	"hollyfork.example/hollyfork/mailbox"
 	"hollyfork.example/hollyfork/platform"
+	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire"
 )
 
@@ -35,7 +36,7 @@
 		vms []platform.VM
 	}
 	movedRead struct {
-		rows []platform.Row
+		rows []store.Row
 	}
 	configRead struct {
 		config *wire.Configuration
--- a/hall/move.go
+++ b/hall/move.go
@@ -7,7 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"hollyfork.example/hollyfork/platform"
+	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire"
 )
 
@@ -25,8 +25,8 @@
 	return "moved/" + hall + "/"
 }
 
-func movedKey(hall, id string) string {
-	return movedPrefix(hall) + id
+func movedKey(hall, id string) store.Key {
+	return rowKey(movedPrefix(hall) + id)
 }
 
 // Move begins to give waiting jobs to another hall, those that have waited longest
@@ -97,7 +97,7 @@
 
 // Receive takes over a job that another hall gave to this one, as its row says. A job
 // that could never run here goes back.
-func (c *Core) Receive(now time.Time, row platform.Row, stored *wire.StoredJob) {
+func (c *Core) Receive(now time.Time, row store.Row, stored *wire.StoredJob) {
 	id := stored.GetJob().GetId()
 	if _, known := c.jobs[id]; known || !c.storeUp || c.stopping {
 		return
@@ -137,9 +137,9 @@
 
 // takeReceived removes the row with which a job came, if that is still there.
 func (b *Batch) takeReceived(j *job) {
-	if j.receivedRow.Key == "" {
+	if j.receivedRow.Version == 0 {
 		return
 	}
-	b.Checks = append(b.Checks, platform.Check{Key: j.receivedRow.Key, Version: j.receivedRow.Version})
+	b.Checks = append(b.Checks, store.Check{Key: j.receivedRow.Key, Version: j.receivedRow.Version})
 	b.remove(j.receivedRow.Key)
 }
--- a/hall/row.go
+++ b/hall/row.go
@@ -6,42 +6,47 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"hollyfork.example/hollyfork/platform"
-	"hollyfork.example/hollyfork/table"
+	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire"
 )
 
-const (
+// rowTable is the table of the store that has the rows of all halls. They are in one part,
+// so that any of them can change in one transaction.
+const rowTable = "halls"
+
+var (
 	// ConfigKey is the key of the row that holds the configuration.
-	ConfigKey = "config/head"
+	ConfigKey = rowKey("config/head")
 	// ConfigVersionKey is the key of the row that holds its version alone, written with
 	// it, for those who only look whether there is a newer one.
-	ConfigVersionKey = "config/version"
+	ConfigVersionKey = rowKey("config/version")
 )
 
-// Store is the platform's table service.
-type Store interface {
-	table.Store
+func rowKey(name string) store.Key {
+	return store.Key{Table: rowTable, Name: name}
+}
 
-	Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error)
+// rowsWith is the range of the rows whose names have a prefix.
+func rowsWith(prefix string) store.Range {
+	return store.Range{Table: rowTable, From: prefix, To: prefix + "~"}
 }
 
 // LeaseKey is the key of the row that says who holds a hall.
-func LeaseKey(hall string) string {
-	return "hall/" + hall + "/lease"
+func LeaseKey(hall string) store.Key {
+	return rowKey("hall/" + hall + "/lease")
 }
 
 // ClaimKey is the key of the row that binds a job to a hall.
-func ClaimKey(id string) string {
-	return "claim/" + id
+func ClaimKey(id string) store.Key {
+	return rowKey("claim/" + id)
 }
 
 func livePrefix(hall string) string {
 	return "job/" + hall + "/"
 }
 
-func liveKey(hall, id string) string {
-	return livePrefix(hall) + id
+func liveKey(hall, id string) store.Key {
+	return rowKey(livePrefix(hall) + id)
 }
 
 func endedPrefix(hall string) string {
@@ -49,8 +54,8 @@
 }
 
 // endedKey sorts ended jobs by the place of their end in the stream of changes.
-func endedKey(hall string, position uint64, id string) string {
-	return fmt.Sprintf("%s%016x/%s", endedPrefix(hall), position, id)
+func endedKey(hall string, position uint64, id string) store.Key {
+	return rowKey(fmt.Sprintf("%s%016x/%s", endedPrefix(hall), position, id))
 }
 
 func encode(m proto.Message) []byte {
@@ -62,17 +67,17 @@
 	return content
 }
 
-func decode(row platform.Row, m proto.Message) error {
+func decode(row store.Row, m proto.Message) error {
 	if err := proto.Unmarshal(row.Value, m); err != nil {
-		return &Error{Op: "decode " + row.Key, Kind: KindCorrupt, Err: err}
+		return &Error{Op: "decode " + row.Key.Name, Kind: KindCorrupt, Err: err}
 	}
 	return nil
 }
 
 // ReadLease reads who holds a hall, with the row's version; a hall that nobody ever
 // held has version 0.
-func ReadLease(ctx context.Context, store Store, hall string) (*wire.HolderLease, int64, error) {
-	row, err := store.Get(ctx, LeaseKey(hall))
+func ReadLease(ctx context.Context, s store.Reader, hall string) (*wire.HolderLease, uint64, error) {
+	row, err := store.Get(ctx, s, LeaseKey(hall))
 	if err != nil {
 		return nil, 0, &Error{Op: "read lease", Kind: KindStore, Err: err}
 	}
@@ -82,8 +87,8 @@
 
 // ReadConfig reads the configuration, with the row's version. Before the first
 // change it is empty and has version 0.
-func ReadConfig(ctx context.Context, store Store) (*wire.Configuration, int64, error) {
-	row, err := store.Get(ctx, ConfigKey)
+func ReadConfig(ctx context.Context, s store.Reader) (*wire.Configuration, uint64, error) {
+	row, err := store.Get(ctx, s, ConfigKey)
 	if err != nil {
 		return nil, 0, &Error{Op: "read configuration", Kind: KindStore, Err: err}
 	}
@@ -93,8 +98,8 @@
 
 // ReadNewerConfig reads the configuration if it is newer than a version, and returns
 // nil otherwise. It reads a few bytes when it is not.
-func ReadNewerConfig(ctx context.Context, store Store, have uint64) (*wire.Configuration, error) {
-	row, err := store.Get(ctx, ConfigVersionKey)
+func ReadNewerConfig(ctx context.Context, s store.Reader, have uint64) (*wire.Configuration, error) {
+	row, err := store.Get(ctx, s, ConfigVersionKey)
 	if err != nil {
 		return nil, &Error{Op: "read configuration's version", Kind: KindStore, Err: err}
 	}
@@ -102,7 +107,7 @@
 	if err := decode(row, head); err != nil || head.GetVersion() <= have {
 		return nil, err
 	}
-	config, _, err := ReadConfig(ctx, store)
+	config, _, err := ReadConfig(ctx, s)
 	return config, err
 }
 
@@ -113,8 +118,8 @@
 
 // ReadJob finds a job by its identifier wherever it is; found is false when there is
 // none.
-func ReadJob(ctx context.Context, store Store, id string) (job *wire.StoredJob, found bool, err error) {
-	row, err := store.Get(ctx, ClaimKey(id))
+func ReadJob(ctx context.Context, s store.Reader, id string) (job *wire.StoredJob, found bool, err error) {
+	row, err := store.Get(ctx, s, ClaimKey(id))
 	if err != nil || row.Version == 0 {
 		return nil, false, storeError("read claim", err)
 	}
@@ -123,7 +128,7 @@
 		return nil, false, err
 	}
 	for _, key := range placesOf(claim, id) {
-		row, err = store.Get(ctx, key)
+		row, err = store.Get(ctx, s, key)
 		if err != nil {
 			return nil, false, storeError("read job", err)
 		}
@@ -137,12 +142,12 @@
 
 // placesOf returns the keys under which a claimed job's row may be, in the order in
 // which it goes through them.
-func placesOf(claim *wire.Claim, id string) []string {
+func placesOf(claim *wire.Claim, id string) []store.Key {
 	if claim.GetEndedKey() != "" {
-		return []string{claim.GetEndedKey()}
+		return []store.Key{rowKey(claim.GetEndedKey())}
 	}
 	live := liveKey(claim.GetHall(), id)
-	return []string{movedKey(claim.GetHall(), id), live}
+	return []store.Key{movedKey(claim.GetHall(), id), live}
 }
 
 func storeError(op string, err error) error {
--- a/hall/world_store_test.go
+++ b/hall/world_store_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"slices"
 
-	"hollyfork.example/hollyfork/platform"
+	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire"
 )
 
@@ -39,20 +39,20 @@
 		return
 	}
 	next := &wire.HolderLease{Epoch: h.lease.GetEpoch(), Counter: h.lease.GetCounter() + 1}
-	txn := platform.Txn{
-		Checks: append([]platform.Check{{Key: LeaseKey(worldHall), Version: h.version}}, batch.Checks...),
-		Writes: append([]platform.Write{{Key: LeaseKey(worldHall), Value: encode(next)}}, batch.Writes...),
+	txn := store.Txn{
+		Checks: append([]store.Check{{Key: LeaseKey(worldHall), Version: h.version}}, batch.Checks...),
+		Writes: append([]store.Write{{Key: LeaseKey(worldHall), Value: encode(next)}}, batch.Writes...),
 	}
-	result := w.table.Commit(txn)
+	version, found, ok := w.store.Apply(txn)
 	var outcome error
-	switch {
-	case slices.Contains(result.Conflicts, LeaseKey(worldHall)):
+	switch failed := failedChecks(txn.Checks, &store.Error{Kind: store.KindConflict, Rows: found}); {
+	case slices.Contains(failed, LeaseKey(worldHall)):
 		h.dead = true
 		return
-	case len(result.Conflicts) > 0:
-		outcome = &Error{Op: "commit", Kind: KindConflict, Keys: result.Conflicts}
+	case !ok:
+		outcome = &Error{Op: "commit", Kind: KindConflict, Keys: failed}
 	default:
-		h.lease, h.version = next, result.Versions[0]
+		h.lease, h.version = next, version
 		w.noteCommitted(batch)
 	}
 	w.send("committed", h.process, func() {
--- a/hall/world_test.go
+++ b/hall/world_test.go
@@ -9,7 +9,9 @@
 
 	"hollyfork.example/hollyfork/agent"
 	"hollyfork.example/hollyfork/platform"
+	"hollyfork.example/hollyfork/platform/fakes"
 	"hollyfork.example/hollyfork/platform/standin"
+	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire"
 )
 
@@ -21,7 +23,7 @@
 type world struct {
 	now      time.Time
 	settings Settings
-	table    *standin.Table
+	store    *fakes.Store
 	saved    *standin.Checkpoints
 	nodes    []*node
 	holders  []*testHolder
@@ -78,7 +80,7 @@
 
 	core    *Core
 	lease   *wire.HolderLease
-	version int64
+	version uint64
 	syncing map[string]bool
 	nextTry map[string]time.Time
 	// committing says that a transaction is under way.
@@ -92,7 +94,7 @@
 	w := &world{
 		now:       time.Unix(1_000_000, 0),
 		settings:  settings,
-		table:     standin.NewTable(),
+		store:     fakes.NewStore(time.Unix(1_000_000, 0)),
 		saved:     standin.NewCheckpoints(),
 		accepted:  map[string]bool{},
 		told:      map[string]*wire.Job{},
@@ -102,7 +104,7 @@
 		{Name: "captions", Guarantees: []*wire.Guarantee{{Hall: worldHall, CellAccelerators: guarantee, Cells: int32(workers)}}},
 		{Name: "archive"},
 	}}
-	w.table.Commit(platform.Txn{Writes: []platform.Write{{Key: ConfigKey, Value: encode(w.config)}}})
+	w.store.Apply(store.Txn{Writes: []store.Write{{Key: ConfigKey, Value: encode(w.config)}}})
 	for i := range workers {
 		n := &node{vm: platform.VM{
 			Name:         fmt.Sprintf("w%d", i),
@@ -146,26 +148,26 @@
 
 func (w *world) storedLease() *wire.HolderLease {
 	lease := &wire.HolderLease{}
-	_ = decode(w.table.Get(LeaseKey(worldHall)), lease)
+	_ = decode(w.store.Row(LeaseKey(worldHall)), lease)
 	return lease
 }
 
 // takeOver lets a new holder take the hall, whatever the others do.
 func (w *world) takeOver() {
-	row := w.table.Get(LeaseKey(worldHall))
+	row := w.store.Row(LeaseKey(worldHall))
 	old := w.storedLease()
 	lease := &wire.HolderLease{Epoch: old.GetEpoch() + 1, Counter: old.GetCounter() + 1}
-	result := w.table.Commit(platform.Txn{Writes: []platform.Write{{Key: row.Key, Value: encode(lease)}}})
+	version, _, _ := w.store.Apply(store.Txn{Writes: []store.Write{{Key: row.Key, Value: encode(lease)}}})
 	h := &testHolder{
 		process: &process{},
 		core:    NewCore(worldHall, fmt.Sprint(lease.GetEpoch()), lease.GetEpoch(), w.settings),
 		lease:   lease,
-		version: result.Versions[0],
+		version: version,
 		syncing: map[string]bool{},
 		nextTry: map[string]time.Time{},
 	}
 	config := &wire.Configuration{}
-	_ = decode(w.table.Get(ConfigKey), config)
+	_ = decode(w.store.Row(ConfigKey), config)
 	h.core.SetConfiguration(config)
 	h.core.SetVMs(w.now, w.vms())
 	h.core.Restore(w.now, Snapshot{
@@ -178,7 +180,7 @@
 
 func (w *world) stored(prefix string) []*wire.StoredJob {
 	var jobs []*wire.StoredJob
-	for _, row := range w.table.Scan(prefix, "", 1<<20) {
+	for _, row := range w.store.Rows(rowsWith(prefix)) {
 		job := &wire.StoredJob{}
 		_ = decode(row, job)
 		jobs = append(jobs, job)
--- a/pool/round.go
+++ b/pool/round.go
@@ -64,7 +64,7 @@
 }
 
 // open adds a round's groups to the job.
-func (j *jobState) open(now time.Time, number int) *round {
+func (j *jobState) open(now time.Time, number int) {
 	r := &round{number: number, from: j.job.From(number), byStep: make([][]*group, len(j.job.Steps))}
 	for step := range j.job.Steps {
 		r.byStep[step] = j.newGroups(now, r, step)
@@ -72,7 +72,6 @@
 	}
 	j.rounds = append(j.rounds, r)
 	j.log.next = max(j.log.next, number+1)
-	return r
 }
 
 // newGroups makes the groups of a step: one for a gang, else one for each task.
--- a/program/agent.go
+++ b/program/agent.go
@@ -39,7 +39,7 @@
 	hall     string
 	address  string
 	machine  string
-	table    string
+	store    string
 	vms      string
 	worker   string
 	admin    string
@@ -82,7 +82,7 @@
 		hall:     *hallName,
 		address:  *address,
 		machine:  process.Machine(*vm),
-		table:    *c.table,
+		store:    *c.store,
 		vms:      *c.vms,
 		worker:   *worker,
 		admin:    *c.admin,
@@ -124,7 +124,7 @@
 	}
 	deps := hall.Deps{
 		System:  system,
-		Store:   platform.NewTable(config.table),
+		Store:   newStore(config.store),
 		VMs:     platform.NewVMs(config.vms),
 		Traffic: traffic,
 		Logger:  logger,
--- a/program/bench_test.go
+++ b/program/bench_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hollyfork.example/hollyfork/client"
+	"hollyfork.example/hollyfork/platform/fakes"
 	"hollyfork.example/hollyfork/platform/standin"
 	"hollyfork.example/hollyfork/process"
 	"hollyfork.example/wire"
@@ -97,7 +98,7 @@
 
 	submitted := map[string]time.Time{}
 	var mu sync.Mutex
-	counts, bytes := d.platform.Table.Counts(), d.rpcBytes()
+	counts, bytes := d.platform.Store.Counts(), d.rpcBytes()
 	b.ReportAllocs()
 	b.ResetTimer()
 	var group sync.WaitGroup
@@ -120,7 +121,7 @@
 	waitUntil(b, "all jobs to end", func() bool { _, ended := seen.count(); return ended >= b.N })
 	b.StopTimer()
 	reportStarts(b, submitted, seen.started)
-	reportPerJob(b, d.platform.Table.Counts(), counts, d.rpcBytes()-bytes)
+	reportPerJob(b, d.platform.Store.Counts(), counts, d.rpcBytes()-bytes)
 	checkRecord(b, d.platform.Record(time.Now()))
 }
 
@@ -146,7 +147,7 @@
 
 // reportPerJob reports what a job costs the store and the network. The bounds hold
 // when there are jobs enough for the cost of keeping time to be spread.
-func reportPerJob(b *testing.B, after, before standin.Counts, bytes int64) {
+func reportPerJob(b *testing.B, after, before fakes.Counts, bytes int64) {
 	b.Helper()
 	n := float64(b.N)
 	transactions := float64(after.Transactions-before.Transactions) / n
--- a/program/cluster_test.go
+++ b/program/cluster_test.go
@@ -24,6 +24,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"hollyfork.example/hollyfork/api"
+	"hollyfork.example/hollyfork/hall"
 	"hollyfork.example/hollyfork/platform"
 	"hollyfork.example/hollyfork/platform/standin"
 	"hollyfork.example/wire"
@@ -179,7 +180,7 @@
 		"-agent.hall", vm.Hall,
 		"-agent.listen", vm.AgentAddress,
 		"-agent.vm", vm.ID,
-		"-platform.table", c.platform,
+		"-platform.store", strings.TrimPrefix(c.platform, "http://"),
 		"-platform.vms", c.platform,
 		"-platform.worker", c.platform + "/workers/" + vm.Name,
 	}, c.args...)
@@ -194,7 +195,7 @@
 		"-entry.listen", address,
 		"-entry.halls", strings.Join(c.halls, ","),
 		"-entry.lame-duck", "0s",
-		"-platform.table", c.platform,
+		"-platform.store", strings.TrimPrefix(c.platform, "http://"),
 		"-platform.vms", c.platform,
 	)
 	c.await("the entry", func() bool {
@@ -435,11 +436,9 @@
 }
 
 // holder names the process that holds a hall.
-func (c *cluster) holder(hall string) string {
-	lease := &wire.HolderLease{}
-	row := platform.Row{}
-	c.control(http.MethodGet, "/table/rows/"+strings.ReplaceAll("hall/"+hall+"/lease", "/", "%2F"), nil, &row)
-	if err := proto.Unmarshal(row.Value, lease); err != nil {
+func (c *cluster) holder(name string) string {
+	lease, _, err := hall.ReadLease(context.Background(), newStore(strings.TrimPrefix(c.platform, "http://")), name)
+	if err != nil {
 		c.t.Fatal(err)
 	}
 	return lease.GetHolder()
--- a/program/dev.go
+++ b/program/dev.go
@@ -170,7 +170,7 @@
 		hall:     vm.Hall,
 		address:  vm.AgentAddress,
 		machine:  vm.ID,
-		table:    platformURL,
+		store:    strings.TrimPrefix(platformURL, "http://"),
 		vms:      platformURL,
 		worker:   platformURL + "/workers/" + vm.Name,
 		settings: hall.DefaultSettings,
@@ -194,7 +194,7 @@
 	}
 	config := entryConfig{
 		settings: entry.Settings{Name: "dev", Halls: halls},
-		table:    platformURL,
+		store:    strings.TrimPrefix(platformURL, "http://"),
 		vms:      platformURL,
 	}
 	d.entry = startEntry(config, listener, system, &rpc.Traffic{}, metrics.NewSet(), d.logger)
--- a/program/entry.go
+++ b/program/entry.go
@@ -26,7 +26,7 @@
 // entryConfig is what an entry process is told.
 type entryConfig struct {
 	settings entry.Settings
-	table    string
+	store    string
 	vms      string
 	admin    string
 	// lameDuck is how long the entry serves on after it was told to stop, while it
@@ -54,7 +54,7 @@
 	}
 	config := entryConfig{
 		settings: entry.Settings{Name: *name, Halls: *halls, MaxRequests: *maxRequests},
-		table:    *c.table,
+		store:    *c.store,
 		vms:      *c.vms,
 		admin:    *c.admin,
 		lameDuck: *lameDuck,
@@ -86,7 +86,7 @@
 func startEntry(config entryConfig, listener net.Listener, system *actor.ActorSystem, traffic *rpc.Traffic, set *metrics.Set, logger *log.Logger) *entry.Entry {
 	e := entry.New(config.settings, entry.Deps{
 		System:  system,
-		Store:   platform.NewTable(config.table),
+		Store:   newStore(config.store),
 		VMs:     platform.NewVMs(config.vms),
 		Traffic: traffic,
 		Metrics: set,
--- a/program/failure_test.go
+++ b/program/failure_test.go
@@ -108,7 +108,7 @@
 	c := newCluster(t, map[string]int{"sapporo-hall": 2, "asahikawa-hall": 2}, shortLeases...)
 	c.declare("captions", 1, 4)
 	jobs := c.longCaptions(4, "6s")
-	c.fault(standin.ServiceTable, standin.Faults{Down: true})
+	c.fault(standin.ServiceStore, standin.Faults{Down: true})
 	// The first request may still be on its way when the outage is noticed.
 	_, err := c.tryRequest(http.MethodPost, "/v1/jobs", http.Header{"Idempotency-Key": {"first"}}, captionSpec("10ms"), nil)
 	is.NoErr(err)
@@ -122,7 +122,7 @@
 	// What runs is still shown, and goes on beyond every lease.
 	is.Equal(c.job(jobs[0].GetId()).GetState(), wire.JobState_RUNNING)
 	time.Sleep(10 * time.Second)
-	c.fault(standin.ServiceTable, standin.Faults{})
+	c.fault(standin.ServiceStore, standin.Faults{})
 	c.expectOneRunEach(jobs)
 	second := c.submit("second", captionSpec("10ms"))
 	c.awaitState(second.GetId(), wire.JobState_FINISHED)
@@ -133,14 +133,14 @@
 	is := is.New(t)
 	c := newCluster(t, map[string]int{"sapporo-hall": 2}, shortLeases...)
 	c.declare("captions", 1, 4)
-	c.fault(standin.ServiceTable, standin.Faults{LoseAnswers: 20})
+	c.fault(standin.ServiceStore, standin.Faults{LoseAnswers: 20})
 	var jobs []*wire.Job
 	for i := range 5 {
 		jobs = append(jobs, c.submit(fmt.Sprint("lost-", i), captionSpec("10ms")))
 	}
 	c.expectOneRunEach(jobs)
 	// A change of the configuration is made once, too.
-	c.fault(standin.ServiceTable, standin.Faults{LoseAnswers: 1})
+	c.fault(standin.ServiceStore, standin.Faults{LoseAnswers: 1})
 	c.declare("archive", 1, 1)
 	status := &wire.ConfigurationStatus{}
 	c.get("/v1/configuration", status)
@@ -324,7 +324,7 @@
 func TestStoppedEntryFinishesRequestsInProgress(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, map[string]int{"sapporo-hall": 1})
-	c.fault(standin.ServiceTable, standin.Faults{DelayMS: 1000})
+	c.fault(standin.ServiceStore, standin.Faults{DelayMS: 1000})
 	answered := make(chan int, 1)
 	go func() {
 		status, _ := c.tryRequest(http.MethodGet, "/v1/workspaces", http.Header{}, nil, nil)
@@ -385,7 +385,7 @@
 	c := newCluster(t, map[string]int{"sapporo-hall": 3})
 	c.declare("captions", 1, 4)
 	holder := c.holder("sapporo-hall")
-	c.fault(standin.ServiceTable, standin.Faults{DelayMS: 1000})
+	c.fault(standin.ServiceStore, standin.Faults{DelayMS: 1000})
 	var jobs []*wire.Job
 	for i := range 3 {
 		began := time.Now()
--- a/program/settings.go
+++ b/program/settings.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"hollyfork.example/hollyfork/hall"
+	"hollyfork.example/hollyfork/platform/adapter"
 	"hollyfork.example/hollyfork/process/launch"
 	"hollyfork.example/hollyfork/settings"
+	"hollyfork.example/hollyfork/store"
 )
 
 // addHall adds the settings of holders, with their defaults, and returns a function
@@ -38,7 +40,7 @@
 
 // common are the settings that entries and agents share.
 type common struct {
-	table *string
+	store *string
 	vms   *string
 	admin *string
 	level *string
@@ -46,9 +48,18 @@
 
 func addCommon(s *settings.Set) common {
 	return common{
-		table: settings.Add(s, "platform.table", "", "base URL of the table service", settings.URL),
+		store: settings.Add(s, "platform.store", "", "IP address and port of the store", settings.Address),
 		vms:   settings.Add(s, "platform.vms", "", "base URL of the list of VMs", settings.URL),
 		admin: settings.Add(s, "admin.listen", "", "IP address and port for metrics and the state dump; empty for none", settings.OptionalAddress),
 		level: launch.LogLevel(s),
 	}
 }
+
+// storeTimeout bounds a call to the store for halls: their leases stand for several seconds,
+// and an outage is to be noticed well within one.
+const storeTimeout = 3 * time.Second
+
+// newStore returns a client of the store for halls.
+func newStore(address string) store.Store {
+	return adapter.NewStore(address).WithTimeout(storeTimeout)
+}
--- a/store/store.go
+++ b/store/store.go
@@ -58,6 +58,8 @@
 		Part  string
 		From  string
 		To    string
+		// Limit is the most rows to be read; 0 for all.
+		Limit int
 	}
 
 	// Page is what a read found at one moment.
@@ -68,8 +70,8 @@
 
 	// Reader reads rows and their changes.
 	Reader interface {
-		// Read returns all rows of a range, as of one moment for each page that the
-		// store makes of them.
+		// Read returns the rows of a range in the order of their names, as of one moment for
+		// each page that the store makes of them.
 		Read(ctx context.Context, r Range) (Page, error)
 		// Follow returns the rows of a table that changed after a version, as soon as
 		// there are any, or none after a wait.
