New jobs no longer hold up the holder's lease when the store is slow

Jobs that come (three a second, 0.2 s each) and the holder's transactions shared a part, so the queue grew over a second: 42 of 60 submissions were answered 504, the holder's renewals got 429, and the pool had no holder from 14 s to 17.7 s. Change: a pool's intake rows are in a part of their own.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -237,7 +237,7 @@
 func (h *Holder) takeIntake(now time.Time, page store.Page) {
 	clock := pool.Clock{Now: now, Store: page.Stamp.Clock}
 	for _, row := range page.Rows {
-		if row.Key.Part != h.host.pool {
+		if row.Key.Part != pool.IntakePart(h.host.pool) {
 			continue
 		}
 		item, err := pool.DecodeIntake(row, clock)
@@ -347,7 +347,7 @@
 	for h.ctx.Err() == nil {
 		page, err := h.host.deps.Store.Follow(h.ctx, pool.IntakeTable, version, intakeWait)
 		if store.KindOf(err) == store.KindHistoryGone {
-			page, err = h.host.deps.Store.Read(h.ctx, store.Range{Table: pool.IntakeTable, Part: h.host.pool})
+			page, err = h.host.deps.Store.Read(h.ctx, store.Range{Table: pool.IntakeTable, Part: pool.IntakePart(h.host.pool)})
 		}
 		if err != nil {
 			pause.Wait(h.ctx)
--- a/holder/load.go
+++ b/holder/load.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return nil, &Error{Op: "read states", Kind: KindStore, Err: err}
 	}
-	intake, err := h.deps.Store.Read(ctx, store.Range{Table: pool.IntakeTable, Part: h.pool})
+	intake, err := h.deps.Store.Read(ctx, store.Range{Table: pool.IntakeTable, Part: pool.IntakePart(h.pool)})
 	if err != nil {
 		return nil, &Error{Op: "read jobs", Kind: KindStore, Err: err}
 	}
--- a/pool/key.go
+++ b/pool/key.go
@@ -15,25 +15,32 @@
 	LeaseTable = "lease"
 )
 
+// IntakePart is the part of the store that has a pool's rows in the intake table. It is apart
+// from that of its other rows: the store makes the transactions of one part in turn, and when
+// it is slow, new jobs would hold up the renewals of the holder's lease.
+func IntakePart(pool string) string {
+	return pool + "/intake"
+}
+
 // JobKey is the key of a job's row.
 func JobKey(pool string, id job.ID) store.Key {
-	return store.Key{Table: IntakeTable, Part: pool, Name: jobPrefix + string(id) + jobSuffix}
+	return store.Key{Table: IntakeTable, Part: IntakePart(pool), Name: jobPrefix + string(id) + jobSuffix}
 }
 
 // CancelKey is the key of the row that says that a job was cancelled.
 func CancelKey(pool string, id job.ID) store.Key {
-	return store.Key{Table: IntakeTable, Part: pool, Name: jobPrefix + string(id) + cancelSuffix}
+	return store.Key{Table: IntakeTable, Part: IntakePart(pool), Name: jobPrefix + string(id) + cancelSuffix}
 }
 
 // JobRange is the range of the rows that callers wrote of a job.
 func JobRange(pool string, id job.ID) store.Range {
 	name := jobPrefix + string(id) + "/"
-	return store.Range{Table: IntakeTable, Part: pool, From: name, To: name + "~"}
+	return store.Range{Table: IntakeTable, Part: IntakePart(pool), From: name, To: name + "~"}
 }
 
 // AgentKey is the key of the row that says where an agent is reached.
 func AgentKey(pool, agent string) store.Key {
-	return store.Key{Table: IntakeTable, Part: pool, Name: agentPrefix + agent}
+	return store.Key{Table: IntakeTable, Part: IntakePart(pool), Name: agentPrefix + agent}
 }
 
 // StateKey is the key of the row that says where a job stands.
