--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -49,6 +49,10 @@
 	ticketsHold time.Duration
 	tickets     map[string]time.Time
 	asked       int
+	// saved are the tokens of progress, each with whom it belongs to.
+	saved map[string]map[job.TaskID]bool
+	// alone counts the tasks that waited for their gang in vain.
+	alone int
 }
 
 type event struct {
@@ -79,10 +83,15 @@
 }
 
 type fakeRun struct {
-	begun time.Time
-	work  time.Duration
+	placed time.Time
+	begun  time.Time
+	work   time.Duration
+	saved  string
 }
 
+// gangWait is how long a worker lets a task wait for the rest of its gang.
+const gangWait = 3 * time.Second
+
 func newWorld(t testing.TB, workers int) *world {
 	w := &world{
 		t:      t,
@@ -95,6 +104,7 @@
 		failed: map[job.TaskID]int{},
 
 		tickets: map[string]time.Time{},
+		saved:   map[string]map[job.TaskID]bool{},
 		loses:   func() bool { return false },
 	}
 	for i := range workers {
@@ -285,7 +295,7 @@
 	}
 	w.checkStart(f, s)
 	w.starts++
-	f.running[key] = &fakeRun{begun: w.now, work: w.jobs[s.Task.Job].Steps[s.Task.Step].Estimate}
+	f.running[key] = &fakeRun{placed: w.now, begun: w.now, work: w.jobs[s.Task.Job].Steps[s.Task.Step].Estimate, saved: s.Saved}
 	return ResultOK
 }
 
@@ -294,6 +304,7 @@
 	if w.noted[s.Task] {
 		w.t.Errorf("%s: %v starts on %s although it was done", w.now, s.Task, f.name)
 	}
+	w.checkContent(s)
 	if w.failed[s.Task] >= w.jobs[s.Task.Job].Terms.Attempts {
 		w.t.Errorf("%s: %v starts although it has no attempt left", w.now, s.Task)
 	}
@@ -320,6 +331,45 @@
 	}
 }
 
+// checkContent fails the test when a start brings another text than the job's, progress that
+// no run of the same gang or task has saved, or other progress than the rest of its gang.
+func (w *world) checkContent(s Start) {
+	j := w.jobs[s.Task.Job]
+	if s.Spec != j.Spec {
+		w.t.Errorf("%v starts with the text %q", s.Task, s.Spec)
+	}
+	if s.Saved != "" && !w.saved[s.Saved][groupOf(j, s.Task)] {
+		w.t.Errorf("%v starts with progress that is not its own: %q", s.Task, s.Saved)
+	}
+	if !j.Steps[s.Task.Step].Gang {
+		return
+	}
+	w.eachMember(runKey{s.Task, s.Run}, func(other *fakeWorker, k runKey) {
+		if other.running[k].saved != s.Saved {
+			w.t.Errorf("%v and %v of one gang start with %q and %q", s.Task, k.task, s.Saved, other.running[k].saved)
+		}
+	})
+}
+
+// groupOf names the gang or the task that a progress belongs to.
+func groupOf(j job.Job, task job.TaskID) job.TaskID {
+	if j.Steps[task.Step].Gang {
+		task.Index = 0
+	}
+	return task
+}
+
+// save returns a new token of a run's progress.
+func (w *world) save(key runKey) string {
+	j := w.jobs[key.task.Job]
+	if !j.Steps[key.task.Step].Checkpoint {
+		return ""
+	}
+	token := fmt.Sprintf("%v at %d", key.task, w.now.UnixMilli())
+	w.saved[token] = map[job.TaskID]bool{groupOf(j, key.task): true}
+	return token
+}
+
 func (f *fakeWorker) free(w *world) job.Shape {
 	room := f.capacity
 	for key := range f.running {
@@ -344,7 +394,11 @@
 	delete(f.running, key)
 	f.highest[key.task] = max(f.highest[key.task], key.run)
 	f.number++
-	f.ended = append(f.ended, Ended{Number: f.number, Task: key.task, Run: key.run, Kind: kind})
+	saved := ""
+	if kind == EndStopped || kind == EndBroken {
+		saved = w.save(key)
+	}
+	f.ended = append(f.ended, Ended{Number: f.number, Task: key.task, Run: key.run, Kind: kind, Saved: saved})
 	if kind == EndFailed {
 		w.failed[key.task]++
 	}
@@ -356,6 +410,9 @@
 		switch {
 		case w.now.After(f.leaseUntil):
 			f.end(w, key, EndLapsed)
+		case w.now.Sub(run.placed) > gangWait && !f.complete(w, key):
+			f.end(w, key, EndAlone)
+			w.alone++
 		case f.hangs:
 		case f.fails && w.now.Sub(run.begun) > 100*time.Millisecond:
 			f.end(w, key, EndFailed)
@@ -433,7 +490,11 @@
 		if !f.hangs {
 			percent = int(100 * w.now.Sub(run.begun) / (run.work + 1))
 		}
-		r.Running = append(r.Running, Running{Task: key.task, Run: key.run, Percent: min(percent, 100)})
+		saved := ""
+		if percent > 0 {
+			saved = w.save(key)
+		}
+		r.Running = append(r.Running, Running{Task: key.task, Run: key.run, Percent: min(percent, 100), Saved: saved})
 	}
 	return r
 }
--- a/program/pooltest/pool_test.go
+++ b/program/pooltest/pool_test.go
@@ -44,6 +44,43 @@
 	is.Equal(c.Runs.StartCount(), 6)
 }
 
+// waiting asks a gateway for the number of jobs of which no task has begun.
+func waiting(g *cluster.Program) int {
+	answer := struct{ Pending int }{Pending: -1}
+	status, content := g.Call(http.MethodGet, cluster.Prefix, cluster.APIKey, "")
+	if status == http.StatusOK && json.Unmarshal([]byte(content), &answer) == nil {
+		return answer.Pending
+	}
+	return -1
+}
+
+func TestWaitingJobsAreCounted(t *testing.T) {
+	c := cluster.New(t, 2, 1)
+	c.Submit(1, cluster.Gang(1, 8, "4s"))
+	c.Await(1, "running")
+	for id := 2; id <= 5; id++ {
+		c.Submit(id, cluster.Gang(1, 8, "100ms"))
+	}
+	for _, g := range c.Gateways {
+		cluster.Eventually(t, "four jobs wait", func() bool { return waiting(g) == 4 })
+	}
+	c.AwaitAll(5)
+	for _, g := range c.Gateways {
+		cluster.Eventually(t, "none waits", func() bool { return waiting(g) == 0 })
+	}
+}
+
+func TestEndsAreTakenNoteOf(t *testing.T) {
+	c := cluster.New(t, 1, 2)
+	for id := 1; id <= 4; id++ {
+		c.Submit(id, cluster.Tasks(4, "100ms"))
+	}
+	c.AwaitAll(4)
+	for _, w := range c.Workers {
+		cluster.Eventually(t, "a worker lists no end", func() bool { return w.Listed() == 0 })
+	}
+}
+
 func TestRepeatedRequestIsOneJob(t *testing.T) {
 	is := is.New(t)
 	c := cluster.New(t, 2, 2)
