--- a/program/pooltest/pool_test.go
+++ b/program/pooltest/pool_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -204,6 +205,26 @@
 	c.AwaitAll(2)
 }
 
+// The store makes the transactions of a part in turn. When it was slow, new jobs shared a
+// part with the holder's lease, and the holder lost the pool to their number.
+func TestNewJobsDoNotHoldUpTheLease(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(t, 2, 2)
+	c.Submit(1, cluster.Tasks(1, "100ms"))
+	c.AwaitAll(1)
+	holder := c.Holder()
+	c.Store.SetFault(fakes.Fault{TxnTakes: 150 * time.Millisecond})
+	var callers sync.WaitGroup
+	for id := 2; id <= 25; id++ {
+		callers.Go(func() { c.Gateways[id%2].Call(http.MethodPost, cluster.JobPath(id), cluster.APIKey, cluster.Tasks(1, "100ms")) })
+		time.Sleep(100 * time.Millisecond)
+	}
+	callers.Wait()
+	c.Store.SetFault(fakes.Fault{})
+	is.Equal(c.Holder(), holder)
+	is.True(!strings.Contains(c.Gateways[holder].Output(), "a transaction failed"))
+}
+
 func TestKilledSidecarAdoptsWhatRuns(t *testing.T) {
 	is := is.New(t)
 	c := cluster.New(t, 1, 2)
