--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -87,6 +87,9 @@
 	begun  time.Time
 	work   time.Duration
 	saved  string
+	// token is of the progress saved last, at so many hundredths.
+	token   string
+	tokenAt int
 }
 
 // gangWait is how long a worker lets a task wait for the rest of its gang.
@@ -490,11 +493,10 @@
 		if !f.hangs {
 			percent = int(100 * w.now.Sub(run.begun) / (run.work + 1))
 		}
-		saved := ""
-		if percent > 0 {
-			saved = w.save(key)
+		if percent >= run.tokenAt+10 {
+			run.token, run.tokenAt = w.save(key), percent
 		}
-		r.Running = append(r.Running, Running{Task: key.task, Run: key.run, Percent: min(percent, 100), Saved: saved})
+		r.Running = append(r.Running, Running{Task: key.task, Run: key.run, Percent: min(percent, 100), Saved: run.token})
 	}
 	return r
 }
--- a/program/pooltest/pool_test.go
+++ b/program/pooltest/pool_test.go
@@ -216,7 +216,9 @@
 	c.Store.SetFault(fakes.Fault{TxnTakes: 150 * time.Millisecond})
 	var callers sync.WaitGroup
 	for id := 2; id <= 25; id++ {
-		callers.Go(func() { c.Gateways[id%2].Call(http.MethodPost, cluster.JobPath(id), cluster.APIKey, cluster.Tasks(1, "100ms")) })
+		callers.Go(func() {
+			c.Gateways[id%2].Call(http.MethodPost, cluster.JobPath(id), cluster.APIKey, cluster.Tasks(1, "100ms"))
+		})
 		time.Sleep(100 * time.Millisecond)
 	}
 	callers.Wait()
