--- a/pool/advice_test.go
+++ b/pool/advice_test.go
@@ -69,9 +69,7 @@
 	j := oneTask(1, 300*time.Millisecond)
 	j.Terms.Advised = true
 	w.submit(j)
-	for len(w.tickets) == 0 {
-		w.run(worldStep)
-	}
+	w.until("tickets are given", func() bool { return len(w.tickets) > 0 })
 	w.tickets = map[string]time.Time{}
 	w.run(2 * time.Second)
 	is.Equal(w.count(EventRejected), 2) // once on each worker that it had a ticket for
--- a/pool/gang_test.go
+++ b/pool/gang_test.go
@@ -15,9 +15,7 @@
 	w.run(300 * time.Millisecond)
 	mute := w.workers[1]
 	w.submit(gang(1, 3, 8, time.Second))
-	for w.count(EventPlaced) == 0 {
-		w.run(worldStep)
-	}
+	w.until("the gang is placed", func() bool { return w.count(EventPlaced) > 0 })
 	mute.silent = true
 	w.run(4 * time.Second)
 	is.True(w.starts >= 2) // the others were started
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -189,6 +189,17 @@
 	}
 }
 
+// until plays until something holds, for ten seconds at most.
+func (w *world) until(what string, holds func() bool) {
+	w.t.Helper()
+	for end := w.now.Add(10 * time.Second); !holds(); {
+		if w.now.After(end) {
+			w.t.Fatalf("not in time: %s", what)
+		}
+		w.run(worldStep)
+	}
+}
+
 func (w *world) happen() {
 	pending := w.later
 	w.later = nil
@@ -291,6 +302,7 @@
 	}
 	shape := w.jobs[s.Task.Job].Steps[s.Task.Step].Takes()
 	if f.free(w).Holds(shape) < 1 {
+		w.t.Errorf("%s: %v is ordered to %s, which has no room for it", w.now, s.Task, f.name)
 		return ResultRoom
 	}
 	if w.jobs[s.Task.Job].Terms.Advised && w.now.After(w.tickets[s.Ticket]) {
