Room is held for four large groups at a time instead of one

Room was held for one large group at a time; small tasks took bit by bit what the others needed. Change: room is held for up to four groups, each beside what is held for those before it.

Tried and not kept (docs/POLICY.md): workers' speeds, and other bounds of what urgent work beyond a guarantee may displace.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -21,6 +21,8 @@
 	// held is room that is kept for a group that waits, until about heldUntil.
 	held      map[*worker]job.Shape
 	heldUntil time.Time
+	// holds counts the groups that room is held for.
+	holds int
 	// workers are those that may be given work, by name.
 	workers []*worker
 	// urgentNeed is what the jobs of priority 0 that have not ended still need, in
--- a/pool/hold.go
+++ b/pool/hold.go
@@ -11,18 +11,24 @@
 	// minHeld is the part of a worker from which on a task is hard to place when others
 	// take what becomes free bit by bit.
 	minHeld = 0.5
+	// maxHolds is the most groups that room is held for at a time: on the users' grown
+	// deployments several wait at once.
+	maxHolds = 4
 	// backfillMargin is how much longer than its caller's guess a task may take that is put
 	// into held room.
 	backfillMargin = 1.3
 )
 
 // hold keeps the room for a large group in which it will fit first, so that smaller ones
-// do not take it bit by bit. Room is held for one group at a time.
+// do not take it bit by bit. Room is held for a few groups at a time.
 func (p *pass) hold(g *group) {
-	if len(p.held) > 0 || !p.large(g) {
+	if p.holds >= maxHolds || !p.large(g) {
 		return
 	}
 	room := p.withReleasing(nil)
+	for w, held := range p.held {
+		room[w] = room[w].Sub(held)
+	}
 	ends := p.ends()
 	// Room only grows with time, so the first moment at which the group fits can be found by
 	// halving.
@@ -35,8 +41,12 @@
 	if !found {
 		return
 	}
-	p.heldUntil = ends[first].at
-	for _, w := range p.fit(g, p.roomAt(room, ends, p.heldUntil)) {
+	p.holds++
+	at := ends[first].at
+	if p.holds == 1 || at.Before(p.heldUntil) {
+		p.heldUntil = at
+	}
+	for _, w := range p.fit(g, p.roomAt(room, ends, at)) {
 		p.held[w] = p.held[w].Add(g.spec().Takes())
 	}
 }
