--- /dev/null
+++ b/pool/world_worker_test.go
@@ -0,0 +1,151 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"hollyfork.example/hollyfork/job"
+)
+
+func (f *fakeWorker) free(w *world) job.Shape {
+	room := f.capacity
+	for key := range f.running {
+		room = room.Sub(w.jobs[key.task.Job].Steps[key.task.Step].Takes())
+	}
+	return room
+}
+
+func (w *world) stop(f *fakeWorker, s Stop) Result {
+	key := runKey{s.Task, s.Run}
+	f.highest[s.Task] = max(f.highest[s.Task], s.Run)
+	if _, runs := f.running[key]; runs {
+		w.after(100*time.Millisecond, func() { f.end(w, key, EndStopped) })
+	}
+	return ResultOK
+}
+
+func (f *fakeWorker) end(w *world, key runKey, kind EndKind) {
+	if _, runs := f.running[key]; !runs {
+		return
+	}
+	delete(f.running, key)
+	f.highest[key.task] = max(f.highest[key.task], key.run)
+	f.number++
+	saved := ""
+	if kind == EndStopped || kind == EndBroken {
+		saved = w.save(key)
+	}
+	f.ended = append(f.ended, Ended{Number: f.number, Task: key.task, Run: key.run, Kind: kind, Saved: saved})
+	if kind == EndFailed {
+		w.failed[key.task]++
+	}
+}
+
+// playWorker lets tasks end, the lease lapse and the agent report.
+func (w *world) playWorker(f *fakeWorker) {
+	for key, run := range f.running {
+		switch {
+		case w.now.After(f.leaseUntil):
+			f.end(w, key, EndLapsed)
+		case w.now.Sub(run.placed) > gangWait && !f.complete(w, key):
+			f.end(w, key, EndAlone)
+			w.alone++
+		case f.hangs:
+		case f.fails && w.now.Sub(run.begun) > 100*time.Millisecond:
+			f.end(w, key, EndFailed)
+		case w.now.Sub(run.begun) >= run.work && f.complete(w, key):
+			w.finish(f, key)
+		}
+	}
+	if f.silent || w.now.UnixMilli()%100 >= worldStep.Milliseconds() {
+		return
+	}
+	f.leaseUntil = w.now.Add(DefaultSettings().AgentLease)
+	instance, committed := w.core.Committed(f.name)
+	if instance == f.instance {
+		f.ended = slices.DeleteFunc(f.ended, func(e Ended) bool {
+			if e.Number <= committed && e.Kind == EndDone {
+				w.noted[e.Task] = true
+			}
+			return e.Number <= committed
+		})
+	}
+	w.core.Heard(w.now, f.name)
+	w.core.Report(w.now, f.name, f.report(w))
+}
+
+// finish ends a task, with all of its gang.
+func (w *world) finish(f *fakeWorker, key runKey) {
+	if !w.jobs[key.task.Job].Steps[key.task.Step].Gang {
+		f.end(w, key, EndDone)
+		w.done[key.task] = true
+		return
+	}
+	w.eachMember(key, func(other *fakeWorker, k runKey) {
+		other.end(w, k, EndDone)
+		w.done[k.task] = true
+	})
+}
+
+// eachMember visits the tasks of a gang's run that run.
+func (w *world) eachMember(key runKey, visit func(*fakeWorker, runKey)) {
+	for _, f := range w.workers {
+		for k := range f.running {
+			if k.task.Job == key.task.Job && k.task.Round == key.task.Round && k.task.Step == key.task.Step && k.run == key.run {
+				visit(f, k)
+			}
+		}
+	}
+}
+
+// complete says whether all of a gang run.
+func (f *fakeWorker) complete(w *world, key runKey) bool {
+	step := w.jobs[key.task.Job].Steps[key.task.Step]
+	members := 0
+	w.eachMember(key, func(other *fakeWorker, _ runKey) {
+		if !other.hangs {
+			members++
+		}
+	})
+	return !step.Gang || members == step.Count
+}
+
+func (f *fakeWorker) report(w *world) Report {
+	f.listing++
+	r := Report{
+		Incarnation: f.incarnation,
+		Instance:    f.instance,
+		Capacity:    f.capacity,
+		Rack:        f.rack,
+		Labels:      f.labels,
+		Draining:    f.draining,
+		Listing:     f.listing,
+		Ended:       slices.Clone(f.ended),
+	}
+	for key, run := range f.running {
+		percent := 0
+		if !f.hangs {
+			percent = int(100 * w.now.Sub(run.begun) / (run.work + 1))
+		}
+		if percent >= run.tokenAt+10 {
+			run.token, run.tokenAt = w.save(key), percent
+		}
+		r.Running = append(r.Running, Running{Task: key.task, Run: key.run, Percent: min(percent, 100), Saved: run.token})
+	}
+	return r
+}
+
+// restartAgent loses an agent's memory.
+func (f *fakeWorker) restartAgent() {
+	f.incarnation += "+"
+	f.listing = 0
+}
+
+// restartWorker loses all that a worker runs.
+func (f *fakeWorker) restartWorker() {
+	f.instance += "+"
+	f.running = map[runKey]*fakeRun{}
+	f.highest = map[job.TaskID]int{}
+	f.ended = nil
+	f.number = 0
+}
