The soak has repeating jobs, and a store that makes transactions in turn

Change: one job in six repeats at times; half of the slow stores make the transactions of a part in turn, 0.15 s each.

--- a/program/cluster/cluster.go
+++ b/program/cluster/cluster.go
@@ -256,3 +256,9 @@
 func Gang(count, accelerators int, length string) string {
 	return fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":4000,"mem_mb":1000,"gpu":%d,"est_ms":500,"gang":true}]}`, length, count, accelerators)
 }
+
+// Repeating returns a job of one task that runs at times.
+func Repeating(rounds int, first time.Time, interval time.Duration, length string) string {
+	return fmt.Sprintf(`{"spec":%q,"repeats":%d,"first_ms":%d,"interval_ms":%d,"steps":[{"count":1,"cpu":4000,"mem_mb":1000,"gpu":1,"est_ms":500}]}`,
+		length, rounds, first.UnixMilli(), interval.Milliseconds())
+}
--- a/program/pooltest/pool_test.go
+++ b/program/pooltest/pool_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"os"
 	"strings"
@@ -33,16 +32,15 @@
 func TestRepeatingJobRunsAtItsTimes(t *testing.T) {
 	is := is.New(t)
 	c := cluster.New(t, 2, 2)
-	const form = `{"spec":"100ms","repeats":3,"first_ms":%d,"interval_ms":400,"steps":[{"count":2,"cpu":4000,"mem_mb":1000,"gpu":1,"est_ms":100}]}`
 	first := time.Now().Add(time.Second)
-	c.Submit(1, fmt.Sprintf(form, first.UnixMilli()))
+	c.Submit(1, cluster.Repeating(3, first, 400*time.Millisecond, "100ms"))
 	for time.Now().Before(first.Add(-50 * time.Millisecond)) {
 		is.Equal(c.Runs.StartCount(), 0)
 		time.Sleep(20 * time.Millisecond)
 	}
 	c.AwaitAll(1)
 	is.True(time.Now().After(first.Add(800 * time.Millisecond))) // after its last time
-	is.Equal(c.Runs.StartCount(), 6)
+	is.Equal(c.Runs.StartCount(), 3)
 }
 
 // waiting asks a gateway for the number of jobs of which no task has begun.
--- a/program/soak/soak_test.go
+++ b/program/soak/soak_test.go
@@ -65,6 +65,8 @@
 
 	t      *testing.T
 	random *rand.Rand
+	// variant draws what was added later, so that earlier seeds stay what they were.
+	variant *rand.Rand
 	// standing is the harm that lasts, with what ends it.
 	standing []func()
 	paused   map[*cluster.Program]bool
@@ -79,6 +81,7 @@
 		Cluster: cluster.New(t, gateways, workers),
 		t:       t,
 		random:  rand.New(rand.NewPCG(seed, seed)),
+		variant: rand.New(rand.NewPCG(seed, seed+1)),
 		paused:  map[*cluster.Program]bool{},
 	}
 	pause := trouble / jobs
@@ -153,7 +156,10 @@
 	case 2:
 		s.Store.SetFault(fakes.Fault{Lose: 3, Late: 2})
 	case 3:
-		s.Store.SetFault(fakes.Fault{Delay: 200 * time.Millisecond})
+		s.Store.SetFault([]fakes.Fault{
+			{Delay: 200 * time.Millisecond},
+			{TxnTakes: 150 * time.Millisecond},
+		}[s.variant.IntN(2)])
 	case 4:
 		s.Store.ForgetHistory()
 		return
@@ -200,6 +206,10 @@
 
 func (s *soak) body() string {
 	length := fmt.Sprintf("%dms", 100+s.random.IntN(2500))
+	if s.variant.IntN(6) == 0 {
+		first := time.Now().Add(time.Duration(s.variant.IntN(2000)) * time.Millisecond)
+		return cluster.Repeating(1+s.variant.IntN(3), first, 500*time.Millisecond, length)
+	}
 	if s.random.IntN(2) == 0 {
 		return cluster.Gang(1+s.random.IntN(4), 1+s.random.IntN(4), length)
 	}
