Two mechanisms that a cut showed unproved: rounds that overtake, advice without room

(The first had been noticed by the random histories until these drew other jobs.) Change: TestRoundThatOvertookAnotherIsNotRepeated, TestAdviceIsNotAskedForWorkersWithoutRoom. Measured: each fails with its mechanism cut out, and passes.

--- a/pool/advice_test.go
+++ b/pool/advice_test.go
@@ -46,6 +46,22 @@
 	is.True(w.asked < 10) // it is not asked for workers without room
 }
 
+// A ticket would run out before there is room to use it.
+func TestAdviceIsNotAskedForWorkersWithoutRoom(t *testing.T) {
+	is := is.New(t)
+	w := newAdvisedWorld(t, 3*time.Second)
+	w.submit(gang(1, 4, 8, 2*time.Second))
+	w.run(500 * time.Millisecond)
+	j := oneTask(2, 300*time.Millisecond)
+	j.Terms.Advised = true
+	w.submit(j)
+	w.run(time.Second)
+	is.Equal(w.asked, 0)
+	w.run(3 * time.Second)
+	is.Equal(w.asked, 1)
+	is.Equal(w.state(j.ID), Done)
+}
+
 func TestPolicyThatDoesNotAnswerIsAskedAgain(t *testing.T) {
 	is := is.New(t)
 	w := newAdvisedWorld(t, 3*time.Second)
--- a/pool/round_test.go
+++ b/pool/round_test.go
@@ -67,6 +67,32 @@
 	is.Equal(w.state(j.ID), Done)
 }
 
+// A round may be done before an earlier one; a new holder must not repeat it.
+func TestRoundThatOvertookAnotherIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2)
+	w.run(300 * time.Millisecond)
+	j := repeating(w, 500*time.Millisecond, 0, 300*time.Millisecond, 2)
+	j.Steps[0].Shape.Accelerators = 8
+	w.submit(j)
+	w.run(200 * time.Millisecond)
+	for _, f := range w.workers {
+		f.hangs = len(f.running) > 0 // the first round stands still
+	}
+	w.run(1500 * time.Millisecond)
+	is.Equal(w.starts, 2)
+	is.Equal(len(w.done), 1)
+	w.takeOver()
+	w.run(500 * time.Millisecond)
+	is.Equal(w.starts, 2)
+	for _, f := range w.workers {
+		f.hangs = false
+	}
+	w.run(2 * time.Second)
+	is.Equal(w.starts, 2)
+	is.Equal(w.state(j.ID), Done)
+}
+
 func TestRoundsUnderWayAreBounded(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 3)
