A question to an actor that has stopped is not waited for

Change: mailbox.Call looks each 50 ms whether the actor is still there. Halls then answer that they do not hold the hall, and entries ask the next holder, as they do when they find none.

--- a/hall/service.go
+++ b/hall/service.go
@@ -59,6 +59,9 @@
 		return none, notHolder(lease)
 	}
 	reply, err := askHolder[Q, R](h, pid, question, timeout)
+	if errors.Is(err, mailbox.ErrStopped) {
+		return none, notHolder(lease)
+	}
 	if errors.Is(err, mailbox.ErrNoAnswer) {
 		return none, refuse(wire.Refusal_STORE_UNAVAILABLE, "not confirmed in time; repeat the request under the same key", storeRetryAfter)
 	}
--- a/mailbox/mailbox.go
+++ b/mailbox/mailbox.go
@@ -8,8 +8,16 @@
 	"github.com/asynkron/protoactor-go/actor"
 )
 
-// ErrNoAnswer means that the actor did not answer in time, or has stopped.
-var ErrNoAnswer = errors.New("mailbox: no answer in time")
+var (
+	// ErrNoAnswer means that the actor did not answer in time.
+	ErrNoAnswer = errors.New("mailbox: no answer in time")
+	// ErrStopped means that the actor stopped without an answer.
+	ErrStopped = errors.New("mailbox: the actor has stopped")
+)
+
+// lookEvery is how often Call looks whether the actor is still there: messages to one that
+// has stopped are dropped without a word.
+const lookEvery = 50 * time.Millisecond
 
 // Ask is a message that carries a question and the place for its answer. The actor
 // calls Reply once, at once or later.
@@ -40,11 +48,30 @@
 	root.Send(pid, ask)
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	for {
+		select {
+		case reply := <-answer:
+			return reply, nil
+		case <-timer.C:
+			var none R
+			return none, ErrNoAnswer
+		case <-look.C:
+			if _, alive := root.ActorSystem().ProcessRegistry.GetLocal(pid.GetId()); !alive {
+				return lastAnswer(answer)
+			}
+		}
+	}
+}
+
+// lastAnswer returns what an actor that has stopped answered before.
+func lastAnswer[R any](answer <-chan R) (R, error) {
 	select {
 	case reply := <-answer:
 		return reply, nil
-	case <-timer.C:
+	default:
 		var none R
-		return none, ErrNoAnswer
+		return none, ErrStopped
 	}
 }
