--- /dev/null
+++ b/holder/translate_test.go
@@ -0,0 +1,46 @@
+package holder
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/job"
+	"hollyfork.example/hollyfork/pool"
+	"hollyfork.example/wire/poolpb"
+)
+
+func TestOrdersCarryEverything(t *testing.T) {
+	is := is.New(t)
+	task := job.TaskID{Job: "0123456789abcdef", Round: 1, Step: 2, Index: 3}
+	request := orderRequest(7, pool.Orders{
+		Instance: "i-1",
+		Starts:   []pool.Start{{Task: task, Run: 4, Spec: "spec", Saved: "saved", Ticket: "ticket"}},
+		Stops:    []pool.Stop{{Task: task, Run: 3}},
+	})
+	start, stop := request.GetStarts()[0], request.GetStops()[0]
+	is.Equal(request.GetEpoch(), uint64(7))
+	is.Equal(request.GetInstance(), "i-1")
+	is.Equal([]string{start.GetTask(), start.GetSpec(), start.GetSaved(), start.GetTicket()}, []string{"0123456789abcdef.1.2.3", "spec", "saved", "ticket"})
+	is.Equal([]int32{start.GetRun(), stop.GetRun()}, []int32{4, 3})
+	is.Equal(stop.GetTask(), start.GetTask())
+}
+
+// A value without a translation would be taken for an order without an answer.
+func TestEachResultAndEndIsTranslated(t *testing.T) {
+	is := is.New(t)
+	seen := map[pool.Result]bool{}
+	for number, name := range poolpb.OrderResult_Value_name {
+		result, known := results[poolpb.OrderResult_Value(number)]
+		if !known || seen[result] {
+			t.Errorf("%s has no translation of its own", name)
+		}
+		seen[result] = true
+	}
+	for number, name := range poolpb.EndKind_Value_name {
+		if _, known := endKinds[poolpb.EndKind_Value(number)]; !known && number != int32(poolpb.EndKind_UNKNOWN) {
+			t.Errorf("%s has no translation", name)
+		}
+	}
+	is.Equal(len(seen), len(poolpb.OrderResult_Value_name))
+}
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -94,7 +94,7 @@
 	step := g.spec()
 	count := min(room.Holds(step.Takes()), g.size)
 	if step.MaxPerWorker > 0 {
-		count = min(count, step.MaxPerWorker-w.tasksOf(g.job, g.step))
+		count = min(count, step.MaxPerWorker-w.tasksOf(g.round, g.step))
 	}
 	if w.health.probing {
 		count = min(count, 1-len(w.members))
@@ -102,11 +102,11 @@
 	return max(count, 0)
 }
 
-// tasksOf counts the tasks of a step that are placed on the worker.
-func (w *worker) tasksOf(j *jobState, step int) int {
+// tasksOf counts the tasks of a round's step that are placed on the worker.
+func (w *worker) tasksOf(r *round, step int) int {
 	count := 0
 	for m := range w.members {
-		if m.group.job == j && m.group.step == step {
+		if m.group.round == r && m.group.step == step {
 			count++
 		}
 	}
--- a/pool/lasting.go
+++ b/pool/lasting.go
@@ -1,6 +1,10 @@
 package pool
 
-import "hollyfork.example/hollyfork/job"
+import (
+	"slices"
+
+	"hollyfork.example/hollyfork/job"
+)
 
 // disturbs says whether a task of a step would slow a task with a target down on the worker,
 // or be one that is slowed down. How much is not known, so the two never share a worker.
@@ -17,6 +21,13 @@
 	return false
 }
 
+// atWork says whether all tasks of a group that lasts serve: they say so with a progress of
+// all hundredths, a while after their start.
+func (g *group) atWork() bool {
+	const all = 100
+	return g.running() && g.percent >= all
+}
+
 // mayStop says whether a group may be stopped for another, beside those that were chosen
 // already. Of a step that lasts, only so many tasks may be away at once as its job says; one
 // that says nothing gives way to what is guaranteed alone.
@@ -28,16 +39,11 @@
 	if step.MayMiss == 0 {
 		return p.guaranteed(g.job)
 	}
-	away := 0
+	away := v.size
 	for _, other := range v.round.byStep[v.step] {
-		if other != v && !other.running() {
-			away += other.size
-		}
-	}
-	for _, other := range chosen {
-		if other.round == v.round && other.step == v.step {
+		if other != v && (!other.atWork() || slices.Contains(chosen, other)) {
 			away += other.size
 		}
 	}
-	return away+v.size <= step.MayMiss
+	return away <= step.MayMiss
 }
--- a/pool/lasting_test.go
+++ b/pool/lasting_test.go
@@ -121,3 +121,48 @@
 	w.run(time.Second)
 	is.Equal(w.runningOf(second.ID), 1) // beside the other that serves
 }
+
+// A task that was started again is away until it is at work.
+func TestLastingTaskIsAwayUntilItIsAtWork(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2)
+	w.core.settings.DisplaceFactor = 1000
+	w.workers[1].labels = []string{"wanted"}
+	w.run(300 * time.Millisecond)
+	j := lasting(1, 2, 8, 1)
+	w.submit(j)
+	w.run(2 * time.Second)
+	for key := range w.workers[0].running {
+		w.workers[0].end(w, key, EndFailed)
+	}
+	w.failed = map[job.TaskID]int{}
+	w.until("it runs again", func() bool { return w.runningOf(j.ID) == 2 })
+	urgent := oneTask(2, time.Second)
+	urgent.Steps[0].Shape.Accelerators = 8
+	urgent.Steps[0].Label = "wanted"
+	w.submit(urgent)
+	w.run(200 * time.Millisecond)
+	is.Equal(w.count(EventDisplaced), 0)
+	w.run(time.Second)
+	is.Equal(w.count(EventDisplaced), 1)
+}
+
+// Those that are away already may be stopped as well; they do not count twice.
+func TestLastingTasksThatAreAwayCountOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.core.settings.DisplaceFactor = 1000
+	w.run(300 * time.Millisecond)
+	j := lasting(1, 3, 8, 2)
+	w.submit(j)
+	w.run(2 * time.Second)
+	for key := range w.workers[0].running {
+		w.workers[0].end(w, key, EndFailed)
+	}
+	w.failed = map[job.TaskID]int{}
+	w.until("it runs again", func() bool { return w.runningOf(j.ID) == 3 })
+	urgent := gang(2, 2, 8, time.Second)
+	w.submit(urgent)
+	w.run(300 * time.Millisecond)
+	is.Equal(w.count(EventDisplaced), 2)
+}
--- a/pool/round_test.go
+++ b/pool/round_test.go
@@ -115,3 +115,37 @@
 	is.Equal(w.starts, 0)
 	is.Equal(w.state(j.ID), Cancelled)
 }
+
+// The bound of a step's tasks on one worker holds for each round by itself.
+func TestRoundsDoNotCountAgainstEachOthersSpread(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1)
+	w.run(300 * time.Millisecond)
+	j := repeating(w, 2*time.Second, 0, 300*time.Millisecond, 2)
+	j.Steps[0].MaxPerWorker = 1
+	w.submit(j)
+	w.run(time.Second)
+	is.Equal(w.runningOf(j.ID), 2)
+}
+
+// A gang is done with its first good end; whatever of it runs on is stopped all the same when
+// its round is over.
+func TestRestOfADoneRoundIsStopped(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2)
+	w.run(300 * time.Millisecond)
+	j := repeating(w, time.Hour, 0, time.Second, 1)
+	j.Steps[0].Count = 2
+	j.Steps[0].Gang = true
+	j.Steps[0].Shape.Accelerators = 8
+	w.submit(j)
+	w.until("both run", func() bool { return w.runningOf(j.ID) == 2 })
+	w.run(200 * time.Millisecond)
+	for key := range w.workers[0].running {
+		w.workers[0].end(w, key, EndDone)
+	}
+	w.run(2 * time.Second)
+	is.Equal(w.state(j.ID), Done)
+	is.Equal(w.runningOf(j.ID), 0)
+	is.Equal(w.alone, 0) // it was stopped, its worker did not give it up
+}
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -132,11 +132,22 @@
 	for _, f := range w.workers {
 		core.AddAgent(w.now, f.name)
 	}
-	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
-		core.AddJob(w.now, w.jobs[id])
+	keys := slices.SortedFunc(maps.Keys(w.rows), func(a, b store.Key) int { return strings.Compare(a.Name, b.Name) })
+	for _, key := range keys {
+		if key.Table != IntakeTable {
+			continue
+		}
+		item, err := DecodeIntake(w.rows[key], Clock{Now: w.now, Store: w.storeClock()})
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		core.AddJob(w.now, item.(NewJob).Job)
 	}
-	for _, row := range w.rows {
-		if err := core.RestoreState(w.now, row); err != nil {
+	for _, key := range keys {
+		if key.Table == IntakeTable {
+			continue
+		}
+		if err := core.RestoreState(w.now, w.rows[key]); err != nil {
 			w.t.Fatal(err)
 		}
 	}
@@ -144,6 +155,11 @@
 	w.later = slices.DeleteFunc(w.later, func(e event) bool { return e.do == nil })
 }
 
+// storeClock is the reading of the store's steady clock.
+func (w *world) storeClock() time.Duration {
+	return w.now.Sub(time.Unix(1000, 0))
+}
+
 func (w *world) after(d time.Duration, do func()) {
 	w.later = append(w.later, event{at: w.now.Add(d), do: do})
 }
@@ -165,6 +181,8 @@
 		j.Terms.Attempts = 3
 	}
 	w.jobs[j.ID] = j
+	key := JobKey("pool", j.ID)
+	w.rows[key] = store.Row{Key: key, Value: Encode(JobRow(j, w.storeClock()))}
 	w.core.AddJob(w.now, j)
 }
 
--- a/pool/world_worker_test.go
+++ b/pool/world_worker_test.go
@@ -7,6 +7,9 @@
 	"hollyfork.example/hollyfork/job"
 )
 
+// startsWithin is how long a task that lasts takes until it is at work.
+const startsWithin = 400 * time.Millisecond
+
 func (f *fakeWorker) free(w *world) job.Shape {
 	room := f.capacity
 	for key := range f.running {
@@ -127,6 +130,9 @@
 		if !f.hangs {
 			percent = int(100 * w.now.Sub(run.begun) / (run.work + 1))
 		}
+		if w.jobs[key.task.Job].Steps[key.task.Step].LongRunning && w.now.Sub(run.begun) > startsWithin {
+			percent = 100
+		}
 		if percent >= run.tokenAt+10 {
 			run.token, run.tokenAt = w.save(key), percent
 		}
