Advice is proved through the programs, from the configuration to the ticket

Cause: with the gateway's advice client taken out, no test failed. Change: the stand-ins have an advice service and workers that ask for its tickets; TestAdvisedJobRunsWhereItsPolicyLetsIt.

--- a/program/cluster/cluster.go
+++ b/program/cluster/cluster.go
@@ -48,10 +48,14 @@
 	Sidecars []*Program
 	Workers  []*fakes.Worker
 	Runs     *fakes.Recorder
+	// Advice is the advice service of the queue, or nil when its policy needs none.
+	Advice *fakes.Advice
 
 	t testing.TB
 	// storeAddress is that of the store itself.
 	storeAddress string
+	// adviceAddress is that of the advice service; empty for none.
+	adviceAddress string
 }
 
 // Main runs the tests of a package that uses clusters, or, in a process that a cluster has
@@ -70,7 +74,23 @@
 // ready.
 func New(t testing.TB, gateways, workers int) *Cluster {
 	t.Helper()
-	c := &Cluster{t: t, Store: fakes.NewStore(time.Now()), Runs: fakes.NewRecorder(Attempts)}
+	return start(t, gateways, workers, nil)
+}
+
+// NewAdvised is New for a queue whose policy lets only some workers run its steps.
+func NewAdvised(t testing.TB, gateways, workers int, allows func(worker string) bool) *Cluster {
+	t.Helper()
+	return start(t, gateways, workers, fakes.NewAdvice(allows))
+}
+
+func start(t testing.TB, gateways, workers int, advice *fakes.Advice) *Cluster {
+	t.Helper()
+	c := &Cluster{t: t, Store: fakes.NewStore(time.Now()), Runs: fakes.NewRecorder(Attempts), Advice: advice}
+	if advice != nil {
+		service := httptest.NewServer(advice)
+		t.Cleanup(service.Close)
+		c.adviceAddress = strings.TrimPrefix(service.URL, "http://")
+	}
 	server := httptest.NewServer(c.Store.Handler())
 	t.Cleanup(server.Close)
 	c.storeAddress = strings.TrimPrefix(server.URL, "http://")
@@ -91,11 +111,15 @@
 func (c *Cluster) Configure(version int, key string) {
 	const form = `{"version":%d,
 		"routes":[{"name":"captions","host":%q,"prefix":%q,"type":"unsafe","timeout_ms":3000,"goal_ms":1000,
-			"priority":0,"service":"encoders","attempts":%d,"stretch":2.0}],
+			"priority":0,"service":"encoders","attempts":%d,"stretch":2.0%s}],
 		"services":[{"name":"encoders"}],
 		"limits":{"max_body_bytes":65536},
 		"tenants":[{"name":"lectures","api_keys":[%q],"guaranteed":{"gpu":8}}]}`
-	c.Store.Put("op", "", "config", fmt.Appendf(nil, form, version, host, Prefix, Attempts, key))
+	policy := ""
+	if c.Advice != nil {
+		policy = `,"advice":{"decide_ms":1,"each_ms":1,"valid_ms":3000}`
+	}
+	c.Store.Put("op", "", "config", fmt.Appendf(nil, form, version, host, Prefix, Attempts, policy, key))
 }
 
 func (c *Cluster) addWorker(number int) {
@@ -106,6 +130,7 @@
 	w := fakes.NewWorker(time.Now(), fmt.Sprintf("worker-%d", number), control, c.Runs)
 	server := httptest.NewServer(w.Handler())
 	c.t.Cleanup(server.Close)
+	w.SetAdvice(c.Advice)
 	go w.Run(done)
 	c.Workers = append(c.Workers, w)
 
@@ -122,8 +147,8 @@
 	c.t.Helper()
 	callers, admin := c.freeAddress(), c.freeAddress()
 	toStore := c.proxy(c.storeAddress)
-	config := fmt.Sprintf("[gateway]\nname = gateway-%d\ncallers = %s\nready = %s\nmetrics = %s\n\n[platform]\nstore = %s\n",
-		number, callers, c.freeAddress(), admin, toStore.Address())
+	config := fmt.Sprintf("[gateway]\nname = gateway-%d\ncallers = %s\nready = %s\nmetrics = %s\n\n[platform]\nstore = %s\nadvice = %s\n",
+		number, callers, c.freeAddress(), admin, toStore.Address(), c.adviceAddress)
 	p := c.start(gatewayProgram, number, config)
 	p.address = callers
 	p.admin = admin
--- a/program/pooltest/pool_test.go
+++ b/program/pooltest/pool_test.go
@@ -80,6 +80,16 @@
 	}
 }
 
+func TestAdvisedJobRunsWhereItsPolicyLetsIt(t *testing.T) {
+	is := is.New(t)
+	c := cluster.NewAdvised(t, 2, 3, func(worker string) bool { return worker == "worker-1" })
+	c.Submit(1, cluster.Tasks(4, "200ms"))
+	c.Submit(2, cluster.Gang(1, 8, "300ms"))
+	c.AwaitAll(2)
+	is.Equal(c.Workers[0].Runs()+c.Workers[2].Runs(), 0)
+	is.True(c.Advice.Asked() > 0)
+}
+
 func TestRepeatedRequestIsOneJob(t *testing.T) {
 	is := is.New(t)
 	c := cluster.New(t, 2, 2)
