A gateway takes back the pool that its earlier life held

Cause: after a loss of power, or a kill of the holder, every candidate watched the lease for 1.9 s, also the process whose own earlier life is named in it. Change: a lease that names the candidate's own address is free at once. The process has bound that address before it hosts a pool, so its earlier life is over; what that life still has under way is fenced by the row's version and by the agents' epoch. The test fails without the change.

--- a/holder/candidate.go
+++ b/holder/candidate.go
@@ -13,8 +13,13 @@
 
 // Candidate judges when a pool's lease has lapsed. It compares no clocks: a lease has
 // lapsed when its row has not changed for TakeAfter although it could be read all the
-// time. The zero value is ready.
+// time. A lease that names the candidate's own address is free at once: who serves at an
+// address has bound it, so an earlier life of the process there has ended. The zero value is
+// ready, for a process without an address.
 type Candidate struct {
+	// address is where this process serves.
+	address string
+
 	version  uint64
 	since    time.Time
 	released bool
@@ -25,7 +30,7 @@
 	if row.Version != c.version || c.since.IsZero() {
 		c.version = row.Version
 		c.since = sent
-		c.released = row.Version == 0 || releasedRow(row)
+		c.released = row.Version == 0 || c.freeRow(row)
 	}
 }
 
@@ -49,12 +54,14 @@
 	return max(0, length-now.Sub(c.since))
 }
 
-func releasedRow(row store.Row) bool {
+// freeRow says whether a lease's row tells that nobody acts on it: its holder gave it up, or
+// was an earlier life of this process.
+func (c *Candidate) freeRow(row store.Row) bool {
 	content := &poolpb.HolderRow{}
 	if err := proto.Unmarshal(row.Value, content); err != nil {
 		return false
 	}
-	return content.GetReleased()
+	return content.GetReleased() || c.address != "" && content.GetAddress() == c.address
 }
 
 // readLease reads a pool's lease; a pool that nobody ever held has version 0.
--- a/holder/candidate_test.go
+++ b/holder/candidate_test.go
@@ -49,6 +49,24 @@
 	}
 }
 
+func TestCandidateTakesBackTheLeaseOfItsEarlierLife(t *testing.T) {
+	is := is.New(t)
+	held := store.Row{Version: 5, Value: pool.Encode(&poolpb.HolderRow{Holder: "a", Address: "10.0.0.1:80"})}
+	tests := []struct {
+		address string
+		free    bool
+	}{
+		{"10.0.0.1:80", true},
+		{"10.0.0.2:80", false},
+		{"", false},
+	}
+	for _, test := range tests {
+		c := &Candidate{address: test.address}
+		c.Observe(begin, held)
+		is.Equal(c.Free(begin), test.free)
+	}
+}
+
 func TestLeaseOutlastsTheHoldersOwn(t *testing.T) {
 	is := is.New(t)
 	is.True(TakeAfter > HoldFor)
--- a/holder/host.go
+++ b/holder/host.go
@@ -82,7 +82,7 @@
 
 // awaitFree watches the lease until the pool is free, and returns the lease's row.
 func (h *Host) awaitFree(ctx context.Context) (store.Row, bool) {
-	candidate := &Candidate{}
+	candidate := &Candidate{address: h.address}
 	pause := backoff.New(firstRetry, lastRetry)
 	for ctx.Err() == nil {
 		sent := time.Now()
