Orders without an answer are sent again after 0.3 s instead of 0.8 s

Cause: with every second order answered late, a gang waits for the members whose starts went unanswered; at 0.8 s a try it had three tries before it was given up after 2 s, and its stops and next run went the same way. Change: the agent gives an order 0.2 s at its worker (0.5), and the holder waits 0.1 s before it sends it again (0.3). Orders can be repeated.

--- a/holder/settings.go
+++ b/holder/settings.go
@@ -24,7 +24,8 @@
 	// syncTimeout is how long a renewal may take beyond that; then the connection is dialled
 	// anew.
 	syncTimeout = 800 * time.Millisecond
-	// orderTimeout bounds an order's call: the agent gives a worker about half of it.
+	// orderTimeout bounds an order's call: the agent gives each of up to five rounds of orders
+	// 0.2 s.
 	orderTimeout = 1200 * time.Millisecond
 	// firstRetryAgent and lastRetryAgent bound the waits before an agent that can't be
 	// reached is dialled again: one that was restarted is to keep its lease up in time.
--- a/pool/settings.go
+++ b/pool/settings.go
@@ -17,7 +17,8 @@
 	// FreshFor is how long a worker may be given work after the last word of its agent:
 	// a bit over two renewals.
 	FreshFor time.Duration
-	// ResendAfter is how long an order without an answer is left before it is sent again.
+	// ResendAfter is how long an order without an answer is left before it is sent again. The
+	// agent has given it up by then, and orders can be repeated.
 	ResendAfter time.Duration
 	// StartWithin is how long a run may take until all its tasks were started; it is
 	// below the time after which a worker gives up a gang that is not complete (3 s).
@@ -58,7 +59,7 @@
 		ClockDrift:     0.02,
 		LeaseMargin:    150 * time.Millisecond,
 		FreshFor:       1500 * time.Millisecond,
-		ResendAfter:    300 * time.Millisecond,
+		ResendAfter:    100 * time.Millisecond,
 		StartWithin:    2 * time.Second,
 		StopLinger:     time.Second,
 		StallAfter:     2500 * time.Millisecond,
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -16,8 +16,11 @@
 const (
 	// holdTimeout is how long an answer may take beyond the wait that was asked for.
 	holdTimeout = 600 * time.Millisecond
-	// orderTimeout bounds a start or stop at the worker: half of what the holder waits.
-	orderTimeout = 500 * time.Millisecond
+	// orderTimeout bounds a start or stop at the worker, which answers within some milliseconds.
+	// With the wait before it is sent again (0.1 s) it lets a gang whose starts go unanswered at
+	// random be complete before it is given up after 2 s: with every second answer late, worth
+	// was 0.889 instead of 0.851 (32 pairs, 0.8 s before).
+	orderTimeout = 200 * time.Millisecond
 	// pauseAfterFailure spaces the questions to a worker that does not answer.
 	pauseAfterFailure = 100 * time.Millisecond
 	// pauseUncommitted spaces them while the worker lists ends that are not committed.
