Gateways that have fallen silent do not keep a question for long

Change: a question through another gateway takes 0.4 s, or 0.9 s when it waits for changes, and no second gateway is asked once the store serves again. The test fails without it (3.8 s).

--- a/relay/service.go
+++ b/relay/service.go
@@ -36,7 +36,7 @@
 
 // Commit makes a transaction.
 func (s *Service) Commit(request *relaypb.CommitRequest, reply *relaypb.Outcome) error {
-	return s.pass(opCommit, callTimeout, reply, func(ctx context.Context) (store.Page, error) {
+	return s.pass(opCommit, commitTimeout, reply, func(ctx context.Context) (store.Page, error) {
 		stamp, err := s.store.direct.Commit(ctx, txnFrom(request))
 		return store.Page{Stamp: stamp}, err
 	})
@@ -44,7 +44,7 @@
 
 // Read reads rows.
 func (s *Service) Read(request *relaypb.ReadRequest, reply *relaypb.Outcome) error {
-	return s.pass(opRead, callTimeout, reply, func(ctx context.Context) (store.Page, error) {
+	return s.pass(opRead, commitTimeout, reply, func(ctx context.Context) (store.Page, error) {
 		return s.store.direct.Read(ctx, rangeFrom(request))
 	})
 }
@@ -52,7 +52,7 @@
 // Follow waits for changes.
 func (s *Service) Follow(request *relaypb.FollowRequest, reply *relaypb.Outcome) error {
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maxWait)
-	return s.pass(opFollow, wait+callTimeout, reply, func(ctx context.Context) (store.Page, error) {
+	return s.pass(opFollow, wait+commitTimeout, reply, func(ctx context.Context) (store.Page, error) {
 		return s.store.direct.Follow(ctx, request.GetTable(), request.GetAfter(), wait)
 	})
 }
--- a/relay/store.go
+++ b/relay/store.go
@@ -16,9 +16,16 @@
 )
 
 const (
-	// callTimeout bounds a call through another gateway: a bit more than that gateway gives
-	// the store (0.8 s).
-	callTimeout = 900 * time.Millisecond
+	// commitTimeout bounds a transaction through another gateway: a bit more than that gateway
+	// gives the store (0.8 s), since one that is broken off is unsettled.
+	commitTimeout = 900 * time.Millisecond
+	// readTimeout bounds a question through another gateway, beyond the wait that it asks for.
+	// A slow store answers within 0.3 s. A gateway that has fallen silent must not take so long
+	// that the configuration's proof is too old (3.5 s) before the store itself is tried.
+	readTimeout = 400 * time.Millisecond
+	// followWait is the longest that a question for changes waits at another gateway, for the
+	// same reason.
+	followWait = 500 * time.Millisecond
 	// probeEvery is how often the store itself is tried while it turns this gateway away.
 	probeEvery = 300 * time.Millisecond
 )
@@ -74,7 +81,7 @@
 	via := func(ctx context.Context, client *rpc.Client) (*relaypb.Outcome, error) {
 		return rpc.Call[relaypb.Outcome](ctx, client, commitMethod, txnTo(txn))
 	}
-	if page, done, err := s.tryPeers(ctx, opCommit, callTimeout, via); done {
+	if page, done, err := s.tryPeers(ctx, opCommit, commitTimeout, via); done {
 		return page.Stamp, err
 	}
 	stamp, err := s.direct.Commit(ctx, txn)
@@ -82,7 +89,7 @@
 	if store.KindOf(err) != store.KindRefused {
 		return stamp, err
 	}
-	if page, done, viaErr := s.tryPeers(ctx, opCommit, callTimeout, via); done {
+	if page, done, viaErr := s.tryPeers(ctx, opCommit, commitTimeout, via); done {
 		return page.Stamp, viaErr
 	}
 	return stamp, err
@@ -93,17 +100,17 @@
 	via := func(ctx context.Context, client *rpc.Client) (*relaypb.Outcome, error) {
 		return rpc.Call[relaypb.Outcome](ctx, client, readMethod, rangeTo(r))
 	}
-	return s.read(ctx, opRead, callTimeout, via, func() (store.Page, error) { return s.direct.Read(ctx, r) })
+	return s.read(ctx, opRead, readTimeout, via, func() (store.Page, error) { return s.direct.Read(ctx, r) })
 }
 
 // Follow implements store.Reader.
 func (s *Store) Follow(ctx context.Context, table string, after uint64, wait time.Duration) (store.Page, error) {
-	wait = min(wait, maxWait)
-	request := &relaypb.FollowRequest{Table: table, After: after, WaitMs: int32(wait.Milliseconds())}
+	peerWait := min(wait, followWait)
+	request := &relaypb.FollowRequest{Table: table, After: after, WaitMs: int32(peerWait.Milliseconds())}
 	via := func(ctx context.Context, client *rpc.Client) (*relaypb.Outcome, error) {
 		return rpc.Call[relaypb.Outcome](ctx, client, followMethod, request)
 	}
-	return s.read(ctx, opFollow, wait+callTimeout, via, func() (store.Page, error) { return s.direct.Follow(ctx, table, after, wait) })
+	return s.read(ctx, opFollow, peerWait+readTimeout, via, func() (store.Page, error) { return s.direct.Follow(ctx, table, after, wait) })
 }
 
 // read makes a call that may be repeated: on the other way when the first does not work.
@@ -147,11 +154,13 @@
 // tryPeers makes a call through other gateways while the store turns this one away. done says
 // that one of them made it, or may have.
 func (s *Store) tryPeers(ctx context.Context, op string, timeout time.Duration, via viaPeer) (page store.Page, done bool, err error) {
-	now := time.Now()
-	if !s.path.throughPeers(now) {
+	if !s.path.throughPeers(time.Now()) {
 		return store.Page{}, false, nil
 	}
-	for _, p := range s.peers.choose(now) {
+	for _, p := range s.peers.choose(time.Now()) {
+		if s.path.direct() {
+			return store.Page{}, false, nil
+		}
 		page, done, err = s.tryPeer(ctx, p, op, timeout, via)
 		if done {
 			return page, true, err
--- a/relay/store_test.go
+++ b/relay/store_test.go
@@ -178,6 +178,29 @@
 	is.Equal(oneDirect.count(), asked+1)
 }
 
+// A question that two silent gateways kept for 1.9 s each outlived the proof of the
+// configuration, although the store served this gateway again meanwhile.
+func TestSilentGatewaysDoNotKeepAQuestion(t *testing.T) {
+	is := is.New(t)
+	one, oneDirect, _ := newGateway(t)
+	var addresses []string
+	for range 2 {
+		config := net.ListenConfig{}
+		silent, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		defer func() { _ = silent.Close() }()
+		addresses = append(addresses, silent.Addr().String())
+	}
+	one.peers.set(addresses)
+	one.path.note(false)
+	time.AfterFunc(readTimeout/2, func() { one.path.note(true) })
+	began := time.Now()
+	_, err := one.Follow(context.Background(), "t", 3, time.Second)
+	is.NoErr(err)
+	is.Equal(oneDirect.count(), 1)
+	is.True(time.Since(began) < 2*(followWait+readTimeout)) // not kept by both
+}
+
 func TestOutageOfTheWholeStoreIsTold(t *testing.T) {
 	is := is.New(t)
 	one, oneDirect, oneAddress := newGateway(t)
