After an outage the holder and its agents have their leases again at once

The store was away for 4.2 s; the holder lost power 0.13 s after its return. Its transaction stood in a pause of up to 0.4 s, and the renewals that agents held back carried no lease, so nine tasks lapsed 0.3 s before the next holder came. Change: a transaction is tried again after 0.1 s at most; when the store has confirmed a holder's lease again, it renews all agents' leases beside the renewals that are held back. The test fails without the renewal.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -219,12 +219,26 @@
 		}
 		return
 	}
+	wasInForce := h.inForce(now)
 	h.confirmed.Store(int64(m.sent.Sub(h.began)))
+	if !wasInForce {
+		h.renewLinks()
+	}
 	if m.batch {
 		h.core.BatchCommitted(now)
 	}
 }
 
+// renewLinks renews all agents' leases at once, after the store has confirmed the holder's own
+// again. The renewals that agents hold back carry no lease, and would cost up to 0.5 s: after
+// an outage of 4.2 s, a holder that lost power 0.13 s later left nine tasks to lapse, 7,299
+// core-seconds of work.
+func (h *Holder) renewLinks() {
+	for _, l := range h.links {
+		go l.renew(h.ctx)
+	}
+}
+
 // lose ends the holding because another process holds the pool.
 func (h *Holder) lose() {
 	if h.isLost {
--- a/holder/link.go
+++ b/holder/link.go
@@ -30,6 +30,8 @@
 	mu        sync.Mutex
 	instance  string
 	committed uint64
+	// last is the newest of the agent's answers.
+	last *poolpb.SyncReply
 }
 
 func newLink(h *Holder, a pool.AgentAddress) *link {
@@ -38,6 +40,7 @@
 		agent:   a.Agent,
 		address: a.Address,
 		client:  rpc.NewClient(a.Address, h.host.deps.Traffic),
+		last:    &poolpb.SyncReply{},
 	}
 }
 
@@ -56,11 +59,10 @@
 // run renews the agent's lease until ctx is done.
 func (l *link) run(ctx context.Context) {
 	defer l.close()
-	last := &poolpb.SyncReply{}
 	up := true
 	pause := backoff.New(firstRetryAgent, lastRetryAgent)
 	for ctx.Err() == nil {
-		reply, err := l.sync(ctx, last)
+		reply, err := l.sync(ctx, syncWait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -76,11 +78,28 @@
 			continue
 		}
 		pause.Reset()
-		last = reply
-		l.holder.send(synced{agent: l.agent, at: time.Now(), reply: reply})
+		l.take(reply)
 	}
 }
 
+// renew renews the agent's lease at once, beside the renewal that the agent holds back. One
+// that fails is left to run.
+func (l *link) renew(ctx context.Context) {
+	if reply, err := l.sync(ctx, 0); err == nil {
+		l.take(reply)
+	}
+}
+
+// take hands an answer to the holder, and remembers the newest.
+func (l *link) take(reply *poolpb.SyncReply) {
+	l.mu.Lock()
+	if reply.GetIncarnation() != l.last.GetIncarnation() || reply.GetLeaseToken() > l.last.GetLeaseToken() {
+		l.last = reply
+	}
+	l.mu.Unlock()
+	l.holder.send(synced{agent: l.agent, at: time.Now(), reply: reply})
+}
+
 func (l *link) logTurn(up bool, err error) {
 	logger := l.holder.host.deps.Logger
 	if up {
@@ -90,21 +109,22 @@
 	logger.Warn().Err(err).Str("agent", l.agent).Str("address", l.address).Msg("holder: the agent does not answer")
 }
 
-// sync sends one renewal. It gives a lease only while the holder's own is in force.
-func (l *link) sync(ctx context.Context, last *poolpb.SyncReply) (*poolpb.SyncReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, syncWait+syncTimeout)
+// sync sends one renewal, which the agent may hold back for a time while it has no news. It
+// gives a lease only while the holder's own is in force.
+func (l *link) sync(ctx context.Context, wait time.Duration) (*poolpb.SyncReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+syncTimeout)
 	defer cancel()
 	l.mu.Lock()
 	request := &poolpb.SyncRequest{
 		Pool:        l.holder.host.pool,
 		Holder:      l.holder.host.name,
 		Epoch:       l.holder.ledger.Epoch(),
-		LeaseToken:  last.GetLeaseToken(),
-		Incarnation: last.GetIncarnation(),
+		LeaseToken:  l.last.GetLeaseToken(),
+		Incarnation: l.last.GetIncarnation(),
 		Instance:    l.instance,
 		Committed:   l.committed,
-		SeenReport:  last.GetReport(),
-		WaitMs:      int32(syncWait.Milliseconds()),
+		SeenReport:  l.last.GetReport(),
+		WaitMs:      int32(wait.Milliseconds()),
 	}
 	l.mu.Unlock()
 	if time.Now().Before(l.holder.forceUntil()) {
--- /dev/null
+++ b/holder/link_test.go
@@ -0,0 +1,73 @@
+package holder
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+
+	"hollyfork.example/hollyfork/pool"
+	"hollyfork.example/hollyfork/process/actors"
+	"hollyfork.example/rpc"
+	"hollyfork.example/wire/poolpb"
+)
+
+// patientAgent holds back every renewal that lets it, and passes all of them on.
+type patientAgent struct {
+	release chan struct{}
+	asked   chan *poolpb.SyncRequest
+}
+
+func (a *patientAgent) Sync(request *poolpb.SyncRequest, reply *poolpb.SyncReply) error {
+	a.asked <- request
+	if request.GetWaitMs() > 0 && request.GetLeaseToken() > 0 {
+		<-a.release
+	}
+	reply.Incarnation = "agent"
+	reply.LeaseToken = request.GetLeaseToken() + 1
+	return nil
+}
+
+// newTestHolder returns a holder whose lease was confirmed a time ago, and that takes no
+// messages.
+func newTestHolder(t *testing.T, confirmedAgo time.Duration) *Holder {
+	t.Helper()
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	system := actors.NewSystem(logger)
+	host := New("pool", "name", "address", pool.DefaultSettings(), Deps{System: system, Logger: logger})
+	restored := &restored{core: pool.New("pool", pool.DefaultSettings(), nil)}
+	h := newHolder(host, &Ledger{epoch: 7}, restored, time.Now().Add(-confirmedAgo))
+	h.self = system.Root.Spawn(actor.PropsFromFunc(func(actor.Context) {}))
+	t.Cleanup(h.cancel)
+	return h
+}
+
+// A holder that the store served again died 0.13 s later: the renewals that the agents held
+// back carried no lease, and what ran on the workers lapsed.
+func TestAgentsGetTheirLeaseAtOnceAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	agent := &patientAgent{release: make(chan struct{}), asked: make(chan *poolpb.SyncRequest, 10)}
+	server := rpc.NewServer(0, nil)
+	is.NoErr(server.Register(ServiceName, agent))
+	config := net.ListenConfig{}
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	defer close(agent.release)
+
+	h := newTestHolder(t, HoldFor)
+	h.setAgent(pool.AgentAddress{Agent: "a", Address: listener.Addr().String()})
+	<-agent.asked // the first renewal fetches the agent's clock
+	held := <-agent.asked
+	is.Equal(held.GetLeaseMs(), int32(0))
+	h.takeCommitted(time.Now(), committed{sent: time.Now()})
+	next := <-agent.asked
+	is.Equal(time.Duration(next.GetLeaseMs())*time.Millisecond, h.host.settings.AgentLease)
+	is.Equal(next.GetWaitMs(), int32(0)) // it did not wait for the one that is held back
+}
--- a/store/settle.go
+++ b/store/settle.go
@@ -7,10 +7,13 @@
 	"hollyfork.example/hollyfork/backoff"
 )
 
-// Bounds of the waits between the tries of Settle.
+// Bounds of the waits between the tries of Settle. A holder that waits out an outage has its
+// lease again at most lastRetry after it, which keeps its tasks' leases from lapsing: with
+// 0.4 s, worth on days with three outages of 4.5 s was 0.323 instead of 0.349 (16 pairs, with
+// the renewal of agents' leases at once).
 const (
 	firstRetry = 30 * time.Millisecond
-	lastRetry  = 400 * time.Millisecond
+	lastRetry  = 100 * time.Millisecond
 )
 
 // Guard is a row that a transaction replaces and whose version it checks. While the guard
