The gateways' rows have a part of their own in the store

Cause: they lay in the part without a name, which has the operator's rows. The store makes the transactions of a part in turn; when it is 60 times as slow, the renewals of 50 gateways would fill that part and hold up configurations. Found by reading, not seen in a play. Change: a part of their own; the test demands one.

--- a/relay/member.go
+++ b/relay/member.go
@@ -11,10 +11,12 @@
 	"hollyfork.example/wire/relaypb"
 )
 
-// Table has a row for each gateway.
-const Table = "gateway"
-
 const (
+	// Table has a row for each gateway. They have a part of their own: the store makes the
+	// transactions of a part in turn, and the operator's rows have the one without a name.
+	Table = "gateway"
+	part  = "gateway"
+
 	// announceEvery is how often a gateway renews its row and looks for others once it has
 	// run for a while; firstAnnounce is the first pause, and each is twice as long as the one
 	// before. With 100 gateways that makes 20 calls a second.
@@ -44,7 +46,7 @@
 
 // announce reads the rows of all gateways and renews that of this one.
 func (s *Store) announce(ctx context.Context, name, address string) error {
-	page, err := s.Read(ctx, store.Range{Table: Table})
+	page, err := s.Read(ctx, store.Range{Table: Table, Part: part})
 	if err != nil {
 		return err
 	}
@@ -65,7 +67,7 @@
 }
 
 func memberKey(name string) store.Key {
-	return store.Key{Table: Table, Name: name}
+	return store.Key{Table: Table, Part: part, Name: name}
 }
 
 // membership is what the rows of the gateways tell.
--- a/relay/member_test.go
+++ b/relay/member_test.go
@@ -46,6 +46,7 @@
 	is.Equal(len(direct.txns), 1)
 	written := direct.txns[0].Writes[0]
 	is.Equal(written.Key, memberKey("self"))
+	is.True(written.Key.Part != "") // where it would stand in the operator's way
 	content := &relaypb.GatewayRow{}
 	is.NoErr(proto.Unmarshal(written.Value, content))
 	is.Equal(content.GetAddress(), "a:1")
--- a/relay/store.go
+++ b/relay/store.go
@@ -210,7 +210,7 @@
 		case <-s.path.awayNow:
 		}
 		for !s.path.direct() && backoff.Sleep(ctx, probeEvery) {
-			_, err := s.direct.Read(ctx, store.Range{Table: Table, Limit: 1})
+			_, err := s.direct.Read(ctx, store.Range{Table: Table, Part: part, Limit: 1})
 			s.noteDirect(ctx, err)
 		}
 	}
