--- a/relay/path.go
+++ b/relay/path.go
@@ -9,8 +9,8 @@
 // outage of the whole store all of them are turned away.
 const peersPause = 400 * time.Millisecond
 
-// path says by which way calls go: to the store itself, or through other gateways. It is safe
-// for concurrent use. The zero value goes to the store.
+// path says by which way calls go: to the store itself, or through other gateways. Create it
+// with newPath; it begins with the store. It is safe for concurrent use.
 type path struct {
 	mu sync.Mutex
 	// away says that the store did not serve the last call.
