--- a/pool/decide.go
+++ b/pool/decide.go
@@ -25,6 +25,8 @@
 	holds int
 	// workers are those that may be given work, by name.
 	workers []*worker
+	// keeping are those of them with room that is kept for urgent work.
+	keeping []*worker
 	// urgentNeed is what the jobs of priority 0 that have not ended still need, in
 	// accelerators by workspace.
 	urgentNeed map[string]int
@@ -61,6 +63,9 @@
 			p.workers = append(p.workers, w)
 			p.free[w] = w.free()
 			p.releasing[w] = w.releasing()
+			if len(w.retained) > 0 {
+				p.keeping = append(p.keeping, w)
+			}
 		}
 	}
 	slices.SortFunc(p.workers, func(a, b *worker) int { return strings.Compare(a.agent, b.agent) })
--- a/pool/retain.go
+++ b/pool/retain.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -39,15 +40,14 @@
 // lent is the room out of some room that may be given to a group: what is kept for urgent work
 // is left out for others.
 func (p *pass) lent(g *group, room map[*worker]job.Shape) map[*worker]job.Shape {
-	if g.job.job.Terms.Priority == 0 {
+	if g.job.job.Terms.Priority == 0 || len(p.keeping) == 0 {
 		return room
 	}
-	lent := make(map[*worker]job.Shape, len(room))
-	for w, free := range room {
+	lent := maps.Clone(room)
+	for _, w := range p.keeping {
 		for _, r := range w.retained {
-			free = free.Sub(r.shape)
+			lent[w] = lent[w].Sub(r.shape)
 		}
-		lent[w] = free
 	}
 	return lent
 }
