--- a/store/settle.go
+++ b/store/settle.go
@@ -8,9 +8,9 @@
 )
 
 // Bounds of the waits between the tries of Settle. A holder that waits out an outage has its
-// lease again at most lastRetry after it, which keeps its tasks' leases from lapsing: with
-// 0.4 s, worth on days with three outages of 4.5 s was 0.323 instead of 0.349 (16 pairs, with
-// the renewal of agents' leases at once).
+// lease again at most lastRetry after it, which keeps its tasks' leases from lapsing. Together
+// with the holder's renewal of all agents' leases at that moment, 0.1 s instead of 0.4 s raised
+// worth on days with three outages of 4.5 s from 0.323 to 0.349 (16 pairs).
 const (
 	firstRetry = 30 * time.Millisecond
 	lastRetry  = 100 * time.Millisecond
