--- a/job/job.go
+++ b/job/job.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -122,19 +123,24 @@
 
 // Holds returns how many tasks of a shape fit.
 func (s Shape) Holds(task Shape) int {
-	most := int(^uint32(0) >> 1)
-	for _, pair := range [][2]int{
-		{s.CPUMillis, task.CPUMillis},
-		{s.MemoryMB, task.MemoryMB},
-		{s.Accelerators, task.Accelerators},
-	} {
-		if pair[1] > 0 {
-			most = min(most, max(0, pair[0]/pair[1]))
-		}
+	most := times(s.Accelerators, task.Accelerators)
+	if most > 0 {
+		most = min(most, times(s.CPUMillis, task.CPUMillis), times(s.MemoryMB, task.MemoryMB))
 	}
 	return most
 }
 
+// times returns how often a part goes into a whole; a part of nothing does any number of times.
+func times(whole, part int) int {
+	switch {
+	case part <= 0:
+		return math.MaxInt32
+	case whole < part:
+		return 0
+	}
+	return whole / part
+}
+
 // acceleratorCores is how many processor cores an accelerator counts as in the users'
 // prices of work.
 const acceleratorCores = 8
--- a/pool/advice.go
+++ b/pool/advice.go
@@ -91,16 +91,18 @@
 	if !c.advised || c.asking || now.Before(c.askAt) {
 		return Question{}, false
 	}
-	ready := slices.DeleteFunc(c.readyGroups(), func(g *group) bool { return !g.job.job.Terms.Advised })
-	if len(ready) == 0 {
+	rounds := slices.DeleteFunc(c.waitingRounds(), func(r readyRound) bool { return !r.job.job.Terms.Advised })
+	if len(rounds) == 0 {
 		return Question{}, false
 	}
 	p := c.newPass(now)
-	slices.SortFunc(ready, p.compare)
-	for _, g := range ready {
-		if workers := p.toAsk(g); len(workers) > 0 {
-			c.asking = true
-			return Question{Step: g.task(g.first), Workers: workers}, true
+	p.order(rounds)
+	for _, r := range rounds {
+		for _, g := range r.ready {
+			if workers := p.toAsk(g); len(workers) > 0 {
+				c.asking = true
+				return Question{Step: g.task(g.first), Workers: workers}, true
+			}
 		}
 	}
 	return Question{}, false
@@ -117,7 +119,7 @@
 		if !fresh && (!hasTicket || held.good(p.now)) {
 			continue
 		}
-		if p.free[w].Holds(g.spec().Takes()) == 0 || !w.has(g.spec().Label) {
+		if p.free[w.slot].Holds(g.spec().Takes()) == 0 || !w.has(g.spec().Label) {
 			continue
 		}
 		workers = append(workers, w.instance)
--- a/pool/core.go
+++ b/pool/core.go
@@ -18,6 +18,8 @@
 	jobs    map[job.ID]*jobState
 	live    map[job.ID]*jobState
 	workers map[string]*worker
+	// sorted are the workers by name, or too few when some have come since.
+	sorted []*worker
 
 	// roomChanged says that a group may find room that found none before; decidedAt is when
 	// that was looked at last.
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -6,30 +6,16 @@
 	"slices"
 	"strings"
 	"time"
-
-	"hollyfork.example/hollyfork/job"
 )
 
-// pass is one round of placing. It works on a copy of what is free.
-type pass struct {
-	core *Core
-	now  time.Time
-	// free is the room that this pass may still give away.
-	free map[*worker]job.Shape
-	// releasing is the room that is about to become free.
-	releasing map[*worker]job.Shape
-	// held is room that is kept for a group that waits, until about heldUntil.
-	held      map[*worker]job.Shape
-	heldUntil time.Time
-	// holds counts the groups that room is held for.
-	holds int
-	// workers are those that may be given work, by name.
-	workers []*worker
-	// keeping are those of them with room that is kept for urgent work.
-	keeping []*worker
-	// urgentNeed is what the jobs of priority 0 that have not ended still need, in
-	// accelerators by workspace.
-	urgentNeed map[string]int
+// readyRound is a round with groups that could be placed, with what orders it among others.
+type readyRound struct {
+	round *round
+	job   *jobState
+	// ready are the groups, in the order of their steps.
+	ready []*group
+	rank  int
+	due   time.Time
 }
 
 // Decide places the groups that are ready, the most pressing first, and displaces others
@@ -37,72 +23,43 @@
 func (c *Core) Decide(now time.Time) {
 	c.roomChanged = false
 	c.decidedAt = now
-	ready := c.readyGroups()
-	if len(ready) == 0 {
+	rounds := c.waitingRounds()
+	if len(rounds) == 0 {
 		return
 	}
 	p := c.newPass(now)
-	slices.SortFunc(ready, p.compare)
-	for _, g := range ready {
-		p.try(g)
-	}
-}
-
-func (c *Core) newPass(now time.Time) *pass {
-	p := &pass{
-		core:      c,
-		now:       now,
-		free:      map[*worker]job.Shape{},
-		releasing: map[*worker]job.Shape{},
-		held:      map[*worker]job.Shape{},
-
-		urgentNeed: c.urgentNeed(),
-	}
-	for _, w := range c.workers {
-		if w.usable(now, c.settings) {
-			p.workers = append(p.workers, w)
-			p.free[w] = w.free()
-			p.releasing[w] = w.releasing()
-			if len(w.retained) > 0 {
-				p.keeping = append(p.keeping, w)
-			}
-		}
+	p.order(rounds)
+	for _, r := range rounds {
+		p.tryAll(r.ready)
 	}
-	slices.SortFunc(p.workers, func(a, b *worker) int { return strings.Compare(a.agent, b.agent) })
-	return p
 }
 
-// urgentNeed counts what the jobs of priority 0 still need, by workspace.
-func (c *Core) urgentNeed() map[string]int {
-	need := map[string]int{}
+// waitingRounds returns the rounds of which a group could be placed.
+func (c *Core) waitingRounds() []readyRound {
+	var rounds []readyRound
 	for _, j := range c.live {
-		if j.job.Terms.Priority != 0 || j.state.ended() {
+		if j.state.ended() {
 			continue
 		}
-		for _, g := range j.groups {
-			if !g.done {
-				need[j.job.Workspace] += g.spec().Shape.Accelerators * g.size
+		for _, r := range j.rounds {
+			if ready := r.readyGroups(); len(ready) > 0 {
+				rounds = append(rounds, readyRound{round: r, job: j, ready: ready})
 			}
 		}
 	}
-	return need
-}
-
-// guaranteed says whether all that the job's workspace has of priority 0 is within its
-// guarantee.
-func (p *pass) guaranteed(j *jobState) bool {
-	return j.job.Terms.Priority == 0 && p.urgentNeed[j.job.Workspace] <= p.core.catalog.Guaranteed(j.job.Workspace)
+	return rounds
 }
 
-// readyGroups returns what could be placed.
-func (c *Core) readyGroups() []*group {
+// readyGroups returns the groups of the round that could be placed, in the order of their
+// steps.
+func (r *round) readyGroups() []*group {
 	var ready []*group
-	for _, j := range c.live {
-		if j.state.ended() {
+	for _, groups := range r.byStep {
+		if !groups[0].ready() {
 			continue
 		}
-		for _, g := range j.groups {
-			if g.waiting() && g.ready() {
+		for _, g := range groups {
+			if g.waiting() {
 				ready = append(ready, g)
 			}
 		}
@@ -110,49 +67,73 @@
 	return ready
 }
 
-// rank is the class in which a group is ordered: what is guaranteed first, then by
-// priority.
-func (p *pass) rank(g *group) int {
-	if p.guaranteed(g.job) {
+// order sorts rounds: what is guaranteed first, then by priority, then by when they should be
+// done.
+func (p *pass) order(rounds []readyRound) {
+	for i := range rounds {
+		rounds[i].rank = p.rank(rounds[i].job)
+		rounds[i].due = rounds[i].job.job.DueBy(rounds[i].round.number)
+	}
+	slices.SortFunc(rounds, func(a, b readyRound) int {
+		return cmp.Or(
+			cmp.Compare(a.rank, b.rank),
+			a.due.Compare(b.due),
+			cmp.Compare(a.job.job.ID, b.job.job.ID),
+			cmp.Compare(a.round.number, b.round.number),
+		)
+	})
+}
+
+// rank is the class in which a job is ordered.
+func (p *pass) rank(j *jobState) int {
+	if p.guaranteed(j) {
 		return -1
 	}
-	return g.job.job.Terms.Priority
+	return j.job.Terms.Priority
 }
 
-// compare orders groups by rank, then by when their jobs should be done.
-func (p *pass) compare(a, b *group) int {
-	return cmp.Or(
-		cmp.Compare(p.rank(a), p.rank(b)),
-		a.due().Compare(b.due()),
-		cmp.Compare(a.job.job.ID, b.job.job.ID),
-		cmp.Compare(a.round.number, b.round.number),
-		cmp.Compare(a.step, b.step),
-		cmp.Compare(a.first, b.first),
-	)
+// tryAll tries the groups of a round.
+func (p *pass) tryAll(ready []*group) {
+	var d *prospect
+	for i, g := range ready {
+		if i == 0 || g.step != ready[i-1].step {
+			d = p.prospectOf(g)
+		}
+		p.try(g, d)
+	}
 }
 
 // try places a group, or promises it room that is about to become free.
-func (p *pass) try(g *group) {
-	if places := p.fit(g, p.lent(g, p.unheld(g))); places != nil {
-		p.place(g, places)
+func (p *pass) try(g *group, d *prospect) {
+	plain := g.plain()
+	if !plain || !d.full {
+		if places := p.fit(g, d, p.lent(d, p.unheld(d))); places != nil {
+			p.place(g, places)
+			return
+		}
+		d.full = d.full || plain
+	}
+	if d.priority != 0 {
+		p.hold(g, d, plain)
 		return
 	}
-	if g.job.job.Terms.Priority != 0 {
-		p.hold(g)
+	if plain && d.stuck && d.stuckAfter == p.stops {
 		return
 	}
-	if places := p.fit(g, p.withReleasing(nil)); places != nil {
+	if places := p.fit(g, d, p.withReleasing()); places != nil {
 		p.promise(g, places)
 		return
 	}
-	p.displaceFor(g)
+	if !p.displaceFor(g, d) && plain {
+		d.stuck, d.stuckAfter = true, p.stops
+	}
 }
 
 // place books a group on workers, one for each of its tasks. It starts once that is
 // committed.
 func (p *pass) place(g *group, places []*worker) {
 	c := p.core
-	shape := g.spec().Takes()
+	shape := g.takes
 	g.run++
 	g.ending = false
 	g.progressAt = time.Time{}
@@ -161,13 +142,14 @@
 	for i, w := range places {
 		m := &member{group: g, index: g.first + i, worker: w, instance: w.instance, phase: memberPlaced}
 		g.members = append(g.members, m)
-		w.members[m] = struct{}{}
-		p.free[w] = p.free[w].Sub(shape)
+		w.members = append(w.members, m)
+		p.free[w.slot] = p.free[w.slot].Sub(shape)
 		if g.job.job.Terms.Priority == 0 {
 			w.useRetained(shape)
 		}
 		names[i] = w.agent
 	}
+	p.expect(g)
 	if g.job.state == Queued {
 		g.job.state = Active
 	}
@@ -187,24 +169,8 @@
 
 // promise keeps room for a group that waits for others to end.
 func (p *pass) promise(g *group, places []*worker) {
-	shape := g.spec().Takes()
+	shape := g.takes
 	for _, w := range places {
-		p.free[w] = p.free[w].Sub(shape)
-	}
-}
-
-// withReleasing is the free room, with what is about to become free and what victims take.
-func (p *pass) withReleasing(victims []*group) map[*worker]job.Shape {
-	room := make(map[*worker]job.Shape, len(p.free))
-	for w, free := range p.free {
-		room[w] = free.Add(p.releasing[w])
-	}
-	for _, v := range victims {
-		for _, m := range v.members {
-			if _, usable := room[m.worker]; usable && m.phase != memberGone {
-				room[m.worker] = room[m.worker].Add(v.spec().Takes())
-			}
-		}
+		p.free[w.slot] = p.free[w.slot].Sub(shape)
 	}
-	return room
 }
--- /dev/null
+++ b/pool/decide_test.go
@@ -0,0 +1,181 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hollyfork.example/hollyfork/job"
+)
+
+// mix plays the load of lecture halls on a pool: urgent gangs, large jobs and many small tasks
+// in the background. It returns a job of a kind that random numbers choose.
+func mix(random *rand.Rand, id int) job.Job {
+	j := job.Job{ID: job.ID(fmt.Sprintf("%016x", id)), Spec: "work", Workspace: fmt.Sprintf("workspace-%d", random.IntN(6))}
+	accelerators := []int{1, 1, 2, 4, 8}[random.IntN(5)]
+	var step job.Step
+	switch draw := random.Float64(); {
+	case draw < 0.8:
+		step = job.Step{Count: 1 + random.IntN(15), Shape: job.Shape{CPUMillis: 15000, MemoryMB: 16000, Accelerators: accelerators}, Estimate: 2500 * time.Millisecond, Gang: random.IntN(2) == 0, SameRack: random.IntN(3) == 0}
+		j.Terms = job.Terms{Priority: 0, Goal: 250 * time.Millisecond}
+	case draw < 0.92:
+		step = job.Step{Count: 1 + random.IntN(49), Shape: job.Shape{CPUMillis: 52000, MemoryMB: 64000, Accelerators: accelerators}, Estimate: 8500 * time.Millisecond, Checkpoint: random.IntN(2) == 0, Gang: random.IntN(3) == 0}
+		j.Terms = job.Terms{Priority: 1, Goal: time.Second}
+	default:
+		step = job.Step{Count: 1 + random.IntN(155), Shape: job.Shape{CPUMillis: 11000, MemoryMB: 12000, Accelerators: 1}, Estimate: 9500 * time.Millisecond, MaxPerWorker: []int{0, 0, 0, 4}[random.IntN(4)]}
+		j.Terms = job.Terms{Priority: 2, Goal: 3 * time.Second}
+	}
+	j.Terms.Attempts, j.Terms.Stretch = 3, 2
+	j.Steps = []job.Step{step}
+	return j
+}
+
+// loadedCore returns a pool with workers that runs what found room of some hundred jobs, with
+// a number of ready groups that found none.
+func loadedCore(random *rand.Rand, workers, waiting int) (*Core, time.Time) {
+	now := time.Unix(1000, 0)
+	c := New("pool", DefaultSettings(), nil)
+	report := func() {
+		for i := range workers {
+			agent := fmt.Sprintf("worker-%04d", i)
+			c.Heard(now, agent, Grant{})
+			c.Report(now, agent, Report{
+				Incarnation: "agent", Instance: agent, Listing: 1, Rack: fmt.Sprintf("rack-%d", i/8),
+				Capacity: job.Shape{CPUMillis: 128000, MemoryMB: 262144, Accelerators: 8},
+			})
+		}
+	}
+	report()
+	for id := 1; c.readyCount() < waiting; id++ {
+		j := mix(random, id)
+		j.Accepted = now
+		c.AddJob(now, j)
+		c.Decide(now)
+		for _, w := range c.workers {
+			for _, m := range w.members {
+				if m.phase == memberPlaced {
+					m.phase, m.group.began = memberRunning, now
+				}
+			}
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	report()
+	return c, now
+}
+
+func (c *Core) readyCount() int {
+	count := 0
+	for _, r := range c.waitingRounds() {
+		count += len(r.ready)
+	}
+	return count
+}
+
+// What the decisions cost on a full pool, a pass at a time, with a job come or gone between
+// two passes. On 240 workers with 400 groups that wait a pass took 1,286 us on average and
+// 22 ms at worst while each group was tried on each worker.
+func BenchmarkDecide(b *testing.B) {
+	for _, size := range []struct{ workers, waiting int }{{55, 100}, {240, 400}, {1000, 1600}} {
+		b.Run(fmt.Sprintf("workers=%d", size.workers), func(b *testing.B) {
+			random := rand.New(rand.NewPCG(3, 4))
+			c, now := loadedCore(random, size.workers, size.waiting)
+			worst := time.Duration(0)
+			id := 1 << 20
+			for b.Loop() {
+				b.StopTimer()
+				id++
+				j := mix(random, id)
+				j.Accepted = now
+				c.AddJob(now, j)
+				c.endSome(now, random)
+				b.StartTimer()
+				began := time.Now()
+				c.Decide(now)
+				worst = max(worst, time.Since(began))
+			}
+			b.ReportMetric(float64(worst.Microseconds()), "worst-us")
+		})
+	}
+}
+
+// endSome ends a run, and drops a job that waits, so that a pool stays as full as it is.
+func (c *Core) endSome(now time.Time, random *rand.Rand) {
+	workers := c.inOrder()
+	w := workers[random.IntN(len(workers))]
+	if len(w.members) > 0 {
+		g := w.members[0].group
+		for _, m := range slices.Clone(g.members) {
+			if m.phase != memberGone {
+				c.leave(now, m)
+			}
+		}
+		c.endJob(now, g.job, Cancelled, "ended by the test")
+		delete(c.live, g.job.job.ID)
+	}
+	for _, other := range workers {
+		for _, m := range slices.Clone(other.members) {
+			switch m.phase {
+			case memberStopping:
+				c.leave(now, m)
+			case memberPlaced:
+				m.phase, m.group.began = memberRunning, now
+			}
+		}
+	}
+	for id, j := range c.live {
+		if j.state == Queued && len(c.live) > 120 {
+			delete(c.live, id)
+			break
+		}
+	}
+	c.dirty = nil
+}
+
+// placements plays a pass on a core, and returns what it decided.
+func placements(c *Core, decide func(*Core)) []string {
+	var list []string
+	c.observe = func(e Event) {
+		list = append(list, fmt.Sprintf("%s %s %d %d on %s %s", e.Kind, e.Job, e.Step, e.First, e.Worker, e.Detail))
+	}
+	decide(c)
+	c.observe = nil
+	return list
+}
+
+// The decisions are those of the plain version, which tries each group on each worker.
+func TestDecisionsAreThoseOfThePlainVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		workers := rapid.IntRange(4, 40).Draw(t, "workers")
+		waiting := rapid.IntRange(1, 60).Draw(t, "waiting")
+		var lists [2][]string
+		for i, decide := range []func(*Core, time.Time){(*Core).plainDecide, (*Core).Decide} {
+			random := rand.New(rand.NewPCG(seed, 0))
+			c, now := loadedCore(random, workers, waiting)
+			for id := 0; id < 6; id++ {
+				j := mix(random, 1<<20+id)
+				j.Accepted = now
+				c.AddJob(now, j)
+			}
+			for _, w := range c.inOrder()[:workers/4] {
+				if len(w.members) > 0 && w.members[0].group.size == 1 {
+					c.leave(now, w.members[0])
+				}
+			}
+			lists[i] = placements(c, func(c *Core) { decide(c, now) })
+		}
+		if !slices.Equal(lists[0], lists[1]) {
+			i := 0
+			for i < len(lists[0]) && i < len(lists[1]) && lists[0][i] == lists[1][i] {
+				i++
+			}
+			t.Fatalf("after %d alike, plain:\n%s\npool's:\n%s", i, strings.Join(lists[0][i:], "\n"), strings.Join(lists[1][i:], "\n"))
+		}
+	})
+}
--- a/pool/displace.go
+++ b/pool/displace.go
@@ -17,41 +17,75 @@
 	startCost = 300 * time.Millisecond
 )
 
-// plan is a set of groups to be stopped so that another finds room.
-type plan struct {
-	victims []*group
-	// cost is the work that would be lost, in core-seconds.
-	cost float64
-}
+type (
+	// plan is a set of groups to be stopped so that another finds room.
+	plan struct {
+		victims []*group
+		// cost is the work that would be lost, in core-seconds.
+		cost float64
+	}
+
+	// planner makes a plan for a group, on some workers. What it found out for a worker stays
+	// true until a victim is chosen that runs there: a plan for a gang of 8 on 240 workers
+	// looks at each worker once, and again at the few that changed.
+	planner struct {
+		pass    *pass
+		group   *group
+		workers []*worker
+		room    room
+		chosen  plan
+		// places are, by slot, how many of the group's tasks fit with what was chosen, and
+		// options what one more task there would cost.
+		places  []int
+		total   int
+		options []option
+	}
+
+	// option is the cheapest way to make room for one more task on a worker.
+	option struct {
+		plan  plan
+		known bool
+		found bool
+	}
+
+	// victim is a group that may be stopped, with the room that it takes on a worker and the
+	// work that is lost for that room.
+	victim struct {
+		group *group
+		takes job.Shape
+		value float64
+	}
+)
 
 // displaceFor stops groups of lesser priority so that another finds room. Within its
 // workspace's guarantee a job always gets it; beyond that, only while it does more work
-// itself than would be lost.
-func (p *pass) displaceFor(g *group) {
-	best, ok := p.bestPlan(g)
+// itself than would be lost. It says whether any was stopped.
+func (p *pass) displaceFor(g *group, d *prospect) bool {
+	best, ok := p.bestPlan(g, d)
 	if !ok {
-		return
+		return false
 	}
-	if !p.guaranteed(g.job) && best.cost > p.core.settings.DisplaceFactor*g.work() {
-		return
+	if !d.guaranteed && best.cost > p.core.settings.DisplaceFactor*g.work() {
+		return false
 	}
-	p.stop(g, best.victims)
+	p.stop(g, d, best.victims)
+	return true
 }
 
 // bestPlan returns the plan that loses the least work: in any one rack for a group that
 // wants one, else over all workers.
-func (p *pass) bestPlan(g *group) (plan, bool) {
-	if !p.core.wantsOneRack(g) {
-		return p.planOn(g, p.workers)
+func (p *pass) bestPlan(g *group, d *prospect) (plan, bool) {
+	if !d.oneRack {
+		return p.newPlanner(g, p.workers).make()
 	}
-	racks := map[string][]*worker{}
-	for _, w := range p.workers {
-		racks[w.rack] = append(racks[w.rack], w)
+	racks := make([][]*worker, len(p.racks))
+	for i, w := range p.workers {
+		racks[p.rackOf[i]] = append(racks[p.rackOf[i]], w)
 	}
 	var best plan
 	found := false
 	for _, workers := range racks {
-		next, ok := p.planOn(g, workers)
+		next, ok := p.newPlanner(g, workers).make()
 		if ok && (!found || next.cost < best.cost) {
 			best, found = next, true
 		}
@@ -59,41 +93,74 @@
 	return best, found
 }
 
-// planOn finds groups to stop so that another fits on some workers. It takes the cheapest
-// place for one more task until there are enough.
-func (p *pass) planOn(g *group, workers []*worker) (plan, bool) {
-	var chosen plan
-	room := p.withReleasing(nil)
-	for p.places(g, workers, room) < g.size {
-		next, ok := p.cheapestPlace(g, workers, room, chosen.victims)
+func (p *pass) newPlanner(g *group, workers []*worker) *planner {
+	l := &planner{
+		pass:    p,
+		group:   g,
+		workers: workers,
+		room:    p.withReleasing(),
+		places:  make([]int, len(p.workers)),
+		options: make([]option, len(p.workers)),
+	}
+	for _, w := range workers {
+		l.count(w)
+	}
+	return l
+}
+
+// count counts anew how many of the group's tasks fit on a worker.
+func (l *planner) count(w *worker) {
+	next := l.pass.count(l.group, w, l.room[w.slot])
+	l.total += next - l.places[w.slot]
+	l.places[w.slot] = next
+}
+
+// make takes the cheapest place for one more task until there are enough.
+func (l *planner) make() (plan, bool) {
+	for l.total < l.group.size {
+		next, ok := l.cheapest()
 		if !ok {
 			return plan{}, false
 		}
-		chosen.victims = append(chosen.victims, next.victims...)
-		chosen.cost += next.cost
-		room = p.withReleasing(chosen.victims)
+		l.choose(next)
 	}
-	return chosen, true
+	return l.chosen, true
 }
 
-// places counts the tasks of a group that fit on some workers.
-func (p *pass) places(g *group, workers []*worker, room map[*worker]job.Shape) int {
-	count := 0
-	for _, w := range workers {
-		count += p.count(g, w, room[w])
+// choose adds the room of a plan's victims, on all workers that they run on.
+func (l *planner) choose(next plan) {
+	l.chosen.victims = append(l.chosen.victims, next.victims...)
+	l.chosen.cost += next.cost
+	for _, v := range next.victims {
+		for _, m := range v.members {
+			if !l.pass.usable(m.worker) || m.phase == memberGone {
+				continue
+			}
+			l.room[m.worker.slot] = l.room[m.worker.slot].Add(v.takes)
+			l.options[m.worker.slot].known = false
+			if slices.Contains(l.workers, m.worker) {
+				l.count(m.worker)
+			}
+		}
+		if v.spec().LongRunning {
+			clear(l.options) // how many others of its step may be away has changed
+		}
 	}
-	return count
 }
 
-// cheapestPlace finds the groups to stop, beside those that were chosen, for one more task
-// on any of some workers.
-func (p *pass) cheapestPlace(g *group, workers []*worker, room map[*worker]job.Shape, chosen []*group) (plan, bool) {
+// cheapest finds the groups to stop, beside those that were chosen, for one more task on any
+// of the workers.
+func (l *planner) cheapest() (plan, bool) {
 	var best plan
 	found := false
-	for _, w := range workers {
-		next, ok := p.placeOn(g, w, room[w], chosen)
-		if ok && (!found || next.cost < best.cost) {
-			best, found = next, true
+	for _, w := range l.workers {
+		o := &l.options[w.slot]
+		if !o.known {
+			o.plan, o.found = l.placeOn(w)
+			o.known = true
+		}
+		if o.found && (!found || o.plan.cost < best.cost) {
+			best, found = o.plan, true
 		}
 	}
 	return best, found
@@ -101,77 +168,92 @@
 
 // placeOn finds the groups to stop, beside those that were chosen, for one more task on a
 // worker.
-func (p *pass) placeOn(g *group, w *worker, room job.Shape, chosen []*group) (plan, bool) {
-	before := p.count(g, w, room)
-	victims := p.victimsOn(g, w, chosen)
+func (l *planner) placeOn(w *worker) (plan, bool) {
+	p, g, free := l.pass, l.group, l.room[w.slot]
+	before := l.places[w.slot]
+	needed := l.victimsOn(w)
+	if len(needed) == 0 {
+		return plan{}, false
+	}
 	taken := 0
-	for p.count(g, w, room) <= before {
-		if taken == len(victims) {
+	for p.count(g, w, free) <= before {
+		if taken == len(needed) {
 			return plan{}, false
 		}
-		room = room.Add(victims[taken].takes(w))
+		free = free.Add(needed[taken].takes)
 		taken++
 	}
-	needed := victims[:taken]
+	needed = needed[:taken]
 	for i := len(needed) - 2; i >= 0; i-- {
-		without := room.Sub(needed[i].takes(w))
+		without := free.Sub(needed[i].takes)
 		if p.count(g, w, without) > before {
-			room = without
+			free = without
 			needed = slices.Delete(needed, i, i+1)
 		}
 	}
-	result := plan{victims: needed}
+	result := plan{}
 	for _, v := range needed {
-		result.cost += v.unsaved(p.now)
+		result.victims = append(result.victims, v.group)
+		result.cost += v.group.unsaved(p.now)
 	}
 	return result, true
 }
 
 // victimsOn returns the groups on a worker that may be stopped, beside those that were
 // chosen, those that lose least for the room that they take there first.
-func (p *pass) victimsOn(g *group, w *worker, chosen []*group) []*group {
-	var list []*group
-	for m := range w.members {
+func (l *planner) victimsOn(w *worker) []victim {
+	var list []victim
+	for _, m := range w.members {
 		v := m.group
-		if v.job.job.Terms.Priority <= g.job.job.Terms.Priority || v.ending || v.done || m.phase == memberStopping {
+		if v.job.job.Terms.Priority <= l.group.job.job.Terms.Priority || v.ending || v.done || m.phase == memberStopping {
 			continue
 		}
-		if !slices.Contains(list, v) && !slices.Contains(chosen, v) && p.mayStop(v, g, slices.Concat(chosen, list)) {
-			list = append(list, v)
+		i := slices.IndexFunc(list, func(other victim) bool { return other.group == v })
+		if i < 0 {
+			if slices.Contains(l.chosen.victims, v) || !l.mayStop(v, list) {
+				continue
+			}
+			i = len(list)
+			list = append(list, victim{group: v})
 		}
+		list[i].takes = list[i].takes.Add(v.takes)
 	}
-	value := func(v *group) float64 { return v.unsaved(p.now) / (v.takes(w).Cores() + 1) }
-	slices.SortFunc(list, func(a, b *group) int {
+	for i, v := range list {
+		list[i].value = v.group.unsaved(l.pass.now) / (v.takes.Cores() + 1)
+	}
+	slices.SortFunc(list, func(a, b victim) int {
 		return cmp.Or(
-			cmp.Compare(value(a), value(b)),
-			strings.Compare(string(a.job.job.ID), string(b.job.job.ID)),
-			cmp.Compare(a.step, b.step),
-			cmp.Compare(a.first, b.first),
+			cmp.Compare(a.value, b.value),
+			strings.Compare(string(a.group.job.job.ID), string(b.group.job.job.ID)),
+			cmp.Compare(a.group.step, b.group.step),
+			cmp.Compare(a.group.first, b.group.first),
 		)
 	})
 	return list
 }
 
-// takes is the room that a group takes on a worker.
-func (g *group) takes(w *worker) job.Shape {
-	shape := job.Shape{}
-	for _, m := range g.members {
-		if m.worker == w && m.phase != memberGone {
-			shape = shape.Add(g.spec().Takes())
-		}
+// mayStop says whether a group may be stopped beside those that were chosen.
+func (l *planner) mayStop(v *group, beside []victim) bool {
+	if !v.spec().LongRunning {
+		return true
+	}
+	chosen := slices.Clone(l.chosen.victims)
+	for _, other := range beside {
+		chosen = append(chosen, other.group)
 	}
-	return shape
+	return l.pass.mayStop(v, l.group, chosen)
 }
 
 // stop stops groups and promises the room to another.
-func (p *pass) stop(g *group, victims []*group) {
+func (p *pass) stop(g *group, d *prospect, victims []*group) {
+	p.stops++
 	for _, v := range victims {
 		if v.ending {
 			continue
 		}
 		for _, m := range v.members {
-			if _, usable := p.free[m.worker]; usable && m.phase != memberGone {
-				p.releasing[m.worker] = p.releasing[m.worker].Add(v.spec().Takes())
+			if p.usable(m.worker) && m.phase != memberGone {
+				p.releasing[m.worker.slot] = p.releasing[m.worker.slot].Add(v.takes)
 			}
 		}
 		p.core.tell(Event{
@@ -184,7 +266,7 @@
 		})
 		p.core.abort(p.now, v)
 	}
-	if places := p.fit(g, p.withReleasing(nil)); places != nil {
+	if places := p.fit(g, d, p.withReleasing()); places != nil {
 		p.promise(g, places)
 	}
 }
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
-	"time"
 
 	"hollyfork.example/hollyfork/job"
 )
@@ -18,9 +16,12 @@
 }
 
 // fit returns a worker for each task of a group, or nil when room does not hold it.
-func (p *pass) fit(g *group, room map[*worker]job.Shape) []*worker {
-	slots := p.slots(g, room)
-	if p.core.wantsOneRack(g) {
+func (p *pass) fit(g *group, d *prospect, free room) []*worker {
+	slots, total := p.slots(g, free)
+	if total < g.size {
+		return nil
+	}
+	if d.oneRack {
 		return p.fitRack(g, slots)
 	}
 	return fill(g, slots)
@@ -28,9 +29,10 @@
 
 // fitRack places a group in the rack that it leaves the least room in.
 func (p *pass) fitRack(g *group, slots []slot) []*worker {
-	racks := map[string][]slot{}
+	racks := make([][]slot, len(p.racks))
 	for _, s := range slots {
-		racks[s.worker.rack] = append(racks[s.worker.rack], s)
+		number := p.rackOf[s.worker.slot]
+		racks[number] = append(racks[number], s)
 	}
 	var best []slot
 	bestLeft := 0
@@ -59,7 +61,7 @@
 		return cmp.Or(
 			cmp.Compare(a.left.Accelerators, b.left.Accelerators),
 			cmp.Compare(a.left.CPUMillis, b.left.CPUMillis),
-			strings.Compare(a.worker.agent, b.worker.agent),
+			cmp.Compare(a.worker.slot, b.worker.slot),
 		)
 	})
 	places := make([]*worker, 0, g.size)
@@ -67,32 +69,36 @@
 		for i := 0; i < s.count && len(places) < g.size; i++ {
 			places = append(places, s.worker)
 		}
+		if len(places) == g.size {
+			return places
+		}
 	}
-	if len(places) < g.size {
-		return nil
-	}
-	return places
+	return nil
 }
 
-// slots returns the workers that could take any of a group's tasks.
-func (p *pass) slots(g *group, room map[*worker]job.Shape) []slot {
-	shape := g.spec().Takes()
-	var slots []slot
-	for _, w := range p.workers {
-		if count := p.count(g, w, room[w]); count > 0 {
-			slots = append(slots, slot{worker: w, count: count, left: room[w].Sub(shape.Times(count))})
+// slots returns the workers that could take any of a group's tasks, and how many tasks they
+// could take together.
+func (p *pass) slots(g *group, free room) ([]slot, int) {
+	shape := g.takes
+	slots := p.scratch[:0]
+	total := 0
+	for i, w := range p.workers {
+		if count := p.count(g, w, free[i]); count > 0 {
+			slots = append(slots, slot{worker: w, count: count, left: free[i].Sub(shape.Times(count))})
+			total += count
 		}
 	}
-	return slots
+	p.scratch = slots
+	return slots, total
 }
 
 // count is the number of a group's tasks that a worker with some room could take.
-func (p *pass) count(g *group, w *worker, room job.Shape) int {
-	if !p.core.suits(p.now, g, w) {
+func (p *pass) count(g *group, w *worker, free job.Shape) int {
+	step := g.spec()
+	count := min(free.Holds(g.takes), g.size)
+	if count == 0 || !p.suits(g, w) {
 		return 0
 	}
-	step := g.spec()
-	count := min(room.Holds(step.Takes()), g.size)
 	if step.MaxPerWorker > 0 {
 		count = min(count, step.MaxPerWorker-w.tasksOf(g.round, g.step))
 	}
@@ -105,7 +111,7 @@
 // tasksOf counts the tasks of a round's step that are placed on the worker.
 func (w *worker) tasksOf(r *round, step int) int {
 	count := 0
-	for m := range w.members {
+	for _, m := range w.members {
 		if m.group.round == r && m.group.step == step {
 			count++
 		}
@@ -114,24 +120,24 @@
 }
 
 // suits says whether a group may run on a worker at all.
-func (c *Core) suits(now time.Time, g *group, w *worker) bool {
+func (p *pass) suits(g *group, w *worker) bool {
 	step := g.spec()
 	switch {
 	case !w.has(step.Label):
 		return false
-	case step.DataRack != "" && w.rack != step.DataRack && c.rackExists(step.DataRack):
+	case step.DataRack != "" && w.rack != step.DataRack && p.core.rackExists(step.DataRack):
 		return false
-	case g.job.job.Terms.Advised && !g.round.ticket(g.step, w.instance).good(now):
+	case g.job.job.Terms.Advised && !g.round.ticket(g.step, w.instance).good(p.now):
 		return false
 	case w.disturbs(step):
 		return false
-	case now.Before(g.avoided[w]):
+	case p.now.Before(g.avoided[w]):
 		return false
-	case g.failedOn[w.agent] > 0 && c.othersThan(g):
+	case g.failedOn[w.agent] > 0 && p.core.othersThan(g):
 		return false
 	case w.health.probing && (g.size > 1 || g.failures > 0):
 		return false
-	case g.failures > 0 && g.failures == g.job.job.Terms.Attempts-1 && !w.health.proven && c.anyProven(now):
+	case g.failures > 0 && g.failures == g.job.job.Terms.Attempts-1 && !w.health.proven && p.anyProven:
 		return false
 	}
 	return true
@@ -152,29 +158,16 @@
 	return len(g.failedOn) < len(c.workers)/2
 }
 
-func (c *Core) anyProven(now time.Time) bool {
-	for _, w := range c.workers {
-		if w.health.proven && w.usable(now, c.settings) {
-			return true
-		}
-	}
-	return false
-}
-
-// wantsOneRack says whether a group is to be kept in one rack: it asks for it, and a rack
-// is large enough.
-func (c *Core) wantsOneRack(g *group) bool {
-	step := g.spec()
-	if !step.SameRack || g.size == 1 {
-		return false
-	}
+// anyRackHolds says whether the workers of a rack could take a number of tasks if all of their
+// room were free.
+func (c *Core) anyRackHolds(shape job.Shape, tasks int) bool {
 	racks := map[string]int{}
 	for _, w := range c.workers {
 		if w.instance == "" {
 			continue
 		}
-		racks[w.rack] += w.capacity.Holds(step.Takes())
-		if racks[w.rack] >= g.size {
+		racks[w.rack] += w.capacity.Holds(shape)
+		if racks[w.rack] >= tasks {
 			return true
 		}
 	}
--- a/pool/group.go
+++ b/pool/group.go
@@ -32,6 +32,8 @@
 		// first is the index of its first task in the step.
 		first int
 		size  int
+		// takes is what one of its tasks takes of its worker's room.
+		takes job.Shape
 
 		done      bool
 		doneAt    time.Time
@@ -85,8 +87,8 @@
 	}
 )
 
-func (g *group) spec() job.Step {
-	return g.job.job.Steps[g.step]
+func (g *group) spec() *job.Step {
+	return &g.job.job.Steps[g.step]
 }
 
 func (g *group) task(index int) job.TaskID {
@@ -157,7 +159,7 @@
 		return
 	}
 	m.phase = memberGone
-	delete(m.worker.members, m)
+	m.worker.removeMember(m)
 	c.retain(now, m)
 	c.roomChanged = true
 	g := m.group
--- a/pool/hold.go
+++ b/pool/hold.go
@@ -3,16 +3,14 @@
 import (
 	"slices"
 	"time"
-
-	"hollyfork.example/hollyfork/job"
 )
 
 const (
 	// minHeld is the part of a worker from which on a task is hard to place when others
 	// take what becomes free bit by bit.
 	minHeld = 0.5
-	// maxHolds is the most groups that room is held for at a time: on the users' grown
-	// deployments several wait at once.
+	// maxHolds is the most groups that room is held for at a time: on pools of 54 to 68 workers
+	// in which nine tenths of the accelerators are asked for, several wait at once.
 	maxHolds = 4
 	// backfillMargin is how much longer than its caller's guess a task may take that is put
 	// into held room.
@@ -21,61 +19,108 @@
 
 // hold keeps the room for a large group in which it will fit first, so that smaller ones
 // do not take it bit by bit. Room is held for a few groups at a time.
-func (p *pass) hold(g *group) {
-	if p.holds >= maxHolds || !p.large(g) {
+func (p *pass) hold(g *group, d *prospect, plain bool) {
+	if p.holds >= maxHolds || !p.large(g) || plain && d.unholdable {
 		return
 	}
-	room := p.withReleasing(nil)
-	for w, held := range p.held {
-		room[w] = room[w].Sub(held)
+	later := p.withReleasing()
+	for i, held := range p.held {
+		later[i] = later[i].Sub(held)
 	}
-	ends := p.ends()
-	// Room only grows with time, so the first moment at which the group fits can be found by
-	// halving.
-	first, found := slices.BinarySearchFunc(ends, true, func(e expectedEnd, _ bool) int {
-		if p.fit(g, p.roomAt(room, ends, e.at)) != nil {
-			return 0
-		}
-		return -1
-	})
+	at, found := p.firstFit(g, d, later)
 	if !found {
+		d.unholdable = d.unholdable || plain
 		return
 	}
 	p.holds++
-	at := ends[first].at
 	if p.holds == 1 || at.Before(p.heldUntil) {
 		p.heldUntil = at
 	}
-	for _, w := range p.fit(g, p.roomAt(room, ends, at)) {
-		p.held[w] = p.held[w].Add(g.spec().Takes())
+	for _, w := range p.fit(g, d, later) {
+		p.held[w.slot] = p.held[w.slot].Add(g.takes)
 	}
 }
 
-// large says whether a group is hard to place.
-func (p *pass) large(g *group) bool {
-	for _, w := range p.workers {
-		if float64(w.capacity.Accelerators)*minHeld <= float64(g.spec().Shape.Accelerators*g.size) {
-			return true
+// firstFit finds the first time at which a group fits as the runs under way end, and adds the
+// room of those that end until then.
+func (p *pass) firstFit(g *group, d *prospect, later room) (time.Time, bool) {
+	count := p.newCounter(g, d, later)
+	ends := p.expectedEnds()
+	for i, e := range ends {
+		for _, m := range e.group.members {
+			if p.usable(m.worker) && m.phase != memberGone && m.phase != memberStopping {
+				later[m.worker.slot] = later[m.worker.slot].Add(e.group.takes)
+				count.update(m.worker)
+			}
+		}
+		last := i+1 == len(ends) || ends[i+1].at.After(e.at)
+		if last && count.fits() {
+			return e.at, true
 		}
 	}
-	return false
+	return time.Time{}, false
+}
+
+// counter keeps the number of a group's tasks that some room could take, in all or by rack.
+type counter struct {
+	pass    *pass
+	group   *group
+	free    room
+	byRack  bool
+	counts  []int
+	sums    []int
+	largest int
+}
+
+func (p *pass) newCounter(g *group, d *prospect, free room) *counter {
+	c := &counter{pass: p, group: g, free: free, byRack: d.oneRack, counts: make([]int, len(p.workers))}
+	c.sums = make([]int, 1)
+	if c.byRack {
+		c.sums = make([]int, len(p.racks))
+	}
+	for _, w := range p.workers {
+		c.update(w)
+	}
+	return c
+}
+
+// update counts a worker anew whose room has grown.
+func (c *counter) update(w *worker) {
+	sum := 0
+	if c.byRack {
+		sum = c.pass.rackOf[w.slot]
+	}
+	next := c.pass.count(c.group, w, c.free[w.slot])
+	c.sums[sum] += next - c.counts[w.slot]
+	c.counts[w.slot] = next
+	c.largest = max(c.largest, c.sums[sum])
+}
+
+// fits says whether the group finds room.
+func (c *counter) fits() bool {
+	return c.largest >= c.group.size
+}
+
+// large says whether a group is hard to place.
+func (p *pass) large(g *group) bool {
+	return float64(p.smallest)*minHeld <= float64(g.spec().Shape.Accelerators*g.size)
 }
 
 // unheld is the free room that a group may take: held room only if the group will have
 // ended before it is needed.
-func (p *pass) unheld(g *group) map[*worker]job.Shape {
-	if len(p.held) == 0 {
+func (p *pass) unheld(d *prospect) room {
+	if p.holds == 0 {
 		return p.free
 	}
-	length := time.Duration(backfillMargin * float64(g.spec().Estimate))
+	length := time.Duration(backfillMargin * float64(d.estimate))
 	if p.now.Add(length).Before(p.heldUntil) {
 		return p.free
 	}
-	room := make(map[*worker]job.Shape, len(p.free))
-	for w, free := range p.free {
-		room[w] = free.Sub(p.held[w])
+	unheld := make(room, len(p.free))
+	for i, free := range p.free {
+		unheld[i] = free.Sub(p.held[i])
 	}
-	return room
+	return unheld
 }
 
 // expectedEnd is when a group's run should end.
@@ -84,18 +129,35 @@
 	at    time.Time
 }
 
-// ends returns when the runs under way should end, the soonest first.
-func (p *pass) ends() []expectedEnd {
-	var list []expectedEnd
+// expectedEnds returns when the runs under way should end, the soonest first.
+func (p *pass) expectedEnds() []expectedEnd {
+	if p.endsKnown {
+		return p.ends
+	}
 	for _, j := range p.core.live {
 		for _, g := range j.groups {
 			if g.placed() && !g.ending {
-				list = append(list, expectedEnd{group: g, at: g.expectedEnd(p.now)})
+				p.ends = append(p.ends, expectedEnd{group: g, at: g.expectedEnd(p.now)})
 			}
 		}
 	}
-	slices.SortFunc(list, func(a, b expectedEnd) int { return a.at.Compare(b.at) })
-	return list
+	slices.SortFunc(p.ends, byEnd)
+	p.endsKnown = true
+	return p.ends
+}
+
+// expect adds the end of a run that this pass has placed to those that are known.
+func (p *pass) expect(g *group) {
+	if !p.endsKnown {
+		return
+	}
+	e := expectedEnd{group: g, at: g.expectedEnd(p.now)}
+	i, _ := slices.BinarySearchFunc(p.ends, e, byEnd)
+	p.ends = slices.Insert(p.ends, i, e)
+}
+
+func byEnd(a, b expectedEnd) int {
+	return a.at.Compare(b.at)
 }
 
 // expectedEnd is when the group's present run should end, by its progress.
@@ -110,22 +172,3 @@
 	}
 	return now.Add(max(g.spec().Estimate-ran, 0))
 }
-
-// roomAt adds the room of all runs that should have ended at a time.
-func (p *pass) roomAt(room map[*worker]job.Shape, ends []expectedEnd, at time.Time) map[*worker]job.Shape {
-	later := make(map[*worker]job.Shape, len(room))
-	for w, shape := range room {
-		later[w] = shape
-	}
-	for _, e := range ends {
-		if e.at.After(at) {
-			break
-		}
-		for _, m := range e.group.members {
-			if _, usable := later[m.worker]; usable && m.phase != memberGone && m.phase != memberStopping {
-				later[m.worker] = later[m.worker].Add(e.group.spec().Takes())
-			}
-		}
-	}
-	return later
-}
--- a/pool/lasting.go
+++ b/pool/lasting.go
@@ -8,11 +8,11 @@
 
 // disturbs says whether a task of a step would slow a task with a target down on the worker,
 // or be one that is slowed down. How much is not known, so the two never share a worker.
-func (w *worker) disturbs(step job.Step) bool {
+func (w *worker) disturbs(step *job.Step) bool {
 	if !step.Filler && step.Target == 0 {
 		return false
 	}
-	for m := range w.members {
+	for _, m := range w.members {
 		other := m.group.spec()
 		if step.Filler && other.Target > 0 || step.Target > 0 && other.Filler {
 			return true
--- a/pool/order.go
+++ b/pool/order.go
@@ -19,7 +19,7 @@
 			continue
 		}
 		orders := Orders{Agent: w.agent, Instance: w.instance, Grant: w.grant}
-		for m := range w.members {
+		for _, m := range w.members {
 			c.orderMember(now, m, &orders)
 		}
 		c.orderStrays(now, w, &orders)
--- /dev/null
+++ b/pool/pass.go
@@ -0,0 +1,216 @@
+package pool
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"hollyfork.example/hollyfork/job"
+)
+
+type (
+	// room is some room on each of a pass's workers, by their slots.
+	room []job.Shape
+
+	// pass is one round of placing. It works on a copy of what is free.
+	pass struct {
+		core *Core
+		now  time.Time
+		// workers are those that may be given work, by name. A worker's slot is its place here.
+		workers []*worker
+		// racks number the racks, and rackOf says by slot which a worker stands in.
+		racks  map[string]int
+		rackOf []int
+		// free is the room that this pass may still give away, releasing what is about to
+		// become free, and held what is kept for groups that wait, until about heldUntil.
+		free      room
+		releasing room
+		held      room
+		heldUntil time.Time
+		// holds counts the groups that room is held for.
+		holds int
+		// keeping are the workers with room that is kept for urgent work.
+		keeping []*worker
+		// smallest is the fewest accelerators that a worker has.
+		smallest int
+		// anyProven says that a worker can be given work that has done some well.
+		anyProven bool
+		// urgentNeed is what the jobs of priority 0 that have not ended still need, in
+		// accelerators by workspace.
+		urgentNeed map[string]int
+		// ends are when the runs under way should end, once that is known.
+		ends      []expectedEnd
+		endsKnown bool
+		// prospects are by demand; stops counts those that were displaced for others.
+		prospects map[demand]*prospect
+		stops     int
+		// scratch is what the last search of room found, kept for its memory.
+		scratch []slot
+	}
+
+	// demand is what decides where a group without a history of its own fits.
+	demand struct {
+		shape      job.Shape
+		size       int
+		priority   int
+		guaranteed bool
+		estimate   time.Duration
+		label      string
+		dataRack   string
+		sameRack   bool
+		filler     bool
+		target     bool
+		// round and step are those of groups for which more than room counts: how many others
+		// of the step a worker has, or what a policy says of it.
+		round *round
+		step  int
+	}
+
+	// prospect is what a pass has found out about a demand. Within a pass free room only
+	// shrinks, so what did not fit once does not fit later: of 400 groups that wait on 240
+	// workers a dozen are different, and the others cost next to nothing.
+	prospect struct {
+		demand
+		// full says that there is no free room, unholdable that no time is known at which there
+		// would be.
+		full       bool
+		unholdable bool
+		// stuck says that there was nothing to stop either, after a number of stops: others
+		// since then may have made room.
+		stuck      bool
+		stuckAfter int
+		// oneRack says whether groups of the demand are kept in one rack.
+		oneRack bool
+	}
+)
+
+func (c *Core) newPass(now time.Time) *pass {
+	p := &pass{
+		core:       c,
+		now:        now,
+		workers:    make([]*worker, 0, len(c.workers)),
+		racks:      map[string]int{},
+		rackOf:     make([]int, 0, len(c.workers)),
+		free:       make(room, 0, len(c.workers)),
+		releasing:  make(room, 0, len(c.workers)),
+		scratch:    make([]slot, 0, len(c.workers)),
+		prospects:  map[demand]*prospect{},
+		urgentNeed: c.urgentNeed(),
+	}
+	for _, w := range c.inOrder() {
+		w.slot = -1
+		if w.usable(now, c.settings) {
+			p.add(w)
+		}
+	}
+	p.held = make(room, len(p.workers))
+	return p
+}
+
+// add takes a worker into the pass.
+func (p *pass) add(w *worker) {
+	w.slot = len(p.workers)
+	number, known := p.racks[w.rack]
+	if !known {
+		number = len(p.racks)
+		p.racks[w.rack] = number
+	}
+	p.workers = append(p.workers, w)
+	p.rackOf = append(p.rackOf, number)
+	p.free = append(p.free, w.free())
+	p.releasing = append(p.releasing, w.releasing())
+	if len(w.retained) > 0 {
+		p.keeping = append(p.keeping, w)
+	}
+	if p.smallest == 0 || w.capacity.Accelerators < p.smallest {
+		p.smallest = w.capacity.Accelerators
+	}
+	p.anyProven = p.anyProven || w.health.proven
+}
+
+// inOrder returns all workers by name.
+func (c *Core) inOrder() []*worker {
+	if len(c.sorted) != len(c.workers) {
+		c.sorted = c.sorted[:0]
+		for _, w := range c.workers {
+			c.sorted = append(c.sorted, w)
+		}
+		slices.SortFunc(c.sorted, func(a, b *worker) int { return strings.Compare(a.agent, b.agent) })
+	}
+	return c.sorted
+}
+
+// urgentNeed counts what the jobs of priority 0 still need, by workspace.
+func (c *Core) urgentNeed() map[string]int {
+	need := map[string]int{}
+	for _, j := range c.live {
+		if j.job.Terms.Priority != 0 || j.state.ended() {
+			continue
+		}
+		for _, g := range j.groups {
+			if !g.done {
+				need[j.job.Workspace] += g.spec().Shape.Accelerators * g.size
+			}
+		}
+	}
+	return need
+}
+
+// guaranteed says whether all that the job's workspace has of priority 0 is within its
+// guarantee.
+func (p *pass) guaranteed(j *jobState) bool {
+	return j.job.Terms.Priority == 0 && p.urgentNeed[j.job.Workspace] <= p.core.catalog.Guaranteed(j.job.Workspace)
+}
+
+// prospectOf returns what is known of the demand of a group's step.
+func (p *pass) prospectOf(g *group) *prospect {
+	d := p.demandOf(g)
+	known, ok := p.prospects[d]
+	if !ok {
+		known = &prospect{demand: d}
+		known.oneRack = d.sameRack && d.size > 1 && p.core.anyRackHolds(g.takes, d.size)
+		p.prospects[d] = known
+	}
+	return known
+}
+
+// demandOf is the demand of the groups of a step.
+func (p *pass) demandOf(g *group) demand {
+	step := g.spec()
+	d := demand{
+		shape:      step.Shape,
+		size:       g.size,
+		priority:   g.job.job.Terms.Priority,
+		guaranteed: p.guaranteed(g.job),
+		estimate:   step.Estimate,
+		label:      step.Label,
+		dataRack:   step.DataRack,
+		sameRack:   step.SameRack,
+		filler:     step.Filler,
+		target:     step.Target > 0,
+	}
+	if step.MaxPerWorker > 0 || g.job.job.Terms.Advised {
+		d.round, d.step = g.round, g.step
+	}
+	return d
+}
+
+// plain says whether the group's demand alone decides where it may run: it has not failed or
+// been refused anywhere.
+func (g *group) plain() bool {
+	return len(g.failedOn) == 0 && len(g.avoided) == 0
+}
+
+// withReleasing is the free room, with what is about to become free.
+func (p *pass) withReleasing() room {
+	sum := make(room, len(p.free))
+	for i, free := range p.free {
+		sum[i] = free.Add(p.releasing[i])
+	}
+	return sum
+}
+
+// usable says whether a worker takes part in the pass.
+func (p *pass) usable(w *worker) bool {
+	return w.slot >= 0
+}
--- a/pool/report.go
+++ b/pool/report.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 )
 
@@ -47,7 +48,7 @@
 func (c *Core) agentRestarted(now time.Time, w *worker, incarnation string) {
 	w.incarnation = incarnation
 	w.listing = 0
-	for m := range w.members {
+	for _, m := range w.members {
 		m.floorKnown = false
 		m.inFlight = false
 		m.sendAt = now
@@ -60,7 +61,7 @@
 
 // newInstance gives up what ran on the worker's earlier incarnation.
 func (c *Core) newInstance(now time.Time, w *worker, r Report) {
-	for m := range w.members {
+	for _, m := range slices.Clone(w.members) {
 		if m.instance != r.Instance {
 			c.memberLost(now, m, "the worker was restarted")
 		}
@@ -79,7 +80,7 @@
 	for _, run := range r.Running {
 		listed[runKey{run.Task, run.Run}] = run
 	}
-	for m := range w.members {
+	for _, m := range slices.Clone(w.members) {
 		key := runKey{m.task(), m.group.run}
 		run, runs := listed[key]
 		delete(listed, key)
--- a/pool/restore.go
+++ b/pool/restore.go
@@ -114,7 +114,7 @@
 	}
 	g.members = append(g.members, m)
 	g.began = now
-	w.members[m] = struct{}{}
+	w.members = append(w.members, m)
 }
 
 // StateOf reads where a job stands from its row in the state table. A job without one is
--- a/pool/retain.go
+++ b/pool/retain.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -37,16 +36,16 @@
 	}
 }
 
-// lent is the room out of some room that may be given to a group: what is kept for urgent work
-// is left out for others.
-func (p *pass) lent(g *group, room map[*worker]job.Shape) map[*worker]job.Shape {
-	if g.job.job.Terms.Priority == 0 || len(p.keeping) == 0 {
-		return room
+// lent is the room out of some room that may be given to a demand: what is kept for urgent
+// work is left out for others.
+func (p *pass) lent(d *prospect, free room) room {
+	if d.priority == 0 || len(p.keeping) == 0 {
+		return free
 	}
-	lent := maps.Clone(room)
+	lent := slices.Clone(free)
 	for _, w := range p.keeping {
 		for _, r := range w.retained {
-			lent[w] = lent[w].Sub(r.shape)
+			lent[w.slot] = lent[w.slot].Sub(r.shape)
 		}
 	}
 	return lent
--- a/pool/round.go
+++ b/pool/round.go
@@ -89,6 +89,7 @@
 			step:       number,
 			first:      first,
 			size:       size,
+			takes:      step.Takes(),
 			readySince: now,
 			failedOn:   map[string]int{},
 		})
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -31,13 +31,15 @@
 		knownSince time.Time
 		listing    uint64
 
-		members map[*member]struct{}
+		members []*member
 		// strays are runs that belong to no member.
 		strays map[runKey]*stray
 		ends   endList
 		health health
 		// retained is room kept for urgent work, the oldest first.
 		retained []retained
+		// slot is the worker's place in the present pass; below 0 when it has none.
+		slot int
 	}
 
 	runKey struct {
@@ -75,10 +77,10 @@
 			agent:      agent,
 			leaseEnd:   c.settings.leaseEnd(now),
 			knownSince: now,
-			members:    map[*member]struct{}{},
 			strays:     map[runKey]*stray{},
 		}
 		c.workers[agent] = w
+		c.sorted = nil
 	}
 	return w
 }
@@ -91,7 +93,7 @@
 // ForgetAgent drops an agent whose row was deleted.
 func (c *Core) ForgetAgent(agent string) {
 	if w, known := c.workers[agent]; known && len(w.members) == 0 {
-		delete(c.workers, agent)
+		c.dropWorker(w)
 	}
 }
 
@@ -107,7 +109,13 @@
 	}
 	c.tell(Event{Kind: EventForgotten, Worker: w.agent, Detail: "silent for " + now.Sub(last).Round(time.Second).String()})
 	c.forgotten = append(c.forgotten, w.agent)
+	c.dropWorker(w)
+}
+
+// dropWorker forgets a worker.
+func (c *Core) dropWorker(w *worker) {
 	delete(c.workers, w.agent)
+	c.sorted = nil
 }
 
 // Heard notes that an agent answered, with a reading of its clock.
@@ -135,8 +143,8 @@
 // free is the room that is neither taken nor promised.
 func (w *worker) free() job.Shape {
 	room := w.capacity
-	for m := range w.members {
-		room = room.Sub(m.group.spec().Takes())
+	for _, m := range w.members {
+		room = room.Sub(m.group.takes)
 	}
 	for _, s := range w.strays {
 		room = room.Sub(s.shape)
@@ -147,9 +155,9 @@
 // releasing is the room of tasks that are about to end.
 func (w *worker) releasing() job.Shape {
 	room := job.Shape{}
-	for m := range w.members {
+	for _, m := range w.members {
 		if m.phase == memberStopping || m.group.ending {
-			room = room.Add(m.group.spec().Takes())
+			room = room.Add(m.group.takes)
 		}
 	}
 	for _, s := range w.strays {
@@ -158,6 +166,13 @@
 	return room
 }
 
+// removeMember takes a member off the worker.
+func (w *worker) removeMember(m *member) {
+	if i := slices.Index(w.members, m); i >= 0 {
+		w.members = slices.Delete(w.members, i, i+1)
+	}
+}
+
 func (w *worker) has(label string) bool {
 	return label == "" || slices.Contains(w.labels, label)
 }
@@ -178,7 +193,7 @@
 
 // workerLost gives up all that was placed on a worker's present or earlier incarnations.
 func (c *Core) workerLost(now time.Time, w *worker, why string) {
-	for m := range w.members {
+	for _, m := range slices.Clone(w.members) {
 		c.memberLost(now, m, why)
 	}
 	w.strays = map[runKey]*stray{}
