--- a/program/pooltest/pool_test.go
+++ b/program/pooltest/pool_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -374,6 +375,27 @@
 	is.Equal(c.Holder(), holder) // it kept the pool
 }
 
+// All open connections fall silent for good, without a reset, while tasks run and jobs come. No
+// run is lost, and new jobs run.
+func TestConnectionsThatFallSilent(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(t, 2, 2)
+	c.Submit(1, cluster.Tasks(4, "8s"))
+	c.Await(1, "running")
+	for id := 2; id <= 5; id++ {
+		time.Sleep(300 * time.Millisecond)
+		for _, p := range slices.Concat(c.Gateways, c.Sidecars) {
+			for _, link := range p.Links {
+				link.Silence()
+			}
+		}
+		time.Sleep(2 * time.Second)
+		c.Submit(id, cluster.Tasks(1, "100ms"))
+	}
+	c.AwaitAll(5)
+	is.Equal(c.Runs.StartCount(), 8)
+}
+
 func TestLostAndLateAnswersOfTheStore(t *testing.T) {
 	is := is.New(t)
 	c := cluster.New(t, 2, 2)
--- a/program/sidecard/main.go
+++ b/program/sidecard/main.go
@@ -39,6 +39,9 @@
 	// maxHolders bounds the connections of holders: one holds the pool, and others may
 	// still believe so.
 	maxHolders = 8
+	// silentHolder is how long a holder's connection may bring nothing: a holder renews the
+	// agent's lease each 0.5 s, and gives a renewal up after 1.3 s.
+	silentHolder = 5 * time.Second
 )
 
 // options are the settings of the process.
@@ -80,7 +83,7 @@
 	signal.Ignore(syscall.SIGHUP)
 	set := metrics.NewSet()
 	agent := sidecar.New(time.Now(), adapter.NewWorker(*o.worker), set, logger)
-	server := rpc.NewServer(maxHolders, nil)
+	server := rpc.NewServer(maxHolders, nil).CloseIdle(silentHolder)
 	if err := server.Register(holder.ServiceName, agent.Service()); err != nil {
 		return err
 	}
--- a/rpc/codec.go
+++ b/rpc/codec.go
@@ -106,10 +106,13 @@
 	*stream
 	slots chan struct{}
 	once  *sync.Once
+	// await is called before each request is waited for.
+	await func()
 }
 
-func newServerCodec(conn net.Conn, traffic *Traffic) serverCodec {
+func newServerCodec(conn net.Conn, traffic *Traffic, await func()) serverCodec {
 	return serverCodec{
+		await:  await,
 		stream: newStream(conn, traffic),
 		slots:  make(chan struct{}, MaxRequestsPerConnection),
 		once:   &sync.Once{},
@@ -117,6 +120,7 @@
 }
 
 func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	c.await()
 	header := &wire.RequestHeader{}
 	if err := c.read(header); err != nil {
 		return err
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -102,3 +102,42 @@
 	is.True(errors.As(err, &failure))
 	is.Equal(failure.Kind, rpc.KindUnreachable)
 }
+
+// Connections that had fallen silent kept all places of a server.
+func TestSilentConnectionsAreClosed(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := rpc.NewServer(1, nil).CloseIdle(100 * time.Millisecond)
+	is.NoErr(server.Register("Echo", &echo{}))
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	silent, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	time.Sleep(20 * time.Millisecond) // it has the only place
+	client := rpc.NewClient(listener.Addr().String(), nil)
+	defer func() { _ = client.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	got, err := get(ctx, client, "a")
+	is.NoErr(err)
+	is.Equal(got, "a")
+}
+
+// A server that stops does not wait longer for requests of idle connections.
+func TestShutdownEndsIdleConnections(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := rpc.NewServer(0, nil).CloseIdle(time.Hour)
+	is.NoErr(server.Register("Echo", &echo{}))
+	go func() { _ = server.Serve(listener) }()
+	client := rpc.NewClient(listener.Addr().String(), nil)
+	defer func() { _ = client.Close() }()
+	_, err = get(context.Background(), client, "a")
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	is.NoErr(server.Shutdown(ctx))
+}
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -21,6 +21,9 @@
 	traffic *Traffic
 	slots   chan struct{}
 
+	// idle is how long a connection may bring no request; 0 for any time.
+	idle time.Duration
+
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]struct{}
@@ -44,6 +47,15 @@
 	}
 }
 
+// CloseIdle has connections closed that bring no request for a time, and returns the server. A
+// connection may fall silent for good without a reset, and each keeps one of a server's few
+// places: the ninth holder that met an agent with eight of them would never have reached it.
+// It must come before Serve.
+func (s *Server) CloseIdle(after time.Duration) *Server {
+	s.idle = after
+	return s
+}
+
 // Register publishes the methods of service under name. It must come before Serve.
 func (s *Server) Register(name string, service any) error {
 	if err := s.rpc.RegisterName(name, service); err != nil {
@@ -81,7 +93,7 @@
 		_ = conn.Close()
 		return
 	}
-	s.rpc.ServeCodec(newServerCodec(conn, s.traffic))
+	s.rpc.ServeCodec(newServerCodec(conn, s.traffic, func() { s.awaitRequest(conn) }))
 	s.mu.Lock()
 	delete(s.conns, conn)
 	s.mu.Unlock()
@@ -97,13 +109,22 @@
 	return true
 }
 
+// awaitRequest bounds the wait for a connection's next request, unless the server stops.
+func (s *Server) awaitRequest(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.idle > 0 && !s.closed {
+		_ = conn.SetReadDeadline(time.Now().Add(s.idle)) // fails on a closed connection alone
+	}
+}
+
 func (s *Server) isClosed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.closed
 }
 
-func (s *Server) idle() bool {
+func (s *Server) unused() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.conns) == 0
@@ -116,7 +137,7 @@
 	s.stopReading()
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	for !s.idle() {
+	for !s.unused() {
 		select {
 		case <-ctx.Done():
 			_ = s.Close()
