Failures of one job count against a worker once others of its step are done

Cause: failures of the same job in a row do not count against a worker, since the job may be at fault.

Change: such a failure counts when another task of the step has been done.

--- a/pool/group.go
+++ b/pool/group.go
@@ -221,6 +221,6 @@
 	}
 	g.failedOn[w.agent]++
 	c.markDirty(g.job)
-	c.noteFailure(now, w, g.job.job.ID)
+	c.noteFailure(now, w, g)
 	c.checkJob(now, g.job)
 }
--- a/pool/health.go
+++ b/pool/health.go
@@ -9,7 +9,7 @@
 
 // health is what a worker's results say of it.
 type health struct {
-	// streak counts different jobs that failed in a row.
+	// streak counts failures in a row that are not one job's own fault.
 	streak  int
 	lastJob job.ID
 	// until is how long the worker is set aside.
@@ -34,14 +34,18 @@
 	return false
 }
 
-func (c *Core) noteFailure(now time.Time, w *worker, id job.ID) {
-	if w.health.lastJob != id || w.health.streak == 0 {
+// noteFailure counts a group's failure on a worker. Failures of one job may be the job's own
+// fault, unless others of its step were done: one worker that failed all it started was given
+// 53 tasks of one job in a row.
+func (c *Core) noteFailure(now time.Time, w *worker, g *group) {
+	id := g.job.job.ID
+	if w.health.lastJob != id || w.health.streak == 0 || g.round.anyDone(g.step) {
 		w.health.streak++
 	}
 	w.health.lastJob = id
 	w.health.proven = false
 	if w.health.streak >= c.settings.AsideAfter || w.health.probing {
-		c.setAside(now, w, c.settings.AsideFor, fmt.Sprintf("%d jobs failed in a row", w.health.streak))
+		c.setAside(now, w, c.settings.AsideFor, fmt.Sprintf("%d runs failed in a row", w.health.streak))
 		w.health.probing = true
 	}
 }
--- a/pool/round.go
+++ b/pool/round.go
@@ -132,6 +132,11 @@
 	return true
 }
 
+// anyDone says whether a task of a step is done.
+func (r *round) anyDone(step int) bool {
+	return slices.ContainsFunc(r.byStep[step], func(g *group) bool { return g.done })
+}
+
 // done says whether all tasks are done.
 func (r *round) done() bool {
 	for step := range r.byStep {
