--- a/holder/translate.go
+++ b/holder/translate.go
@@ -44,11 +44,10 @@
 			MemoryMB:     int(w.GetMemoryMb()),
 			Accelerators: int(w.GetAccelerators()),
 		},
-		Labels:    w.GetLabels(),
-		Rack:      w.GetRack(),
-		Remaining: time.Duration(w.GetRemainingMs()) * time.Millisecond,
-		Listing:   w.GetListing(),
-		Lapsed:    w.GetLapsed(),
+		Labels:  w.GetLabels(),
+		Rack:    w.GetRack(),
+		Listing: w.GetListing(),
+		Lapsed:  w.GetLapsed(),
 	}
 	for _, r := range w.GetRunning() {
 		if task, ok := job.ParseTaskID(r.GetTask()); ok {
--- a/pool/message.go
+++ b/pool/message.go
@@ -84,8 +84,6 @@
 		Capacity job.Shape
 		Labels   []string
 		Rack     string
-		// Remaining is the least time that a draining worker stays; 0 when not known.
-		Remaining time.Duration
 		// Listing counts the agent's looks at its worker; 0 before the first.
 		Listing uint64
 		Running []Running
--- a/pool/report.go
+++ b/pool/report.go
@@ -28,10 +28,6 @@
 	w.labels = r.Labels
 	w.rack = r.Rack
 	w.draining = r.Draining
-	w.leavesAt = time.Time{}
-	if r.Draining && r.Remaining > 0 {
-		w.leavesAt = now.Add(r.Remaining)
-	}
 	if r.Lapsed {
 		c.workerLost(now, w, "the worker has ended, or its lease has lapsed unheard")
 		return
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -18,8 +18,6 @@
 		labels   []string
 		rack     string
 		draining bool
-		// leavesAt is when a draining worker may be gone; the zero time when not known.
-		leavesAt time.Time
 
 		// heard is when the agent answered last; leaseEnd when all that the worker runs
 		// has lapsed if it does not answer again.
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -149,7 +149,7 @@
 		a.logger.Info().Str("instance", beat.Instance).Bool("draining", beat.Draining).Dur("remaining", beat.Remaining).Str("rack", beat.Rack).Msg("agent: the worker's state changed")
 		a.announce()
 		a.prompt()
-	case BeatClaim:
+	case BeatUnverified:
 		a.logger.Info().Str("instance", beat.Instance).Bool("draining", beat.Draining).Str("rack", beat.Rack).Msg("agent: a heartbeat names another incarnation, which is asked")
 		a.interrupt()
 		a.prompt()
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -33,8 +33,8 @@
 	BeatKnown BeatEffect = iota
 	// BeatNews tells something that the holder is to know.
 	BeatNews
-	// BeatClaim names an incarnation that is to be asked whether it is the living one.
-	BeatClaim
+	// BeatUnverified names an incarnation that is to be asked whether it is the living one.
+	BeatUnverified
 	// BeatOld is of an earlier incarnation, or older than another of the same.
 	BeatOld
 )
@@ -54,10 +54,10 @@
 
 	// beat is of the incarnation that has answered to its name.
 	beat Heartbeat
-	// claim is of another incarnation that a heartbeat names, and that is still to be asked;
-	// claimAsked says that the last question went to it.
-	claim      Heartbeat
-	claimAsked bool
+	// unverified is of another incarnation that a heartbeat names and that is still to be asked;
+	// unverifiedAsked says that the last question went to it.
+	unverified      Heartbeat
+	unverifiedAsked bool
 	// former are the worker's earlier incarnations.
 	former map[string]bool
 	// gone says that the worker has ended, or has not answered until its lease ended.
@@ -97,7 +97,7 @@
 	case c.former[beat.Instance]:
 		return BeatOld
 	case beat.Instance != c.beat.Instance:
-		return c.noteClaim(beat)
+		return c.noteUnverified(beat)
 	case beat.Sequence <= c.beat.Sequence:
 		return BeatOld
 	}
@@ -110,32 +110,32 @@
 	return BeatNews
 }
 
-// noteClaim keeps a heartbeat of an incarnation that has not answered yet.
-func (c *Core) noteClaim(beat Heartbeat) BeatEffect {
-	if beat.Instance != c.claim.Instance {
-		c.claim = beat
-		c.claimAsked = false
-		return BeatClaim
+// noteUnverified keeps a heartbeat of an incarnation that has not answered yet.
+func (c *Core) noteUnverified(beat Heartbeat) BeatEffect {
+	if beat.Instance != c.unverified.Instance {
+		c.unverified = beat
+		c.unverifiedAsked = false
+		return BeatUnverified
 	}
-	if beat.Sequence > c.claim.Sequence {
-		c.claim = beat
+	if beat.Sequence > c.unverified.Sequence {
+		c.unverified = beat
 	}
 	return BeatKnown
 }
 
-// dropClaim notes that the incarnation of the claim is of the past.
-func (c *Core) dropClaim() {
-	c.former[c.claim.Instance] = true
-	c.claim = Heartbeat{}
+// dropUnverified notes that the incarnation to be asked is of the past.
+func (c *Core) dropUnverified() {
+	c.former[c.unverified.Instance] = true
+	c.unverified = Heartbeat{}
 }
 
-// adoptClaim notes that the worker is another incarnation, on which nothing runs.
-func (c *Core) adoptClaim() {
+// adoptUnverified notes that the worker is another incarnation, on which nothing runs.
+func (c *Core) adoptUnverified() {
 	if c.beat.Instance != "" {
 		c.former[c.beat.Instance] = true
 	}
-	c.beat = c.claim
-	c.claim = Heartbeat{}
+	c.beat = c.unverified
+	c.unverified = Heartbeat{}
 	c.gone = false
 	c.silent = false
 	c.refusals = 0
@@ -151,8 +151,8 @@
 	switch instance {
 	case c.beat.Instance:
 		c.end()
-	case c.claim.Instance:
-		c.dropClaim()
+	case c.unverified.Instance:
+		c.dropUnverified()
 	}
 }
 
@@ -230,13 +230,13 @@
 // NextHold returns the next question to the worker, with its number; ok is false while
 // there is no worker or no holder.
 func (c *Core) NextHold(now time.Time) (h Hold, number uint64, ok bool) {
-	if c.beat.Instance == "" && c.claim.Instance == "" || c.epoch == 0 {
+	if c.beat.Instance == "" && c.unverified.Instance == "" || c.epoch == 0 {
 		return Hold{}, 0, false
 	}
 	c.asked++
-	c.claimAsked = c.claim.Instance != "" && (!c.claimAsked || c.beat.Instance == "")
-	if c.claimAsked {
-		return Hold{Instance: c.claim.Instance, Epoch: c.epoch}, c.asked, true
+	c.unverifiedAsked = c.unverified.Instance != "" && (!c.unverifiedAsked || c.beat.Instance == "")
+	if c.unverifiedAsked {
+		return Hold{Instance: c.unverified.Instance, Epoch: c.epoch}, c.asked, true
 	}
 	h = Hold{
 		Instance:  c.beat.Instance,
@@ -271,8 +271,8 @@
 
 // Listed takes over a worker's answer. It says whether there is news in it.
 func (c *Core) Listed(now time.Time, instance string, number uint64, listing Listing) bool {
-	if instance != "" && instance == c.claim.Instance {
-		c.adoptClaim()
+	if instance != "" && instance == c.unverified.Instance {
+		c.adoptUnverified()
 	}
 	if instance != c.beat.Instance || number <= c.listed {
 		return false
@@ -316,8 +316,8 @@
 
 // HoldFailed notes that the worker did not answer. It says whether that is news.
 func (c *Core) HoldFailed(now time.Time, instance string, kind Kind) bool {
-	if instance == c.claim.Instance && kind == KindOtherInstance {
-		c.dropClaim()
+	if instance == c.unverified.Instance && kind == KindOtherInstance {
+		c.dropUnverified()
 	}
 	if instance != c.beat.Instance {
 		return false
--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -90,7 +90,7 @@
 	is := is.New(t)
 	c := newTestCore()
 	list(c, 0, Listing{Clock: time.Second})
-	is.Equal(c.Heartbeat(Heartbeat{Instance: "second", Sequence: 1}), BeatClaim)
+	is.Equal(c.Heartbeat(Heartbeat{Instance: "second", Sequence: 1}), BeatUnverified)
 	list(c, 0, Listing{Clock: time.Second})
 	is.Equal(c.Heartbeat(Heartbeat{Instance: "first", Sequence: 99}), BeatOld)
 	is.Equal(c.worker().GetInstance(), "second")
--- a/sidecar/incarnation_test.go
+++ b/sidecar/incarnation_test.go
@@ -80,9 +80,9 @@
 	is.Equal(c.worker().GetInstance(), "first")
 }
 
-// While a claim can't be checked the worker that is known is still asked, so that its lease
+// While another incarnation can not be asked, the worker that is known is still asked, so that its lease
 // is kept up.
-func TestUncheckedClaimDoesNotKeepTheWorkerFromItsLease(t *testing.T) {
+func TestUnverifiedHeartbeatDoesNotKeepTheWorkerFromItsLease(t *testing.T) {
 	is := is.New(t)
 	c := newTestCore()
 	list(c, 0, Listing{Clock: time.Second})
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -121,8 +121,8 @@
 	switch e {
 	case BeatNews:
 		return "news"
-	case BeatClaim:
-		return "claim"
+	case BeatUnverified:
+		return "unverified"
 	case BeatOld:
 		return "old"
 	default:
