--- a/pool/displace.go
+++ b/pool/displace.go
@@ -76,7 +76,7 @@
 // wants one, else over all workers.
 func (p *pass) bestPlan(g *group, d *prospect) (plan, bool) {
 	if !d.oneRack {
-		return p.newPlanner(g, p.workers).make()
+		return p.newPlanner(g, p.workers).plan()
 	}
 	racks := make([][]*worker, len(p.racks))
 	for i, w := range p.workers {
@@ -85,7 +85,7 @@
 	var best plan
 	found := false
 	for _, workers := range racks {
-		next, ok := p.newPlanner(g, workers).make()
+		next, ok := p.newPlanner(g, workers).plan()
 		if ok && (!found || next.cost < best.cost) {
 			best, found = next, true
 		}
@@ -115,8 +115,8 @@
 	l.places[w.slot] = next
 }
 
-// make takes the cheapest place for one more task until there are enough.
-func (l *planner) make() (plan, bool) {
+// plan takes the cheapest place for one more task until there are enough.
+func (l *planner) plan() (plan, bool) {
 	for l.total < l.group.size {
 		next, ok := l.cheapest()
 		if !ok {
--- /dev/null
+++ b/pool/ends.go
@@ -0,0 +1,56 @@
+package pool
+
+import (
+	"slices"
+	"time"
+)
+
+// expectedEnd is when a group's run should end.
+type expectedEnd struct {
+	group *group
+	at    time.Time
+}
+
+// expectedEnds returns when the runs under way should end, the soonest first.
+func (p *pass) expectedEnds() []expectedEnd {
+	if p.endsKnown {
+		return p.ends
+	}
+	for _, j := range p.core.live {
+		for _, g := range j.groups {
+			if g.placed() && !g.ending {
+				p.ends = append(p.ends, expectedEnd{group: g, at: g.expectedEnd(p.now)})
+			}
+		}
+	}
+	slices.SortFunc(p.ends, byEnd)
+	p.endsKnown = true
+	return p.ends
+}
+
+// expect adds the end of a run that this pass has placed to those that are known.
+func (p *pass) expect(g *group) {
+	if !p.endsKnown {
+		return
+	}
+	e := expectedEnd{group: g, at: g.expectedEnd(p.now)}
+	i, _ := slices.BinarySearchFunc(p.ends, e, byEnd)
+	p.ends = slices.Insert(p.ends, i, e)
+}
+
+func byEnd(a, b expectedEnd) int {
+	return a.at.Compare(b.at)
+}
+
+// expectedEnd is when the group's present run should end, by its progress.
+func (g *group) expectedEnd(now time.Time) time.Time {
+	const hundred = 100
+	if g.began.IsZero() {
+		return now.Add(g.spec().Estimate)
+	}
+	ran := now.Sub(g.began)
+	if g.percent > 0 {
+		return now.Add(ran * time.Duration(hundred-g.percent) / time.Duration(g.percent))
+	}
+	return now.Add(max(g.spec().Estimate-ran, 0))
+}
--- a/pool/hold.go
+++ b/pool/hold.go
@@ -110,46 +110,6 @@
 	return time.Time{}, false
 }
 
-// counter keeps the number of a group's tasks that some room could take, in all or by rack.
-type counter struct {
-	pass    *pass
-	group   *group
-	free    room
-	byRack  bool
-	counts  []int
-	sums    []int
-	largest int
-}
-
-func (p *pass) newCounter(g *group, d *prospect, free room) *counter {
-	c := &counter{pass: p, group: g, free: free, byRack: d.oneRack, counts: make([]int, len(p.workers))}
-	c.sums = make([]int, 1)
-	if c.byRack {
-		c.sums = make([]int, len(p.racks))
-	}
-	for _, w := range p.workers {
-		c.update(w)
-	}
-	return c
-}
-
-// update counts a worker anew whose room has grown.
-func (c *counter) update(w *worker) {
-	sum := 0
-	if c.byRack {
-		sum = c.pass.rackOf[w.slot]
-	}
-	next := c.pass.count(c.group, w, c.free[w.slot])
-	c.sums[sum] += next - c.counts[w.slot]
-	c.counts[w.slot] = next
-	c.largest = max(c.largest, c.sums[sum])
-}
-
-// fits says whether the group finds room.
-func (c *counter) fits() bool {
-	return c.largest >= c.group.size
-}
-
 // large says whether a group is hard to place.
 func (p *pass) large(g *group) bool {
 	return float64(p.smallest)*minHeld <= float64(g.spec().Shape.Accelerators*g.size)
@@ -171,53 +131,3 @@
 	}
 	return unheld
 }
-
-// expectedEnd is when a group's run should end.
-type expectedEnd struct {
-	group *group
-	at    time.Time
-}
-
-// expectedEnds returns when the runs under way should end, the soonest first.
-func (p *pass) expectedEnds() []expectedEnd {
-	if p.endsKnown {
-		return p.ends
-	}
-	for _, j := range p.core.live {
-		for _, g := range j.groups {
-			if g.placed() && !g.ending {
-				p.ends = append(p.ends, expectedEnd{group: g, at: g.expectedEnd(p.now)})
-			}
-		}
-	}
-	slices.SortFunc(p.ends, byEnd)
-	p.endsKnown = true
-	return p.ends
-}
-
-// expect adds the end of a run that this pass has placed to those that are known.
-func (p *pass) expect(g *group) {
-	if !p.endsKnown {
-		return
-	}
-	e := expectedEnd{group: g, at: g.expectedEnd(p.now)}
-	i, _ := slices.BinarySearchFunc(p.ends, e, byEnd)
-	p.ends = slices.Insert(p.ends, i, e)
-}
-
-func byEnd(a, b expectedEnd) int {
-	return a.at.Compare(b.at)
-}
-
-// expectedEnd is when the group's present run should end, by its progress.
-func (g *group) expectedEnd(now time.Time) time.Time {
-	const hundred = 100
-	if g.began.IsZero() {
-		return now.Add(g.spec().Estimate)
-	}
-	ran := now.Sub(g.began)
-	if g.percent > 0 {
-		return now.Add(ran * time.Duration(hundred-g.percent) / time.Duration(g.percent))
-	}
-	return now.Add(max(g.spec().Estimate-ran, 0))
-}
