--- a/pool/decide.go
+++ b/pool/decide.go
@@ -111,10 +111,6 @@
 			p.place(g, places)
 			return
 		}
-		if places := p.fitBeside(g, d); places != nil {
-			p.place(g, places)
-			return
-		}
 		d.full = d.full || plain
 	}
 	if d.priority != 0 {
--- a/pool/hold_test.go
+++ b/pool/hold_test.go
@@ -38,33 +38,3 @@
 		is.True(w.state(j.ID) != Queued)
 	}
 }
-
-// A gang of two whole workers waits for two of three. The room that is held for it is partly on
-// the one that is free now; a gang that could run there kept waiting, although the two others
-// end at the same time and are enough.
-func TestHeldRoomIsGivenToWhatDelaysNobody(t *testing.T) {
-	is := is.New(t)
-	w := newWorld(t, 4)
-	w.submit(low(gang(7, 1, 8, 300*time.Millisecond), 1))
-	w.run(100 * time.Millisecond)
-	for id := 1; id <= 2; id++ {
-		w.submit(low(gang(id, 1, 8, 4*time.Second), 1))
-	}
-	w.submit(low(gang(3, 1, 8, time.Minute), 1))
-	w.run(500 * time.Millisecond) // worker 0 is free again
-	w.submit(low(gang(4, 2, 8, 4*time.Second), 1))
-	w.run(100 * time.Millisecond)
-	late := low(gang(5, 1, 8, 10*time.Second), 1)
-	late.Terms.Goal = time.Hour
-	w.submit(late)
-	w.run(200 * time.Millisecond)
-	is.Equal(w.state(late.ID), Active)
-	w.run(4 * time.Second)
-	is.Equal(w.state("0000000000000004"), Active) // it was not delayed
-}
-
-// low gives a job a priority.
-func low(j job.Job, priority int) job.Job {
-	j.Terms.Priority = priority
-	return j
-}
--- a/pool/plain_test.go
+++ b/pool/plain_test.go
@@ -26,8 +26,7 @@
 	held      map[*worker]job.Shape
 	heldUntil time.Time
 	// holds counts the groups that room is held for.
-	holds    int
-	reserved []plainReservation
+	holds int
 	// workers are those that may be given work, by name.
 	workers []*worker
 	// keeping are those of them with room that is kept for urgent work.
@@ -142,10 +141,6 @@
 		p.place(g, places)
 		return
 	}
-	if places := p.fitBeside(g); places != nil {
-		p.place(g, places)
-		return
-	}
 	if g.job.job.Terms.Priority != 0 {
 		p.hold(g)
 		return
@@ -561,7 +556,6 @@
 	}
 	p.holds++
 	at := ends[first].at
-	p.reserved = append(p.reserved, plainReservation{group: g, at: at, later: p.roomAt(room, ends, at)})
 	if p.holds == 1 || at.Before(p.heldUntil) {
 		p.heldUntil = at
 	}
@@ -659,37 +653,3 @@
 func (p *plainPass) mayStop(v, g *group, chosen []*group) bool {
 	return (&pass{core: p.core, now: p.now, urgentNeed: p.urgentNeed}).mayStop(v, g, chosen)
 }
-
-type plainReservation struct {
-	group *group
-	at    time.Time
-	later map[*worker]job.Shape
-}
-
-func (p *plainPass) fitBeside(g *group) []*worker {
-	if p.holds == 0 || g.job.job.Terms.Priority == 0 {
-		return nil
-	}
-	places := p.fit(g, p.lent(g, p.free))
-	if places == nil {
-		return nil
-	}
-	end := p.now.Add(time.Duration(backfillMargin * float64(g.spec().Estimate)))
-	after := make([]map[*worker]job.Shape, len(p.reserved))
-	for i, r := range p.reserved {
-		after[i] = maps.Clone(r.later)
-		if end.Before(r.at) {
-			continue
-		}
-		for _, w := range places {
-			after[i][w] = after[i][w].Sub(g.spec().Takes())
-		}
-		if p.fit(r.group, after[i]) == nil {
-			return nil
-		}
-	}
-	for i := range p.reserved {
-		p.reserved[i].later = after[i]
-	}
-	return places
-}
