Evacuated data centres get no new work

Change: gateways follow the requests beside the configuration, with the time of the proof. The pool starts nothing in an evacuated data centre, places elsewhere what was placed and not started there, and lets what runs go on. A start ends with the proof that it rests on (the operator's bound less 1.5 s), at the agent as well. A task whose data's rack is evacuated runs elsewhere. An answer of an earlier state of the store proves nothing any more.

--- a/catalog/example_test.go
+++ b/catalog/example_test.go
@@ -15,3 +15,11 @@
 	fmt.Println(q.Name)
 	// Output: captions
 }
+
+func ExampleEvacuations() {
+	var e catalog.Evacuations
+	e = e.With("north", 41).With("south", 44)
+	e = e.Without("south")
+	fmt.Println(e.DataCentres(), e.Has("south"))
+	// Output: [north] false
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -26,22 +26,47 @@
 	lastRetry  = 400 * time.Millisecond
 )
 
-// ConfigSource reads configurations.
-type ConfigSource interface {
-	// ReadConfig returns the newest configuration, and the store's version of the answer.
-	ReadConfig(ctx context.Context) (*catalog.Catalog, store.Stamp, error)
-	// FollowConfig returns the newest configuration as soon as it changes after a version,
-	// or nil when it has not after a wait.
-	FollowConfig(ctx context.Context, after uint64, wait time.Duration) (*catalog.Catalog, store.Stamp, error)
-}
+type (
+	// Evacuation is a request that the workers of a data centre get no new work, or that it
+	// was taken back.
+	Evacuation struct {
+		DataCentre string
+		// Version is the store's at the request.
+		Version   uint64
+		TakenBack bool
+	}
+
+	// Wishes are what an answer tells of the operator's.
+	Wishes struct {
+		// Catalog is the newest configuration; nil when the answer has none.
+		Catalog *catalog.Catalog
+		// Evacuations are all that are requested, in an answer that is Whole, else those that
+		// have changed.
+		Evacuations []Evacuation
+		Whole       bool
+		Stamp       store.Stamp
+	}
+
+	// ConfigSource reads what the operator wishes.
+	ConfigSource interface {
+		// ReadConfig returns all of it.
+		ReadConfig(ctx context.Context) (Wishes, error)
+		// FollowConfig returns what has changed after a version of the store, as soon as
+		// there is anything, or nothing after a wait.
+		FollowConfig(ctx context.Context, after uint64, wait time.Duration) (Wishes, error)
+	}
+)
 
-// Follower keeps the newest configuration. Create it with NewFollower, then call Run.
+// Follower keeps the newest configuration, and which data centres are evacuated. Create it with NewFollower, then call Run.
 type Follower struct {
 	source ConfigSource
 	logger *log.Logger
 	began  time.Time
 
-	current atomic.Pointer[catalog.Catalog]
+	current     atomic.Pointer[catalog.Catalog]
+	evacuations atomic.Pointer[catalog.Evacuations]
+	// seen is the store's newest version in an answer.
+	seen uint64
 	// provenAt is when the last answered question was sent, since began; 0 for none.
 	provenAt atomic.Int64
 	// away says that the last question was not answered.
@@ -53,6 +78,7 @@
 func NewFollower(now time.Time, source ConfigSource, logger *log.Logger) *Follower {
 	f := &Follower{source: source, logger: logger, began: now}
 	f.current.Store(&catalog.Catalog{})
+	f.evacuations.Store(&catalog.Evacuations{})
 	return f
 }
 
@@ -61,6 +87,11 @@
 	return f.current.Load()
 }
 
+// Evacuations returns the data centres that are evacuated, with the time of the proof.
+func (f *Follower) Evacuations() catalog.Evacuations {
+	return *f.evacuations.Load()
+}
+
 // Age is how long ago the configuration was surely the newest.
 func (f *Follower) Age(now time.Time) time.Duration {
 	return now.Sub(f.began) - time.Duration(f.provenAt.Load())
@@ -92,7 +123,7 @@
 	up := true
 	for ctx.Err() == nil {
 		sent := time.Now()
-		next, stamp, err := f.ask(ctx, version)
+		wishes, err := f.ask(ctx, version)
 		f.away.Store(err != nil)
 		if (err == nil) != up && ctx.Err() == nil {
 			up = err == nil
@@ -104,22 +135,34 @@
 			continue
 		}
 		pause.Reset()
-		version = stamp.Version
-		f.clock.Store(&pool.Clock{Now: time.Now(), Store: stamp.Clock})
-		f.take(sent, next)
+		version = wishes.Stamp.Version
+		f.clock.Store(&pool.Clock{Now: time.Now(), Store: wishes.Stamp.Clock})
+		f.take(sent, wishes)
 	}
 }
 
-func (f *Follower) ask(ctx context.Context, version uint64) (*catalog.Catalog, store.Stamp, error) {
+func (f *Follower) ask(ctx context.Context, version uint64) (Wishes, error) {
 	if version == 0 {
 		return f.source.ReadConfig(ctx)
 	}
 	return f.source.FollowConfig(ctx, version, followWait)
 }
 
-// take puts a configuration in force unless it is older than the present one.
-func (f *Follower) take(sent time.Time, next *catalog.Catalog) {
+// take puts what an answer tells in force. An answer of an earlier state of the store than one
+// before it proves nothing: it would take back an evacuation.
+func (f *Follower) take(sent time.Time, wishes Wishes) {
+	if wishes.Stamp.Version < f.seen {
+		f.logger.Warn().Uint64("version", wishes.Stamp.Version).Uint64("seen", f.seen).Msg("gateway: an answer of an earlier state of the store is passed over")
+		return
+	}
+	f.seen = wishes.Stamp.Version
+	f.takeEvacuations(sent, wishes)
+	f.takeCatalog(wishes.Catalog)
 	f.provenAt.Store(int64(sent.Sub(f.began)))
+}
+
+// takeCatalog puts a configuration in force unless it is older than the present one.
+func (f *Follower) takeCatalog(next *catalog.Catalog) {
 	if next == nil || next.Version <= f.Catalog().Version {
 		return
 	}
@@ -127,6 +170,27 @@
 	f.logger.Info().Uint64("version", next.Version).Int("queues", len(next.Queues)).Int("workspaces", len(next.Workspaces)).Msg("gateway: a configuration is in force")
 }
 
+// takeEvacuations takes over which data centres are evacuated, with the proof's time.
+func (f *Follower) takeEvacuations(sent time.Time, wishes Wishes) {
+	before := f.Evacuations()
+	next := before
+	if wishes.Whole {
+		next = catalog.Evacuations{}
+	}
+	for _, e := range wishes.Evacuations {
+		if e.TakenBack {
+			next = next.Without(e.DataCentre)
+			continue
+		}
+		next = next.With(e.DataCentre, e.Version)
+	}
+	next = next.WithProof(sent)
+	f.evacuations.Store(&next)
+	if !next.Same(before) {
+		f.logger.Info().Strs("data_centres", next.DataCentres()).Uint64("version", wishes.Stamp.Version).Msg("gateway: evacuations are in force")
+	}
+}
+
 func (f *Follower) logTurn(up bool, err error) {
 	if up {
 		f.logger.Info().Msg("gateway: the store answers again")
--- /dev/null
+++ b/gateway/follow_test.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/store"
+)
+
+// newTestFollower returns a follower that has read everything at version 10, with one data
+// centre evacuated.
+func newTestFollower() *Follower {
+	f := newTestGateway(testConfig(3, "k")).follower
+	f.take(now, Wishes{Whole: true, Evacuations: []Evacuation{{DataCentre: "north", Version: 8}}, Stamp: store.Stamp{Version: 10}})
+	return f
+}
+
+func TestEvacuationsFollowTheStore(t *testing.T) {
+	is := is.New(t)
+	f := newTestFollower()
+	is.Equal(f.Evacuations().DataCentres(), []string{"north"})
+	f.take(now.Add(time.Second), Wishes{
+		Evacuations: []Evacuation{{DataCentre: "north", Version: 11, TakenBack: true}, {DataCentre: "south", Version: 12}},
+		Stamp:       store.Stamp{Version: 12},
+	})
+	is.Equal(f.Evacuations().DataCentres(), []string{"south"})
+	is.Equal(f.Evacuations().ProvenAt(), now.Add(time.Second))
+}
+
+// A feed whose history the store has forgotten doesn't tell what was taken back meanwhile.
+func TestWholeAnswerReplacesAllEvacuations(t *testing.T) {
+	is := is.New(t)
+	f := newTestFollower()
+	f.take(now.Add(time.Second), Wishes{Whole: true, Stamp: store.Stamp{Version: 20}})
+	is.Equal(len(f.Evacuations().DataCentres()), 0)
+}
+
+func TestAnswerWithoutChangesRenewsTheProof(t *testing.T) {
+	is := is.New(t)
+	f := newTestFollower()
+	f.take(now.Add(time.Second), Wishes{Stamp: store.Stamp{Version: 10}})
+	is.Equal(f.Evacuations().DataCentres(), []string{"north"})
+	is.Equal(f.Evacuations().ProvenAt(), now.Add(time.Second))
+}
+
+// An answer of an earlier state took an evacuation back and proved that there was none.
+func TestAnswerOfAnEarlierStateProvesNothing(t *testing.T) {
+	is := is.New(t)
+	f := newTestFollower()
+	f.take(now.Add(time.Second), Wishes{Whole: true, Stamp: store.Stamp{Version: 7}})
+	is.Equal(f.Evacuations().DataCentres(), []string{"north"})
+	is.Equal(f.Evacuations().ProvenAt(), now)
+	is.Equal(f.Age(now.Add(time.Second)), time.Second)
+}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -155,6 +155,7 @@
 		return
 	}
 	h.core.SetCatalog(h.host.deps.Catalog())
+	h.core.SetEvacuations(h.host.deps.Evacuations())
 	if h.inForce(now) && !h.stopping {
 		h.decide(now)
 		h.sendOrders(now)
--- a/holder/host.go
+++ b/holder/host.go
@@ -29,6 +29,8 @@
 		Logger  *log.Logger
 		// Catalog returns the configuration in force.
 		Catalog func() *catalog.Catalog
+		// Evacuations returns the data centres that are evacuated, as they were proven last.
+		Evacuations func() catalog.Evacuations
 		// Advisor is asked which workers may run a step, in queues that need it; nil when
 		// there is none.
 		Advisor Advisor
--- a/holder/link.go
+++ b/holder/link.go
@@ -156,7 +156,7 @@
 func (l *link) order(ctx context.Context, epoch uint64, orders pool.Orders) *poolpb.OrderReply {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	reply, err := rpc.Call[poolpb.OrderReply](ctx, l.client, orderMethod, orderRequest(epoch, l.holder.host.settings.AgentLease, orders))
+	reply, err := rpc.Call[poolpb.OrderReply](ctx, l.client, orderMethod, orderRequest(epoch, orders))
 	if err != nil {
 		l.holder.host.deps.Logger.Warn().Err(err).Str("agent", l.agent).Int("starts", len(orders.Starts)).Int("stops", len(orders.Stops)).Msg("holder: orders were not answered")
 		return &poolpb.OrderReply{}
--- a/holder/translate.go
+++ b/holder/translate.go
@@ -48,6 +48,8 @@
 		Rack:    w.GetRack(),
 		Listing: w.GetListing(),
 		Lapsed:  w.GetLapsed(),
+
+		DataCentre: w.GetDataCentre(),
 	}
 	for _, r := range w.GetRunning() {
 		if task, ok := job.ParseTaskID(r.GetTask()); ok {
@@ -77,14 +79,13 @@
 	return pool.Grant{Incarnation: reply.GetIncarnation(), Reading: time.Duration(reply.GetLeaseToken())}
 }
 
-// orderRequest translates orders, whose starts may be carried out for the length of a lease.
-func orderRequest(epoch uint64, lease time.Duration, orders pool.Orders) *poolpb.OrderRequest {
+func orderRequest(epoch uint64, orders pool.Orders) *poolpb.OrderRequest {
 	request := &poolpb.OrderRequest{
 		Epoch:       epoch,
 		Instance:    orders.Instance,
 		Incarnation: orders.Grant.Incarnation,
 		LeaseToken:  int64(orders.Grant.Reading),
-		LeaseMs:     int32(lease.Milliseconds()),
+		LeaseMs:     int32(orders.StartsFor.Milliseconds()),
 	}
 	for _, s := range orders.Starts {
 		request.Starts = append(request.Starts, &poolpb.StartOrder{
--- a/holder/translate_test.go
+++ b/holder/translate_test.go
@@ -14,11 +14,12 @@
 func TestOrdersCarryEverything(t *testing.T) {
 	is := is.New(t)
 	task := job.TaskID{Job: "0123456789abcdef", Round: 1, Step: 2, Index: 3}
-	request := orderRequest(7, 4500*time.Millisecond, pool.Orders{
-		Instance: "i-1",
-		Grant:    pool.Grant{Incarnation: "agent", Reading: 30 * time.Second},
-		Starts:   []pool.Start{{Task: task, Run: 4, Spec: "spec", Saved: "saved", Ticket: "ticket"}},
-		Stops:    []pool.Stop{{Task: task, Run: 3}},
+	request := orderRequest(7, pool.Orders{
+		Instance:  "i-1",
+		StartsFor: 4500 * time.Millisecond,
+		Grant:     pool.Grant{Incarnation: "agent", Reading: 30 * time.Second},
+		Starts:    []pool.Start{{Task: task, Run: 4, Spec: "spec", Saved: "saved", Ticket: "ticket"}},
+		Stops:     []pool.Stop{{Task: task, Run: 3}},
 	})
 	start, stop := request.GetStarts()[0], request.GetStops()[0]
 	is.Equal(request.GetEpoch(), uint64(7))
--- a/pool/core.go
+++ b/pool/core.go
@@ -14,6 +14,8 @@
 	settings Settings
 	observe  Observer
 	catalog  *catalog.Catalog
+	// evacuations are the data centres in which nothing is started.
+	evacuations catalog.Evacuations
 
 	jobs    map[job.ID]*jobState
 	live    map[job.ID]*jobState
@@ -132,6 +134,8 @@
 		c.abort(now, g)
 	case g.running():
 		c.checkStall(now, g)
+	case g.evacuated():
+		c.giveUpEvacuated(now, g)
 	case !g.began.IsZero() && now.Sub(g.began) > c.settings.StartWithin:
 		c.tell(Event{Kind: EventRejected, Job: g.job.job.ID, Step: g.step, First: g.first, Run: g.run, Detail: "not all tasks started in time"})
 		c.abort(now, g)
--- a/pool/event.go
+++ b/pool/event.go
@@ -17,6 +17,9 @@
 	EventStray     EventKind = "stray run stopped"
 	EventWorker    EventKind = "worker incarnation"
 	EventForgotten EventKind = "agent forgotten"
+	// EventEvacuated and EventTakenBack tell of a data centre, in the detail.
+	EventEvacuated EventKind = "data centre evacuated"
+	EventTakenBack EventKind = "data centre taken back"
 )
 
 type (
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -143,10 +143,11 @@
 	return true
 }
 
-// rackExists says whether a rack has a worker.
+// rackExists says whether a rack has a worker outside of evacuated data centres: an evacuation
+// may last for long, and a task that waited for its data's rack would wait as long.
 func (c *Core) rackExists(rack string) bool {
 	for _, w := range c.workers {
-		if w.instance != "" && w.rack == rack {
+		if w.instance != "" && !w.evacuated && w.rack == rack {
 			return true
 		}
 	}
@@ -158,12 +159,12 @@
 	return len(g.failedOn) < len(c.workers)/2
 }
 
-// anyRackHolds says whether the workers of a rack could take a number of tasks if all of their
-// room were free.
+// anyRackHolds says whether the workers of a rack, outside of evacuated data centres, could take
+// a number of tasks if all of their room were free.
 func (c *Core) anyRackHolds(shape job.Shape, tasks int) bool {
 	racks := map[string]int{}
 	for _, w := range c.workers {
-		if w.instance == "" {
+		if w.instance == "" || w.evacuated {
 			continue
 		}
 		racks[w.rack] += w.capacity.Holds(shape)
--- a/pool/message.go
+++ b/pool/message.go
@@ -84,6 +84,8 @@
 		Capacity job.Shape
 		Labels   []string
 		Rack     string
+		// DataCentre is where the worker stands; empty when that is not known.
+		DataCentre string
 		// Listing counts the agent's looks at its worker; 0 before the first.
 		Listing uint64
 		Running []Running
@@ -123,8 +125,10 @@
 		Agent    string
 		Instance string
 		Grant    Grant
-		Starts   []Start
-		Stops    []Stop
+		// StartsFor is how long after the grant's reading the starts may be carried out.
+		StartsFor time.Duration
+		Starts    []Start
+		Stops     []Stop
 	}
 
 	// Results answer Orders, in their order. Listings above Listing were taken after
--- a/pool/order.go
+++ b/pool/order.go
@@ -13,12 +13,13 @@
 	}
 	c.ordersDue = false
 	var list []Orders
+	startsEnd := c.startsEnd()
 	for _, w := range c.workers {
 		// Until the worker was listed, what an earlier holder started there is not known.
 		if w.instance == "" || w.listing == 0 || now.Sub(w.heard) > c.settings.FreshFor {
 			continue
 		}
-		orders := Orders{Agent: w.agent, Instance: w.instance, Grant: w.grant}
+		orders := Orders{Agent: w.agent, Instance: w.instance, Grant: w.grant, StartsFor: c.startsFor(w, startsEnd)}
 		for _, m := range w.members {
 			c.orderMember(now, m, &orders)
 		}
@@ -37,6 +38,9 @@
 	}
 	switch m.phase {
 	case memberOrdered:
+		if m.worker.evacuated || orders.StartsFor <= 0 {
+			return
+		}
 		m.sends++
 		m.maybeSent = true
 		m.inFlight = true
--- a/pool/report.go
+++ b/pool/report.go
@@ -27,6 +27,7 @@
 	w.capacity = r.Capacity
 	w.labels = r.Labels
 	w.rack = r.Rack
+	c.setDataCentre(w, r.DataCentre)
 	w.draining = r.Draining
 	if r.Lapsed {
 		c.workerLost(now, w, "the worker has ended, or its lease has lapsed unheard")
--- a/pool/settings.go
+++ b/pool/settings.go
@@ -45,6 +45,9 @@
 	// that is thrown away by displacing, on a full pool of 54 to 68 workers by a sixth, and
 	// raises worth there by 0.027 (85 pairs of plays without and with it).
 	RetainFor time.Duration
+	// EvacuateWithin is how long after an evacuation was requested a task may still be started
+	// in its data centre, as the operator states it; 0 when nothing is stated.
+	EvacuateWithin time.Duration
 	// ForgetAfter is how long an agent may be silent before its row is deleted. One that
 	// lives makes itself known again when no holder has called it for 10 s.
 	ForgetAfter time.Duration
--- a/pool/state.go
+++ b/pool/state.go
@@ -9,13 +9,17 @@
 type (
 	// Snapshot is what a pool knows, for the dump on request and for metrics.
 	Snapshot struct {
-		Pool          string           `json:"pool"`
-		ConfigVersion uint64           `json:"config_version"`
-		Jobs          map[string]int   `json:"jobs"`
-		Waiting       map[string]int   `json:"waiting_by_queue"`
-		Uncommitted   int              `json:"uncommitted"`
-		Workers       []WorkerSnapshot `json:"workers"`
-		Live          []JobSnapshot    `json:"live_jobs"`
+		Pool          string `json:"pool"`
+		ConfigVersion uint64 `json:"config_version"`
+		// Evacuated are the data centres in which nothing is started, ShortBy the accelerators
+		// that guarantees are short of meanwhile.
+		Evacuated   []string         `json:"evacuated,omitempty"`
+		ShortBy     int              `json:"guarantees_short_by,omitempty"`
+		Jobs        map[string]int   `json:"jobs"`
+		Waiting     map[string]int   `json:"waiting_by_queue"`
+		Uncommitted int              `json:"uncommitted"`
+		Workers     []WorkerSnapshot `json:"workers"`
+		Live        []JobSnapshot    `json:"live_jobs"`
 	}
 
 	// WorkerSnapshot is what a pool knows of a worker.
@@ -23,6 +27,8 @@
 		Agent       string `json:"agent"`
 		Instance    string `json:"instance"`
 		Rack        string `json:"rack"`
+		DataCentre  string `json:"data_centre,omitempty"`
+		Evacuated   bool   `json:"evacuated,omitempty"`
 		Usable      bool   `json:"usable"`
 		Draining    bool   `json:"draining"`
 		SetAside    bool   `json:"set_aside"`
@@ -54,6 +60,8 @@
 	s := Snapshot{
 		Pool:          c.name,
 		ConfigVersion: c.catalog.Version,
+		Evacuated:     c.evacuations.DataCentres(),
+		ShortBy:       c.guaranteesShortBy(),
 		Jobs:          map[string]int{},
 		Waiting:       c.waitingByQueue(),
 		Uncommitted:   len(c.dirty),
@@ -98,6 +106,8 @@
 		Agent:       w.agent,
 		Instance:    w.instance,
 		Rack:        w.rack,
+		DataCentre:  w.dataCentre,
+		Evacuated:   w.evacuated,
 		Usable:      w.usable(now, settings),
 		Draining:    w.draining,
 		SetAside:    w.health.aside(now),
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -18,6 +18,9 @@
 		labels   []string
 		rack     string
 		draining bool
+		// dataCentre is where the worker stands, evacuated whether it gets no new work there.
+		dataCentre string
+		evacuated  bool
 
 		// heard is when the agent answered last; leaseEnd when all that the worker runs
 		// has lapsed if it does not answer again.
@@ -158,7 +161,7 @@
 
 // usable says whether a worker may be given work.
 func (w *worker) usable(now time.Time, s Settings) bool {
-	return w.instance != "" && w.listing > 0 && !w.draining && now.Sub(w.heard) <= s.FreshFor && !w.health.aside(now)
+	return w.instance != "" && w.listing > 0 && !w.draining && !w.evacuated && now.Sub(w.heard) <= s.FreshFor && !w.health.aside(now)
 }
 
 // free is the room that is neither taken nor promised.
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -53,6 +53,14 @@
 	saved map[string]map[job.TaskID]bool
 	// alone counts the tasks that waited for their gang in vain.
 	alone int
+
+	settings Settings
+	// evacuations are those that the store has, requested when they were asked for, and proven
+	// those that the holder's process has read; unproven keeps it from reading.
+	evacuations catalog.Evacuations
+	requested   map[string]time.Time
+	proven      catalog.Evacuations
+	unproven    bool
 }
 
 type event struct {
@@ -67,6 +75,7 @@
 	incarnation string
 	capacity    job.Shape
 	rack        string
+	dataCentre  string
 	labels      []string
 	running     map[runKey]*fakeRun
 	ended       []Ended
@@ -109,6 +118,9 @@
 		tickets: map[string]time.Time{},
 		saved:   map[string]map[job.TaskID]bool{},
 		loses:   func() bool { return false },
+
+		settings:  DefaultSettings(),
+		requested: map[string]time.Time{},
 	}
 	for i := range workers {
 		w.workers = append(w.workers, &fakeWorker{
@@ -128,7 +140,8 @@
 // takeOver makes another holder of the pool, from its rows alone.
 func (w *world) takeOver() {
 	w.epoch++
-	core := New("pool", DefaultSettings(), func(e Event) { w.events = append(w.events, e) })
+	w.proven = catalog.Evacuations{}
+	core := New("pool", w.settings, func(e Event) { w.events = append(w.events, e) })
 	for _, f := range w.workers {
 		core.AddAgent(w.now, f.name)
 	}
@@ -194,6 +207,21 @@
 	})
 }
 
+// evacuate has the operator request that a data centre gets nothing, unless it has.
+func (w *world) evacuate(dataCentre string) {
+	if w.evacuations.Has(dataCentre) {
+		return
+	}
+	w.version++
+	w.evacuations = w.evacuations.With(dataCentre, w.version)
+	w.requested[dataCentre] = w.now
+}
+
+// takeBack has the operator take a data centre back.
+func (w *world) takeBack(dataCentre string) {
+	w.evacuations = w.evacuations.Without(dataCentre)
+}
+
 // run plays for a time.
 func (w *world) run(length time.Duration) {
 	end := w.now.Add(length)
@@ -232,6 +260,10 @@
 
 // proceed does what the holder does after each message.
 func (w *world) proceed() {
+	if !w.unproven {
+		w.proven = w.evacuations.WithProof(w.now)
+	}
+	w.core.SetEvacuations(w.proven)
 	w.core.Tick(w.now)
 	w.core.Decide(w.now)
 	for _, orders := range w.core.TakeOrders(w.now) {
@@ -338,6 +370,9 @@
 		w.t.Errorf("%s: %v starts on %s although it was done", w.now, s.Task, f.name)
 	}
 	w.checkContent(s)
+	if w.evacuations.Has(f.dataCentre) && w.settings.EvacuateWithin > 0 && w.now.Sub(w.requested[f.dataCentre]) > w.settings.EvacuateWithin {
+		w.t.Errorf("%s: %v starts on %s, whose data centre was evacuated at %s", w.now, s.Task, f.name, w.requested[f.dataCentre])
+	}
 	if w.failed[s.Task] >= w.jobs[s.Task.Job].Terms.Attempts {
 		w.t.Errorf("%s: %v starts although it has no attempt left", w.now, s.Task)
 	}
--- a/pool/world_worker_test.go
+++ b/pool/world_worker_test.go
@@ -120,6 +120,7 @@
 		Instance:    f.instance,
 		Capacity:    f.capacity,
 		Rack:        f.rack,
+		DataCentre:  f.dataCentre,
 		Labels:      f.labels,
 		Draining:    f.draining,
 		Listing:     f.listing,
--- a/program/cluster/cluster.go
+++ b/program/cluster/cluster.go
@@ -122,6 +122,21 @@
 	c.Store.Put("op", "", "config", fmt.Appendf(nil, form, version, host, Prefix, Attempts, policy, key))
 }
 
+// DataCentre is where the worker with a number stands: one of two, by turns.
+func DataCentre(worker int) string {
+	return fmt.Sprintf("hall-%d", worker%2)
+}
+
+// Evacuate has the operator request that the workers of a data centre get no new work.
+func (c *Cluster) Evacuate(dataCentre string) {
+	c.Store.Put("op", "", "evacuate/"+dataCentre, []byte("{}"))
+}
+
+// TakeBack has the operator take a data centre back.
+func (c *Cluster) TakeBack(dataCentre string) {
+	c.Store.Remove("op", "", "evacuate/"+dataCentre)
+}
+
 func (c *Cluster) addWorker(number int) {
 	c.t.Helper()
 	done := make(chan struct{})
@@ -131,6 +146,7 @@
 	server := httptest.NewServer(w.Handler())
 	c.t.Cleanup(server.Close)
 	w.SetAdvice(c.Advice)
+	w.SetZone(DataCentre(number))
 	go w.Run(done)
 	c.Workers = append(c.Workers, w)
 
@@ -147,7 +163,7 @@
 	c.t.Helper()
 	callers, admin := c.freeAddress(), c.freeAddress()
 	toStore := c.proxy(c.storeAddress)
-	config := fmt.Sprintf("[gateway]\nname = gateway-%d\ncallers = %s\nready = %s\nrelay = %s\nmetrics = %s\n\n[platform]\nstore = %s\nadvice = %s\n",
+	config := fmt.Sprintf("[gateway]\nname = gateway-%d\ncallers = %s\nready = %s\nrelay = %s\nmetrics = %s\nevacuate-within = 5s\n\n[platform]\nstore = %s\nadvice = %s\n",
 		number, callers, c.freeAddress(), c.freeAddress(), admin, toStore.Address(), c.adviceAddress)
 	p := c.start(gatewayProgram, number, config)
 	p.address = callers
--- a/program/ctl_pools.go
+++ b/program/ctl_pools.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -80,6 +81,11 @@
 		if _, err := fmt.Fprintf(c.stdout, "pool %s, configuration %d, %d changes to be committed\n\n", p.Pool, p.ConfigVersion, p.Uncommitted); err != nil {
 			return err
 		}
+		if len(p.Evacuated) > 0 {
+			if _, err := fmt.Fprintf(c.stdout, "evacuated: %s; guarantees are short of %d accelerators\n\n", strings.Join(p.Evacuated, " "), p.ShortBy); err != nil {
+				return err
+			}
+		}
 		if err := c.printTable(poolWorkerRows(p.Workers)); err != nil {
 			return err
 		}
@@ -108,6 +114,8 @@
 		return "unknown"
 	case w.Draining:
 		return "draining"
+	case w.Evacuated:
+		return "evacuated"
 	case w.SetAside:
 		return "set aside"
 	case !w.Usable:
--- a/program/gatewayd/main.go
+++ b/program/gatewayd/main.go
@@ -47,6 +47,9 @@
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
 	headerBytes   = 16 << 10
+	// longestEvacuation is the longest bound for evacuations that makes sense: a minute is ten
+	// times what any operator asked for.
+	longestEvacuation = time.Minute
 	// maxGateways bounds the connections of other gateways: one each, several times the 55 of the
 	// largest deployment so far.
 	maxGateways = 256
@@ -62,7 +65,9 @@
 	advice  *string
 	relay   *string
 	share   *float64
-	level   *string
+	// evacuateWithin is 0 when the operator states no bound.
+	evacuateWithin *time.Duration
+	level          *string
 }
 
 // Main runs the gateway until it is told to stop, and returns its exit code.
@@ -78,6 +83,8 @@
 		relay:   settings.Add(s, "gateway.relay", "", "IP address and port for calls of other gateways that the store turns away; empty for none", settings.OptionalAddress),
 		share:   settings.Add(s, "gateway.processor-share", "1", "part of a processor that the gateway may use", settings.Share),
 		level:   launch.LogLevel(s),
+
+		evacuateWithin: settings.Add(s, "gateway.evacuate-within", "0s", "time after which nothing may be started any more in a data centre whose evacuation was requested; 0s for no bound", settings.Duration(0, longestEvacuation)),
 	}
 	if code, done := launch.Parse(s, args, stdout, stderr); done {
 		return code
@@ -180,6 +187,8 @@
 		Traffic: p.traffic,
 		Logger:  p.logger,
 		Catalog: p.follower.Catalog,
+
+		Evacuations: p.follower.Evacuations,
 	}
 	if *p.options.advice != "" {
 		deps.Advisor = adapter.NewAdvice(*p.options.advice)
@@ -204,7 +213,9 @@
 	if _, hosted := p.hosts[name]; hosted {
 		return
 	}
-	host := holder.New(name, *p.options.name, *p.options.callers, pool.DefaultSettings(), deps)
+	poolSettings := pool.DefaultSettings()
+	poolSettings.EvacuateWithin = *p.options.evacuateWithin
+	host := holder.New(name, *p.options.name, *p.options.callers, poolSettings, deps)
 	p.hosts[name] = host
 	p.running.Go(func() { host.Run(ctx) })
 }
@@ -230,8 +241,10 @@
 type State struct {
 	ConfigVersion uint64        `json:"config_version"`
 	ConfigAge     time.Duration `json:"config_age_ns"`
-	Ready         bool          `json:"ready"`
-	Stopping      bool          `json:"stopping"`
+	// Evacuated are the data centres in which nothing is to be started.
+	Evacuated []string `json:"evacuated,omitempty"`
+	Ready     bool     `json:"ready"`
+	Stopping  bool     `json:"stopping"`
 	// Pools are those that this process holds.
 	Pools []pool.Snapshot `json:"pools"`
 }
@@ -241,6 +254,7 @@
 	return State{
 		ConfigVersion: p.follower.Catalog().Version,
 		ConfigAge:     p.follower.Age(now),
+		Evacuated:     p.follower.Evacuations().DataCentres(),
 		Ready:         p.gateway.Ready(now),
 		Stopping:      p.gateway.Stopping(),
 		Pools:         p.pools(),
@@ -265,6 +279,7 @@
 	})
 	p.metrics.NewGauge("hollyfork_gateway_config_version", func() float64 { return float64(p.follower.Catalog().Version) })
 	p.metrics.NewGauge("hollyfork_gateway_config_age_seconds", func() float64 { return p.follower.Age(time.Now()).Seconds() })
+	p.metrics.NewGauge("hollyfork_gateway_data_centres_evacuated", func() float64 { return float64(len(p.follower.Evacuations().DataCentres())) })
 	p.metrics.NewGauge("hollyfork_pools_held", func() float64 { return float64(len(p.pools())) })
 	p.metrics.NewGauge("hollyfork_pool_jobs_waiting", func() float64 {
 		waiting := 0
--- /dev/null
+++ b/program/pooltest/evacuate_test.go
@@ -0,0 +1,111 @@
+package pooltest
+
+import (
+	"bytes"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/platform/fakes"
+	"hollyfork.example/hollyfork/program"
+	"hollyfork.example/hollyfork/program/cluster"
+)
+
+// proofEnds is when nothing may be started any more in a data centre that is evacuated, as
+// clusters state it.
+const (
+	proofEnds = 5 * time.Second
+	// followEnds is when the questions for changes that the store held back have been answered.
+	followEnds = 1200 * time.Millisecond
+)
+
+// startsIn counts the tasks that workers of a data centre have started.
+func startsIn(c *cluster.Cluster, dataCentre string) int {
+	count := 0
+	for i, w := range c.Workers {
+		if cluster.DataCentre(i) == dataCentre {
+			count += w.Starts()
+		}
+	}
+	return count
+}
+
+func TestEvacuatedDataCentreGetsNothing(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(t, 2, 4)
+	c.Submit(1, cluster.Tasks(32, "100ms"))
+	c.AwaitAll(1)
+	c.Evacuate("hall-0")
+	c.Evacuate("hall-1")
+	time.Sleep(500 * time.Millisecond)
+	before := startsIn(c, "hall-0") + startsIn(c, "hall-1")
+	c.Submit(2, cluster.Tasks(4, "100ms"))
+	time.Sleep(500 * time.Millisecond)
+	is.Equal(startsIn(c, "hall-0")+startsIn(c, "hall-1"), before)
+
+	var stdout, stderr bytes.Buffer
+	is.Equal(program.Ctl([]string{"-server", c.Gateways[c.Holder()].Admin(), "pools"}, &stdout, &stderr), 0)
+	is.True(strings.Contains(stdout.String(), "evacuated: hall-0 hall-1; guarantees are short of 8 accelerators"))
+
+	north := startsIn(c, "hall-0")
+	c.TakeBack("hall-1")
+	c.Await(2, "done")
+	is.Equal(startsIn(c, "hall-0"), north)
+	c.TakeBack("hall-0")
+	c.Submit(3, cluster.Gang(4, 8, "100ms"))
+	c.AwaitAll(3)
+}
+
+// The data centre is evacuated while no gateway lives, and while the store has forgotten its
+// history: the next holder knows of it before its first start.
+func TestNextHolderKnowsOfEvacuations(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(t, 2, 2)
+	c.Submit(1, cluster.Tasks(2, "100ms"))
+	c.AwaitAll(1)
+	for _, g := range c.Gateways {
+		g.Kill()
+	}
+	c.Evacuate("hall-0")
+	c.Store.ForgetHistory()
+	before := startsIn(c, "hall-0")
+	for _, g := range c.Gateways {
+		g.Launch()
+	}
+	for _, g := range c.Gateways {
+		g.AwaitReady()
+	}
+	for id := 2; id <= 6; id++ {
+		c.Submit(id, cluster.Gang(1, 8, "100ms"))
+	}
+	c.AwaitAll(6)
+	is.Equal(startsIn(c, "hall-0"), before)
+}
+
+// The store is away while an evacuation is requested, and an agent is frozen over its end: what
+// was ordered before does not start after the bound.
+func TestNothingStartsLateInAnEvacuatedDataCentre(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(t, 1, 2)
+	c.Submit(1, cluster.Tasks(2, "100ms"))
+	c.AwaitAll(1)
+	before := startsIn(c, "hall-0")
+	c.Sidecars[0].Signal(syscall.SIGSTOP)
+	c.Submit(2, cluster.Gang(1, 8, "100ms")) // one of the starts waits in the frozen agent's connection
+	c.Submit(3, cluster.Gang(1, 8, "100ms"))
+	time.Sleep(200 * time.Millisecond)
+	c.Store.SetFault(fakes.Fault{Silent: true})
+	time.Sleep(followEnds)
+	c.Evacuate("hall-0")
+	time.Sleep(proofEnds)
+	c.Sidecars[0].Signal(syscall.SIGCONT)
+	time.Sleep(500 * time.Millisecond)
+	c.Store.SetFault(fakes.Fault{})
+	time.Sleep(time.Second)
+	is.Equal(startsIn(c, "hall-0"), before)
+	c.TakeBack("hall-0")
+	c.AwaitAll(3)
+}
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -219,6 +219,7 @@
 		Accelerators: int32(c.beat.Capacity.Accelerators),
 		Labels:       c.beat.Labels,
 		Rack:         c.beat.Rack,
+		DataCentre:   c.beat.DataCentre,
 		RemainingMs:  int32(c.beat.Remaining.Milliseconds()),
 		Listing:      c.listed,
 		Running:      c.listing.Running,
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -87,6 +87,8 @@
 		Capacity  job.Shape
 		Labels    []string
 		Rack      string
+		// DataCentre is where the worker stands; empty when it does not say.
+		DataCentre string
 	}
 )
 
