Cancellations that are read together with their job count

The row that cancels a job is named before the job's own, so the cancellation was of a job nobody knew, and was lost; the job ran at 17 s. A new holder read them the right way round already. Change: rows of the intake table are decoded in one place, jobs before what is said of them.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -267,16 +266,7 @@
 
 func (h *Holder) takeIntake(now time.Time, page store.Page) {
 	clock := pool.Clock{Now: now, Store: page.Stamp.Clock}
-	parts := pool.IntakeParts(h.host.pool)
-	for _, row := range page.Rows {
-		if !slices.Contains(parts, row.Key.Part) {
-			continue
-		}
-		item, err := pool.DecodeIntake(row, clock)
-		if err != nil {
-			h.host.deps.Logger.Error().Err(err).Msg("holder: a row is passed over")
-			continue
-		}
+	for _, item := range h.host.decodeIntake(page.Rows, clock) {
 		switch i := item.(type) {
 		case pool.NewJob:
 			h.core.AddJob(now, i.Job)
--- a/holder/load.go
+++ b/holder/load.go
@@ -38,21 +38,14 @@
 		clock:   pool.Clock{Now: now, Store: intake.Stamp.Clock},
 	}
 	r.core.SetCatalog(h.deps.Catalog())
-	var later []pool.Intake
-	for _, row := range intake.Rows {
-		item, err := pool.DecodeIntake(row, r.clock)
-		if err != nil {
-			h.deps.Logger.Error().Err(err).Msg("holder: a row is passed over")
-			continue
+	items := h.decodeIntake(intake.Rows, r.clock)
+	for _, item := range items {
+		if j, ok := item.(pool.NewJob); ok {
+			r.core.AddJob(now, j.Job)
 		}
-		if job, ok := item.(pool.NewJob); ok {
-			r.core.AddJob(now, job.Job)
-			continue
-		}
-		later = append(later, item)
 	}
 	h.restoreStates(now, r.core, states.Rows)
-	for _, item := range later {
+	for _, item := range items {
 		r.take(now, item)
 	}
 	h.deps.Logger.Info().Str("pool", h.pool).Int("rows", len(intake.Rows)).Int("states", len(states.Rows)).Msg("holder: the pool was read")
