Holders are told of new jobs and cancellations beside their feed

Change: the gateway that committed a row tells the process that its last look at the lease named, by the connections between gateways; lost notices cost nothing, the feed brings the row. The lease's row names the address where a process takes notices. Measured: TestHolderIsToldWhileFeedsAreSilent, which the feed alone can't pass.

--- a/gateway/cancel.go
+++ b/gateway/cancel.go
@@ -29,6 +29,6 @@
 	key := pool.CancelKey(t.queue.Pool, found.id)
 	row := pool.Encode(pool.CancelRow(g.follower.StoreClock(time.Now())))
 	txn := store.Txn{Writes: []store.Write{{Key: key, Value: row}}}
-	unsettled, err := g.retry(ctx, call, func(ctx context.Context) error { return g.write(ctx, txn) })
+	unsettled, err := g.retry(ctx, call, func(ctx context.Context) error { return g.write(ctx, t.queue.Pool, txn) })
 	return writeError(op, unsettled, err)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,9 +39,16 @@
 		Time time.Duration
 	}
 
+	// Notifier tells the holder of a pool of a row that was committed, at a reading of the store's
+	// clock. It must not wait, and may lose what it is told.
+	Notifier interface {
+		Notify(poolName string, row store.Row, clock time.Duration)
+	}
+
 	// Gateway answers callers. Create it with New.
 	Gateway struct {
 		store    store.Store
+		notifier Notifier
 		follower *Follower
 		logger   *log.Logger
 		metrics  *metrics.Set
@@ -57,10 +64,10 @@
 	}
 )
 
-// New returns a gateway that works with the configuration of a follower and counts in a
-// set.
-func New(s store.Store, follower *Follower, set *metrics.Set, logger *log.Logger) *Gateway {
-	return &Gateway{store: s, follower: follower, metrics: set, logger: logger}
+// New returns a gateway that works with the configuration of a follower, tells holders by a
+// notifier, and counts in a set.
+func New(s store.Store, notifier Notifier, follower *Follower, set *metrics.Set, logger *log.Logger) *Gateway {
+	return &Gateway{store: s, notifier: notifier, follower: follower, metrics: set, logger: logger}
 }
 
 // Ready says whether callers should come to this gateway.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -36,7 +36,7 @@
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	follower := NewFollower(now, nil, logger)
 	follower.take(now, Wishes{Catalog: config})
-	return New(unused{}, follower, metrics.NewSet(), logger)
+	return New(unused{}, nil, follower, metrics.NewSet(), logger)
 }
 
 func testConfig(version uint64, key string) *catalog.Catalog {
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -46,7 +46,7 @@
 		Checks: []store.Check{{Key: key}},
 		Writes: []store.Write{{Key: key, Value: row}},
 	}
-	unsettled, err := g.retry(ctx, call, func(ctx context.Context) error { return g.write(ctx, txn) })
+	unsettled, err := g.retry(ctx, call, func(ctx context.Context) error { return g.write(ctx, poolName, txn) })
 	if store.KindOf(err) == store.KindConflict {
 		// The job was accepted before: by this request, by an earlier one, or elsewhere.
 		return nil
@@ -55,13 +55,20 @@
 }
 
 // write commits a transaction, unless the store is known to be away: then it is certain that
-// nothing was done, and the caller can be told so.
-func (g *Gateway) write(ctx context.Context, txn store.Txn) error {
+// nothing was done, and the caller can be told so. The pool's holder is told of what was written.
+func (g *Gateway) write(ctx context.Context, poolName string, txn store.Txn) error {
 	if g.follower.StoreAway() {
 		return &store.Error{Op: "commit", Kind: store.KindRefused, Err: errAway}
 	}
-	_, err := g.store.Commit(ctx, txn)
-	return err
+	stamp, err := g.store.Commit(ctx, txn)
+	if err != nil {
+		return err
+	}
+	for _, w := range txn.Writes {
+		row := store.Row{Key: w.Key, Value: w.Value, Version: stamp.Version}
+		g.notifier.Notify(poolName, row, g.follower.StoreClock(time.Now()))
+	}
+	return nil
 }
 
 // writeError says what a caller is told of a write that failed.
--- a/holder/candidate.go
+++ b/holder/candidate.go
@@ -80,3 +80,13 @@
 	}
 	return store.Row{Key: key}, page.Stamp, nil
 }
+
+// holderAddress returns the address of the process that wrote a lease's row; empty when the pool
+// was given up, or the row can't be read.
+func holderAddress(row store.Row) string {
+	content := &poolpb.HolderRow{}
+	if err := proto.Unmarshal(row.Value, content); err != nil || content.GetReleased() {
+		return ""
+	}
+	return content.GetAddress()
+}
--- a/holder/host.go
+++ b/holder/host.go
@@ -50,12 +50,24 @@
 
 		mu  sync.Mutex
 		pid *actor.PID
+		// known is the process that held the pool when its lease was read last.
+		known *rpc.Client
+		// notices bounds those that are under way.
+		notices chan struct{}
 	}
 )
 
-// New returns a host for a pool. The name and address are this process's.
+// New returns a host for a pool. The name and address are this process's; the address is where
+// other processes reach its NoticeService.
 func New(poolName, name, address string, settings pool.Settings, deps Deps) *Host {
-	return &Host{pool: poolName, name: name, address: address, settings: settings, deps: deps}
+	return &Host{
+		pool:     poolName,
+		name:     name,
+		address:  address,
+		settings: settings,
+		deps:     deps,
+		notices:  make(chan struct{}, maxNotices),
+	}
 }
 
 // Run hosts the pool until ctx is done; then it gives the pool up, so that another process
@@ -100,6 +112,7 @@
 		}
 		pause.Reset()
 		candidate.Observe(sent, row)
+		h.setKnown(holderAddress(row))
 		wait := candidate.Wait(sent.Add(-h.deps.Patience))
 		if wait == 0 {
 			return row, true
--- a/program/gatewayd/main.go
+++ b/program/gatewayd/main.go
@@ -125,7 +125,7 @@
 		}
 	}
 	p.follower = gateway.NewFollower(time.Now(), adapter.NewConfigs(p.store), logger)
-	p.gateway = gateway.New(p.store, p.follower, p.metrics, logger)
+	p.gateway = gateway.New(p.store, p, p.follower, p.metrics, logger)
 	following, endFollowing := context.WithCancel(context.Background())
 	defer endFollowing()
 	go p.follower.Run(following)
@@ -157,6 +157,9 @@
 	if err := server.Register(relay.ServiceName, relayed.Service()); err != nil {
 		return nil, err
 	}
+	if err := server.Register(holder.NoticeServiceName, holder.NewNoticeService(p.host)); err != nil {
+		return nil, err
+	}
 	go func() { _ = server.Serve(listener) }()
 	go relayed.Run(ctx, *p.options.name, *p.options.relay)
 	return relayed, nil
@@ -215,11 +218,34 @@
 	}
 	poolSettings := pool.DefaultSettings()
 	poolSettings.EvacuateWithin = *p.options.evacuateWithin
-	host := holder.New(name, *p.options.name, *p.options.callers, poolSettings, deps)
+	host := holder.New(name, *p.options.name, p.address(), poolSettings, deps)
 	p.hosts[name] = host
 	p.running.Go(func() { host.Run(ctx) })
 }
 
+// address is where other gateways reach this one. Without one for them it only names this one.
+func (p *gatewayProcess) address() string {
+	if *p.options.relay != "" {
+		return *p.options.relay
+	}
+	return *p.options.callers
+}
+
+// host returns the host of a pool.
+func (p *gatewayProcess) host(poolName string) (*holder.Host, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	host, hosted := p.hosts[poolName]
+	return host, hosted
+}
+
+// Notify implements gateway.Notifier.
+func (p *gatewayProcess) Notify(poolName string, row store.Row, clock time.Duration) {
+	if host, hosted := p.host(poolName); hosted {
+		host.Notify(row, clock)
+	}
+}
+
 // pools returns the states of the pools that this process holds.
 func (p *gatewayProcess) pools() []pool.Snapshot {
 	p.mu.Lock()
--- /dev/null
+++ b/program/pooltest/notice_test.go
@@ -0,0 +1,33 @@
+package pooltest
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/platform/fakes"
+	"hollyfork.example/hollyfork/program/cluster"
+)
+
+// The store's feeds tell of no change: new jobs and cancellations were not seen until they did.
+func TestHolderIsToldWhileFeedsAreSilent(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(t, 2, 2)
+	c.Submit(1, cluster.Tasks(2, "100ms"))
+	c.AwaitAll(1)
+	c.Store.SetFault(fakes.Fault{Mute: true})
+	for i, g := range c.Gateways {
+		first := 2 + 2*i
+		status, _ := g.Call(http.MethodPost, cluster.JobPath(first), cluster.APIKey, cluster.Tasks(2, "100ms"))
+		is.Equal(status, http.StatusOK)
+		c.Await(first, "done")
+		status, _ = g.Call(http.MethodPost, cluster.JobPath(first+1), cluster.APIKey, cluster.Tasks(2, "60s"))
+		is.Equal(status, http.StatusOK)
+		c.Await(first+1, "running")
+		status, _ = g.Call(http.MethodDelete, cluster.JobPath(first+1), cluster.APIKey, "")
+		is.Equal(status, http.StatusOK)
+		cluster.Eventually(t, "a cancelled job is stopped", func() bool { return c.Workers[0].Listed()+c.Workers[1].Listed() == 0 && c.Runs.Running() == 0 })
+	}
+	c.Check()
+}
