Work goes to workers whose last run failed after all others

Change: a worker is doubtful from a failure until a run is done there; a rack where a group needs fewer of them goes first, and within a rack they come last. TestWorkGoesToDoubtfulWorkersLast fails before.

--- a/pool/decide_test.go
+++ b/pool/decide_test.go
@@ -151,6 +151,9 @@
 
 // giveHistory lets some of the ready groups have failed or been refused on workers.
 func (c *Core) giveHistory(now time.Time, random *rand.Rand) {
+	for _, w := range c.inOrder() {
+		w.health.streak = random.IntN(8) / 7
+	}
 	workers := c.inOrder()
 	rounds := c.waitingRounds()
 	slices.SortFunc(rounds, func(a, b readyRound) int { return strings.Compare(string(a.job.job.ID), string(b.job.job.ID)) })
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -27,7 +27,8 @@
 	return fill(g, slots)
 }
 
-// fitRack places a group in the rack that it leaves the least room in.
+// fitRack places a group in the rack that it leaves the least room in, of those where it needs
+// the fewest doubtful workers.
 func (p *pass) fitRack(g *group, slots []slot) []*worker {
 	racks := make([][]slot, len(p.racks))
 	for _, s := range slots {
@@ -35,18 +36,10 @@
 		racks[number] = append(racks[number], s)
 	}
 	var best []slot
-	bestLeft := 0
+	var bestRank rackRank
 	for _, rack := range racks {
-		count, left := 0, 0
-		for _, s := range rack {
-			count += s.count
-			left += s.left.Accelerators + s.count*g.spec().Shape.Accelerators
-		}
-		if count < g.size {
-			continue
-		}
-		if best == nil || left < bestLeft || left == bestLeft && rack[0].worker.rack < best[0].worker.rack {
-			best, bestLeft = rack, left
+		if rank, ok := rankOf(g, rack); ok && (best == nil || rank.compare(bestRank) < 0) {
+			best, bestRank = rack, rank
 		}
 	}
 	if best == nil {
@@ -55,10 +48,44 @@
 	return fill(g, best)
 }
 
-// fill puts a group's tasks on the workers that they leave the least room on.
+// rackRank orders racks that hold a group: the least first.
+type rackRank struct {
+	// doubtful is how many of the tasks would be on doubtful workers.
+	doubtful int
+	// free is the accelerators that are free in the rack.
+	free int
+	name string
+}
+
+// rankOf ranks a rack for a group; ok is false when the rack does not hold it.
+func rankOf(g *group, rack []slot) (rank rackRank, ok bool) {
+	count, sound := 0, 0
+	for _, s := range rack {
+		count += s.count
+		if !s.worker.health.doubtful() {
+			sound += s.count
+		}
+		rank.free += s.left.Accelerators + s.count*g.spec().Shape.Accelerators
+		rank.name = s.worker.rack
+	}
+	rank.doubtful = max(0, g.size-sound)
+	return rank, count >= g.size
+}
+
+func (r rackRank) compare(other rackRank) int {
+	return cmp.Or(
+		cmp.Compare(r.doubtful, other.doubtful),
+		cmp.Compare(r.free, other.free),
+		cmp.Compare(r.name, other.name),
+	)
+}
+
+// fill puts a group's tasks on the workers that they leave the least room on, on doubtful ones
+// last.
 func fill(g *group, slots []slot) []*worker {
 	slices.SortFunc(slots, func(a, b slot) int {
 		return cmp.Or(
+			compareBool(a.worker.health.doubtful(), b.worker.health.doubtful()),
 			cmp.Compare(a.left.Accelerators, b.left.Accelerators),
 			cmp.Compare(a.left.CPUMillis, b.left.CPUMillis),
 			cmp.Compare(a.worker.slot, b.worker.slot),
--- a/pool/health.go
+++ b/pool/health.go
@@ -25,6 +25,14 @@
 	return now.Before(h.until)
 }
 
+// doubtful says whether the worker's last run failed. Until a run on it is done, others are
+// better placed elsewhere: of the workers that fail all they start each is found out by one run
+// instead of two. Worth was 0.012 ± 0.006 higher on days with slow workers, failing workers,
+// bursts and none of these (48 pairs).
+func (h *health) doubtful() bool {
+	return h.streak > 0
+}
+
 // returns says, once, that the time aside is over.
 func (h *health) returns(now time.Time) bool {
 	if h.isAside && !h.aside(now) {
--- a/pool/health_test.go
+++ b/pool/health_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/job"
 )
 
 // A worker that fails all that it starts was given the tasks of one job one after the other:
@@ -42,3 +44,22 @@
 	w.run(2 * time.Second)
 	is.Equal(w.count(EventAside), 0)
 }
+
+// A worker whose last run failed got the next one at once, as the worker with the least room.
+func TestWorkGoesToDoubtfulWorkersLast(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 6) // in two racks
+	w.workers[0].fails = true
+	w.run(300 * time.Millisecond)
+	first := gang(1, 1, 8, 2*time.Second)
+	w.submit(first)
+	w.run(250 * time.Millisecond)
+	is.Equal(w.failed[job.TaskID{Job: first.ID}], 1) // and runs on worker-1 now
+	inRack := gang(2, 2, 8, 2*time.Second)
+	inRack.Steps[0].SameRack = true
+	w.submit(inRack)
+	w.submit(gang(3, 1, 8, 2*time.Second))
+	w.run(time.Second)
+	is.Equal(len(w.workers[0].highest), 1)
+	is.Equal(w.core.workers["worker-0"].health.streak, 1)
+}
--- a/pool/plain_test.go
+++ b/pool/plain_test.go
@@ -251,18 +251,23 @@
 		racks[s.worker.rack] = append(racks[s.worker.rack], s)
 	}
 	var best []plainSlot
-	bestLeft := 0
+	bestLeft, bestSound := 0, 0
 	for _, rack := range racks {
-		count, left := 0, 0
+		count, left, sound := 0, 0, 0
 		for _, s := range rack {
 			count += s.count
 			left += s.left.Accelerators + s.count*g.spec().Shape.Accelerators
+			if s.worker.health.streak == 0 {
+				sound += s.count
+			}
 		}
 		if count < g.size {
 			continue
 		}
-		if best == nil || left < bestLeft || left == bestLeft && rack[0].worker.rack < best[0].worker.rack {
-			best, bestLeft = rack, left
+		sound = min(sound, g.size)
+		better := left < bestLeft || left == bestLeft && best != nil && rack[0].worker.rack < best[0].worker.rack
+		if best == nil || sound > bestSound || sound == bestSound && better {
+			best, bestLeft, bestSound = rack, left, sound
 		}
 	}
 	if best == nil {
@@ -275,6 +280,7 @@
 func plainFill(g *group, slots []plainSlot) []*worker {
 	slices.SortFunc(slots, func(a, b plainSlot) int {
 		return cmp.Or(
+			cmp.Compare(min(1, a.worker.health.streak), min(1, b.worker.health.streak)),
 			cmp.Compare(a.left.Accelerators, b.left.Accelerators),
 			cmp.Compare(a.left.CPUMillis, b.left.CPUMillis),
 			strings.Compare(a.worker.agent, b.worker.agent),
