--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -36,8 +36,8 @@
 		TakenBack bool
 	}
 
-	// Wishes are what an answer tells of the operator's.
-	Wishes struct {
+	// Update is what an answer tells of the configuration and of evacuations.
+	Update struct {
 		// Catalog is the newest configuration; nil when the answer has none.
 		Catalog *catalog.Catalog
 		// Evacuations are all that are requested, in an answer that is Whole, else those that
@@ -47,13 +47,13 @@
 		Stamp       store.Stamp
 	}
 
-	// ConfigSource reads what the operator wishes.
+	// ConfigSource reads what the operator asks for.
 	ConfigSource interface {
 		// ReadConfig returns all of it.
-		ReadConfig(ctx context.Context) (Wishes, error)
+		ReadConfig(ctx context.Context) (Update, error)
 		// FollowConfig returns what has changed after a version of the store, as soon as
 		// there is anything, or nothing after a wait.
-		FollowConfig(ctx context.Context, after uint64, wait time.Duration) (Wishes, error)
+		FollowConfig(ctx context.Context, after uint64, wait time.Duration) (Update, error)
 	}
 )
 
@@ -123,7 +123,7 @@
 	up := true
 	for ctx.Err() == nil {
 		sent := time.Now()
-		wishes, err := f.ask(ctx, version)
+		update, err := f.ask(ctx, version)
 		f.away.Store(err != nil)
 		if (err == nil) != up && ctx.Err() == nil {
 			up = err == nil
@@ -135,13 +135,13 @@
 			continue
 		}
 		pause.Reset()
-		version = wishes.Stamp.Version
-		f.clock.Store(&pool.Clock{Now: time.Now(), Store: wishes.Stamp.Clock})
-		f.take(sent, wishes)
+		version = update.Stamp.Version
+		f.clock.Store(&pool.Clock{Now: time.Now(), Store: update.Stamp.Clock})
+		f.take(sent, update)
 	}
 }
 
-func (f *Follower) ask(ctx context.Context, version uint64) (Wishes, error) {
+func (f *Follower) ask(ctx context.Context, version uint64) (Update, error) {
 	if version == 0 {
 		return f.source.ReadConfig(ctx)
 	}
@@ -150,14 +150,14 @@
 
 // take puts what an answer tells in force. An answer of an earlier state of the store than one
 // before it proves nothing: it would take back an evacuation.
-func (f *Follower) take(sent time.Time, wishes Wishes) {
-	if wishes.Stamp.Version < f.seen {
-		f.logger.Warn().Uint64("version", wishes.Stamp.Version).Uint64("seen", f.seen).Msg("gateway: an answer of an earlier state of the store is passed over")
+func (f *Follower) take(sent time.Time, update Update) {
+	if update.Stamp.Version < f.seen {
+		f.logger.Warn().Uint64("version", update.Stamp.Version).Uint64("seen", f.seen).Msg("gateway: an answer of an earlier state of the store is passed over")
 		return
 	}
-	f.seen = wishes.Stamp.Version
-	f.takeEvacuations(sent, wishes)
-	f.takeCatalog(wishes.Catalog)
+	f.seen = update.Stamp.Version
+	f.takeEvacuations(sent, update)
+	f.takeCatalog(update.Catalog)
 	f.provenAt.Store(int64(sent.Sub(f.began)))
 }
 
@@ -171,13 +171,13 @@
 }
 
 // takeEvacuations takes over which data centres are evacuated, with the proof's time.
-func (f *Follower) takeEvacuations(sent time.Time, wishes Wishes) {
+func (f *Follower) takeEvacuations(sent time.Time, update Update) {
 	before := f.Evacuations()
 	next := before
-	if wishes.Whole {
+	if update.Whole {
 		next = catalog.Evacuations{}
 	}
-	for _, e := range wishes.Evacuations {
+	for _, e := range update.Evacuations {
 		if e.TakenBack {
 			next = next.Without(e.DataCentre)
 			continue
@@ -187,7 +187,7 @@
 	next = next.WithProof(sent)
 	f.evacuations.Store(&next)
 	if !next.Same(before) {
-		f.logger.Info().Strs("data_centres", next.DataCentres()).Uint64("version", wishes.Stamp.Version).Msg("gateway: evacuations are in force")
+		f.logger.Info().Strs("data_centres", next.DataCentres()).Uint64("version", update.Stamp.Version).Msg("gateway: evacuations are in force")
 	}
 }
 
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -13,7 +13,7 @@
 // centre evacuated.
 func newTestFollower() *Follower {
 	f := newTestGateway(testConfig(3, "k")).follower
-	f.take(now, Wishes{Whole: true, Evacuations: []Evacuation{{DataCentre: "north", Version: 8}}, Stamp: store.Stamp{Version: 10}})
+	f.take(now, Update{Whole: true, Evacuations: []Evacuation{{DataCentre: "north", Version: 8}}, Stamp: store.Stamp{Version: 10}})
 	return f
 }
 
@@ -21,7 +21,7 @@
 	is := is.New(t)
 	f := newTestFollower()
 	is.Equal(f.Evacuations().DataCentres(), []string{"north"})
-	f.take(now.Add(time.Second), Wishes{
+	f.take(now.Add(time.Second), Update{
 		Evacuations: []Evacuation{{DataCentre: "north", Version: 11, TakenBack: true}, {DataCentre: "south", Version: 12}},
 		Stamp:       store.Stamp{Version: 12},
 	})
@@ -33,14 +33,14 @@
 func TestWholeAnswerReplacesAllEvacuations(t *testing.T) {
 	is := is.New(t)
 	f := newTestFollower()
-	f.take(now.Add(time.Second), Wishes{Whole: true, Stamp: store.Stamp{Version: 20}})
+	f.take(now.Add(time.Second), Update{Whole: true, Stamp: store.Stamp{Version: 20}})
 	is.Equal(len(f.Evacuations().DataCentres()), 0)
 }
 
 func TestAnswerWithoutChangesRenewsTheProof(t *testing.T) {
 	is := is.New(t)
 	f := newTestFollower()
-	f.take(now.Add(time.Second), Wishes{Stamp: store.Stamp{Version: 10}})
+	f.take(now.Add(time.Second), Update{Stamp: store.Stamp{Version: 10}})
 	is.Equal(f.Evacuations().DataCentres(), []string{"north"})
 	is.Equal(f.Evacuations().ProvenAt(), now.Add(time.Second))
 }
@@ -49,7 +49,7 @@
 func TestAnswerOfAnEarlierStateProvesNothing(t *testing.T) {
 	is := is.New(t)
 	f := newTestFollower()
-	f.take(now.Add(time.Second), Wishes{Whole: true, Stamp: store.Stamp{Version: 7}})
+	f.take(now.Add(time.Second), Update{Whole: true, Stamp: store.Stamp{Version: 7}})
 	is.Equal(f.Evacuations().DataCentres(), []string{"north"})
 	is.Equal(f.Evacuations().ProvenAt(), now)
 	is.Equal(f.Age(now.Add(time.Second)), time.Second)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -35,7 +35,7 @@
 func newTestGateway(config *catalog.Catalog) *Gateway {
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	follower := NewFollower(now, nil, logger)
-	follower.take(now, Wishes{Catalog: config})
+	follower.take(now, Update{Catalog: config})
 	return New(unused{}, nil, follower, metrics.NewSet(), logger)
 }
 
@@ -88,7 +88,7 @@
 func TestVersionsNeverGoBack(t *testing.T) {
 	is := is.New(t)
 	g := newTestGateway(testConfig(3, "new"))
-	g.follower.take(now, Wishes{Catalog: testConfig(2, "old")})
+	g.follower.take(now, Update{Catalog: testConfig(2, "old")})
 	is.Equal(g.follower.Catalog().Version, uint64(3))
 }
 
@@ -97,7 +97,7 @@
 	g := newTestGateway(testConfig(3, "k"))
 	is.True(g.Ready(now))
 	is.True(!g.Ready(now.Add(MaxAge + 1)))
-	g.follower.take(now.Add(MaxAge), Wishes{})
+	g.follower.take(now.Add(MaxAge), Update{})
 	is.True(g.Ready(now.Add(MaxAge + 1)))
 	g.Stop()
 	is.True(!g.Ready(now.Add(MaxAge + 1)))
--- a/pool/evacuate_test.go
+++ b/pool/evacuate_test.go
@@ -96,12 +96,15 @@
 }
 
 // Without this a task waited for its data's rack for as long as the rack was evacuated, and a
-// gang for a rack that would have held it.
+// gang for the only rack that would have held it.
 func TestWorkDoesNotWaitForEvacuatedRacks(t *testing.T) {
 	is := is.New(t)
-	w := newHalls(t, 4, 2)
+	w := newHalls(t, 6, 2)
 	for i, f := range w.workers {
-		f.rack = fmt.Sprintf("rack-%d", i%2)
+		f.rack = "rack-1" // all of hall-1
+		if i%2 == 0 {
+			f.rack = fmt.Sprintf("rack-of-%d", i)
+		}
 	}
 	w.run(300 * time.Millisecond)
 	w.evacuate("hall-1")
@@ -110,14 +113,30 @@
 	w.submit(data)
 	w.run(time.Second)
 	is.Equal(w.state(data.ID), Done)
-	w.takeBack("hall-1")
+	inRack := gang(2, 2, 8, 300*time.Millisecond)
+	inRack.Steps[0].SameRack = true
+	w.submit(inRack)
+	w.run(time.Second)
+	is.Equal(w.state(inRack.ID), Done)
+}
+
+// The first listing of a worker under a new holder tells what runs there; until it comes, what an
+// earlier holder started in an evacuated data centre is not given up.
+func TestRunsAreNotGivenUpBeforeTheFirstListing(t *testing.T) {
+	is := is.New(t)
+	w := newHalls(t, 2, 2)
+	w.run(300 * time.Millisecond)
+	w.submit(gang(1, 2, 8, 3*time.Second))
+	w.run(300 * time.Millisecond)
 	w.evacuate("hall-0")
-	w.workers[3].draining = true
-	spread := gang(2, 1, 8, 300*time.Millisecond)
-	spread.Steps[0].SameRack = true
-	w.submit(spread)
+	w.run(100 * time.Millisecond)
+	w.workers[0].silent = true
+	w.takeOver()
 	w.run(time.Second)
-	is.Equal(w.state(spread.ID), Done)
+	w.workers[0].silent = false
+	w.run(4 * time.Second)
+	is.Equal(w.state("0000000000000001"), Done)
+	is.Equal(w.core.jobs["0000000000000001"].groups[0].run, 1)
 }
 
 // What runs in an evacuated data centre is seen to as before when its agent or the holder is
--- a/program/gatewayd/main.go
+++ b/program/gatewayd/main.go
@@ -5,11 +5,9 @@
 import (
 	"context"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"os/signal"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -17,13 +15,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
-	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/gateway"
 	"hollyfork.example/hollyfork/holder"
 	"hollyfork.example/hollyfork/platform/adapter"
-	"hollyfork.example/hollyfork/pool"
-	"hollyfork.example/hollyfork/process"
-	"hollyfork.example/hollyfork/process/actors"
 	"hollyfork.example/hollyfork/process/launch"
 	"hollyfork.example/hollyfork/relay"
 	"hollyfork.example/hollyfork/settings"
@@ -181,156 +175,6 @@
 	p.logger.Info().Msg("gateway: stopped")
 }
 
-// hostPools runs a host for each pool of the configuration, until ctx is done.
-func (p *gatewayProcess) hostPools(ctx context.Context) {
-	deps := holder.Deps{
-		System:  actors.NewSystem(p.logger),
-		Store:   p.store,
-		Metrics: p.metrics,
-		Traffic: p.traffic,
-		Logger:  p.logger,
-		Catalog: p.follower.Catalog,
-
-		Evacuations: p.follower.Evacuations,
-	}
-	if *p.options.advice != "" {
-		deps.Advisor = adapter.NewAdvice(*p.options.advice)
-	}
-	if *p.options.share < weakShare {
-		deps.Patience = weakPatience
-	}
-	p.running.Go(func() {
-		for ctx.Err() == nil {
-			for _, name := range p.follower.Catalog().Pools {
-				p.hostPool(ctx, name, deps)
-			}
-			backoff.Sleep(ctx, lookForPools)
-		}
-	})
-}
-
-// hostPool runs a host for a pool, unless there is one.
-func (p *gatewayProcess) hostPool(ctx context.Context, name string, deps holder.Deps) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if _, hosted := p.hosts[name]; hosted {
-		return
-	}
-	poolSettings := pool.DefaultSettings()
-	poolSettings.EvacuateWithin = *p.options.evacuateWithin
-	host := holder.New(name, *p.options.name, p.address(), poolSettings, deps)
-	p.hosts[name] = host
-	p.running.Go(func() { host.Run(ctx) })
-}
-
-// address is where other gateways reach this one. Without one for them it only names this one.
-func (p *gatewayProcess) address() string {
-	if *p.options.relay != "" {
-		return *p.options.relay
-	}
-	return *p.options.callers
-}
-
-// host returns the host of a pool.
-func (p *gatewayProcess) host(poolName string) (*holder.Host, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	host, hosted := p.hosts[poolName]
-	return host, hosted
-}
-
-// Notify implements gateway.Notifier.
-func (p *gatewayProcess) Notify(poolName string, row store.Row, clock time.Duration) {
-	if host, hosted := p.host(poolName); hosted {
-		host.Notify(row, clock)
-	}
-}
-
-// pools returns the states of the pools that this process holds.
-func (p *gatewayProcess) pools() []pool.Snapshot {
-	p.mu.Lock()
-	hosts := slices.Collect(maps.Values(p.hosts))
-	p.mu.Unlock()
-	var held []pool.Snapshot
-	for _, host := range hosts {
-		if snapshot, ok := host.Snapshot(); ok {
-			held = append(held, snapshot)
-		}
-	}
-	return held
-}
-
-// lookForPools is how often the configuration is looked at for new pools.
-const lookForPools = 50 * time.Millisecond
-
-// State is the process's state, for operators.
-type State struct {
-	ConfigVersion uint64        `json:"config_version"`
-	ConfigAge     time.Duration `json:"config_age_ns"`
-	// Evacuated are the data centres in which nothing is to be started.
-	Evacuated []string `json:"evacuated,omitempty"`
-	Ready     bool     `json:"ready"`
-	Stopping  bool     `json:"stopping"`
-	// Pools are those that this process holds.
-	Pools []pool.Snapshot `json:"pools"`
-}
-
-func (p *gatewayProcess) dump() any {
-	now := time.Now()
-	return State{
-		ConfigVersion: p.follower.Catalog().Version,
-		ConfigAge:     p.follower.Age(now),
-		Evacuated:     p.follower.Evacuations().DataCentres(),
-		Ready:         p.gateway.Ready(now),
-		Stopping:      p.gateway.Stopping(),
-		Pools:         p.pools(),
-	}
-}
-
-func (p *gatewayProcess) serveAdmin(listener net.Listener) {
-	if listener == nil {
-		return
-	}
-	p.addGauges()
-	go process.NewAdmin(p.dump, p.metrics).Serve(listener)
-}
-
-// addGauges adds what is looked up when the metrics are read.
-func (p *gatewayProcess) addGauges() {
-	p.metrics.NewGauge("hollyfork_gateway_ready", func() float64 {
-		if p.gateway.Ready(time.Now()) {
-			return 1
-		}
-		return 0
-	})
-	p.metrics.NewGauge("hollyfork_gateway_config_version", func() float64 { return float64(p.follower.Catalog().Version) })
-	p.metrics.NewGauge("hollyfork_gateway_config_age_seconds", func() float64 { return p.follower.Age(time.Now()).Seconds() })
-	p.metrics.NewGauge("hollyfork_gateway_data_centres_evacuated", func() float64 { return float64(len(p.follower.Evacuations().DataCentres())) })
-	p.metrics.NewGauge("hollyfork_pools_held", func() float64 { return float64(len(p.pools())) })
-	p.metrics.NewGauge("hollyfork_pool_jobs_waiting", func() float64 {
-		waiting := 0
-		for _, snapshot := range p.pools() {
-			for _, n := range snapshot.Waiting {
-				waiting += n
-			}
-		}
-		return float64(waiting)
-	})
-	p.metrics.NewGauge("hollyfork_pool_workers_usable", func() float64 {
-		usable := 0
-		for _, snapshot := range p.pools() {
-			for _, w := range snapshot.Workers {
-				if w.Usable {
-					usable++
-				}
-			}
-		}
-		return float64(usable)
-	})
-	p.metrics.NewGauge("hollyfork_rpc_received_bytes_total", func() float64 { return float64(p.traffic.BytesIn.Load()) })
-	p.metrics.NewGauge("hollyfork_rpc_sent_bytes_total", func() float64 { return float64(p.traffic.BytesOut.Load()) })
-}
-
 // listenAll opens addresses; empty ones give nil.
 func listenAll(addresses ...string) ([]net.Listener, error) {
 	listeners := make([]net.Listener, len(addresses))
--- /dev/null
+++ b/program/gatewayd/pools.go
@@ -0,0 +1,97 @@
+package gatewayd
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"hollyfork.example/hollyfork/backoff"
+	"hollyfork.example/hollyfork/holder"
+	"hollyfork.example/hollyfork/platform/adapter"
+	"hollyfork.example/hollyfork/pool"
+	"hollyfork.example/hollyfork/process/actors"
+	"hollyfork.example/hollyfork/store"
+)
+
+// hostPools runs a host for each pool of the configuration, until ctx is done.
+func (p *gatewayProcess) hostPools(ctx context.Context) {
+	deps := holder.Deps{
+		System:  actors.NewSystem(p.logger),
+		Store:   p.store,
+		Metrics: p.metrics,
+		Traffic: p.traffic,
+		Logger:  p.logger,
+		Catalog: p.follower.Catalog,
+
+		Evacuations: p.follower.Evacuations,
+	}
+	if *p.options.advice != "" {
+		deps.Advisor = adapter.NewAdvice(*p.options.advice)
+	}
+	if *p.options.share < weakShare {
+		deps.Patience = weakPatience
+	}
+	p.running.Go(func() {
+		for ctx.Err() == nil {
+			for _, name := range p.follower.Catalog().Pools {
+				p.hostPool(ctx, name, deps)
+			}
+			backoff.Sleep(ctx, lookForPools)
+		}
+	})
+}
+
+// hostPool runs a host for a pool, unless there is one.
+func (p *gatewayProcess) hostPool(ctx context.Context, name string, deps holder.Deps) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, hosted := p.hosts[name]; hosted {
+		return
+	}
+	poolSettings := pool.DefaultSettings()
+	poolSettings.EvacuateWithin = *p.options.evacuateWithin
+	host := holder.New(name, *p.options.name, p.address(), poolSettings, deps)
+	p.hosts[name] = host
+	p.running.Go(func() { host.Run(ctx) })
+}
+
+// address is where other gateways reach this one. Without one for them it only names this one.
+func (p *gatewayProcess) address() string {
+	if *p.options.relay != "" {
+		return *p.options.relay
+	}
+	return *p.options.callers
+}
+
+// host returns the host of a pool.
+func (p *gatewayProcess) host(poolName string) (*holder.Host, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	host, hosted := p.hosts[poolName]
+	return host, hosted
+}
+
+// Notify implements gateway.Notifier.
+func (p *gatewayProcess) Notify(poolName string, row store.Row, clock time.Duration) {
+	if host, hosted := p.host(poolName); hosted {
+		host.Notify(row, clock)
+	}
+}
+
+// pools returns the states of the pools that this process holds.
+func (p *gatewayProcess) pools() []pool.Snapshot {
+	p.mu.Lock()
+	hosts := slices.Collect(maps.Values(p.hosts))
+	p.mu.Unlock()
+	var held []pool.Snapshot
+	for _, host := range hosts {
+		if snapshot, ok := host.Snapshot(); ok {
+			held = append(held, snapshot)
+		}
+	}
+	return held
+}
+
+// lookForPools is how often the configuration is looked at for new pools.
+const lookForPools = 50 * time.Millisecond
--- /dev/null
+++ b/program/gatewayd/state.go
@@ -0,0 +1,77 @@
+package gatewayd
+
+import (
+	"net"
+	"time"
+
+	"hollyfork.example/hollyfork/pool"
+	"hollyfork.example/hollyfork/process"
+)
+
+// State is the process's state, for operators.
+type State struct {
+	ConfigVersion uint64        `json:"config_version"`
+	ConfigAge     time.Duration `json:"config_age_ns"`
+	// Evacuated are the data centres in which nothing is to be started.
+	Evacuated []string `json:"evacuated,omitempty"`
+	Ready     bool     `json:"ready"`
+	Stopping  bool     `json:"stopping"`
+	// Pools are those that this process holds.
+	Pools []pool.Snapshot `json:"pools"`
+}
+
+func (p *gatewayProcess) dump() any {
+	now := time.Now()
+	return State{
+		ConfigVersion: p.follower.Catalog().Version,
+		ConfigAge:     p.follower.Age(now),
+		Evacuated:     p.follower.Evacuations().DataCentres(),
+		Ready:         p.gateway.Ready(now),
+		Stopping:      p.gateway.Stopping(),
+		Pools:         p.pools(),
+	}
+}
+
+func (p *gatewayProcess) serveAdmin(listener net.Listener) {
+	if listener == nil {
+		return
+	}
+	p.addGauges()
+	go process.NewAdmin(p.dump, p.metrics).Serve(listener)
+}
+
+// addGauges adds what is looked up when the metrics are read.
+func (p *gatewayProcess) addGauges() {
+	p.metrics.NewGauge("hollyfork_gateway_ready", func() float64 {
+		if p.gateway.Ready(time.Now()) {
+			return 1
+		}
+		return 0
+	})
+	p.metrics.NewGauge("hollyfork_gateway_config_version", func() float64 { return float64(p.follower.Catalog().Version) })
+	p.metrics.NewGauge("hollyfork_gateway_config_age_seconds", func() float64 { return p.follower.Age(time.Now()).Seconds() })
+	p.metrics.NewGauge("hollyfork_gateway_data_centres_evacuated", func() float64 { return float64(len(p.follower.Evacuations().DataCentres())) })
+	p.metrics.NewGauge("hollyfork_pools_held", func() float64 { return float64(len(p.pools())) })
+	p.metrics.NewGauge("hollyfork_pool_jobs_waiting", func() float64 {
+		waiting := 0
+		for _, snapshot := range p.pools() {
+			for _, n := range snapshot.Waiting {
+				waiting += n
+			}
+		}
+		return float64(waiting)
+	})
+	p.metrics.NewGauge("hollyfork_pool_workers_usable", func() float64 {
+		usable := 0
+		for _, snapshot := range p.pools() {
+			for _, w := range snapshot.Workers {
+				if w.Usable {
+					usable++
+				}
+			}
+		}
+		return float64(usable)
+	})
+	p.metrics.NewGauge("hollyfork_rpc_received_bytes_total", func() float64 { return float64(p.traffic.BytesIn.Load()) })
+	p.metrics.NewGauge("hollyfork_rpc_sent_bytes_total", func() float64 { return float64(p.traffic.BytesOut.Load()) })
+}
