--- a/pool/settings.go
+++ b/pool/settings.go
@@ -40,9 +40,9 @@
 	// DisplaceFactor is how much work of others may be lost for urgent work beyond a
 	// guarantee, in parts of that work itself.
 	DisplaceFactor float64
-	// RetainFor is how long room that urgent work has left is kept for other urgent work: about
-	// as long as an urgent task runs on average on the users' sheets (2.5 s). It lowers the work
-	// that is thrown away by displacing, on a full pool of 54 to 68 workers by a sixth, and
+	// RetainFor is how long room that urgent work has left is kept for other urgent work:
+	// about as long as an urgent task runs on average (2.5 s). It lowers the work that
+	// is thrown away by displacing, on a full pool of 54 to 68 workers by a sixth, and
 	// raises worth there by 0.027 (85 pairs of plays without and with it).
 	RetainFor time.Duration
 	// EvacuateWithin is how long after an evacuation was requested a task may still be started
