The log says why a job waits, and which workers are on trial

Cause: a group that waited left no line, and neither log nor state dump told which workers were on trial or proven, so three hypotheses could not be told apart. Change: 'holder: job waits' counts the workers by what keeps a job off them, after 1 s and each 5 s, ten lines a second at most; 'worker on trial', 'worker proven'; the same in the state dump and in hollyforkctl pools. What suits a group is named by one function, which decides as before.

--- a/pool/core.go
+++ b/pool/core.go
@@ -27,6 +27,8 @@
 	// that was looked at last.
 	roomChanged bool
 	decidedAt   time.Time
+	// toldWaitingAt is when the log last said why a job waits.
+	toldWaitingAt time.Time
 	// ordersDue says that there may be orders to give, beside those that are sent again.
 	ordersDue bool
 
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -34,6 +34,7 @@
 	for _, r := range rounds {
 		p.tryAll(r.ready)
 	}
+	p.tellWaiting(rounds)
 }
 
 // waitingRounds returns the rounds of which a group could be placed.
--- a/pool/event.go
+++ b/pool/event.go
@@ -14,6 +14,12 @@
 	EventJobEnded  EventKind = "job ended"
 	EventAside     EventKind = "worker set aside"
 	EventBack      EventKind = "worker back"
+	// EventTrial and EventProven tell that a worker which was set aside is tried, and that a run
+	// was done there.
+	EventTrial  EventKind = "worker on trial"
+	EventProven EventKind = "worker proven"
+	// EventWaiting tells why nothing of a job is placed.
+	EventWaiting   EventKind = "job waits"
 	EventStray     EventKind = "stray run stopped"
 	EventWorker    EventKind = "worker incarnation"
 	EventForgotten EventKind = "agent forgotten"
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -148,26 +148,31 @@
 
 // suits says whether a group may run on a worker at all.
 func (p *pass) suits(g *group, w *worker) bool {
+	return p.objection(g, w) == objectionNone
+}
+
+// objection is why a group is not given to a worker, however much room that has.
+func (p *pass) objection(g *group, w *worker) objection {
 	step := g.spec()
 	switch {
 	case !w.has(step.Label):
-		return false
+		return objectionLabel
 	case step.DataRack != "" && w.rack != step.DataRack && p.core.rackExists(step.DataRack):
-		return false
+		return objectionRack
 	case g.job.job.Terms.Advised && !g.round.ticket(g.step, w.instance).good(p.now):
-		return false
+		return objectionTicket
 	case w.disturbs(step):
-		return false
+		return objectionDisturbs
 	case p.now.Before(g.avoided[w]):
-		return false
+		return objectionRefused
 	case g.failedOn[w.agent] > 0 && p.core.othersThan(g):
-		return false
+		return objectionFailed
 	case w.health.probing && (g.size > 1 || g.failures > 0):
-		return false
+		return objectionTrial
 	case g.failures > 0 && g.failures == g.job.job.Terms.Attempts-1 && !w.health.proven && p.anyProven:
-		return false
+		return objectionUnproven
 	}
-	return true
+	return objectionNone
 }
 
 // rackExists says whether a rack has a worker outside of evacuated data centres: an evacuation
--- a/pool/health.go
+++ b/pool/health.go
@@ -59,6 +59,9 @@
 }
 
 func (c *Core) noteSuccess(w *worker) {
+	if w.health.probing {
+		c.tell(Event{Kind: EventProven, Worker: w.agent})
+	}
 	w.health = health{proven: true}
 }
 
--- a/pool/jobstate.go
+++ b/pool/jobstate.go
@@ -30,6 +30,9 @@
 		// begun says that a task of it was started.
 		begun   bool
 		endedAt time.Time
+		// waits is what was told last of why nothing of it is placed, at toldAt.
+		waits  string
+		toldAt time.Time
 
 		// changes counts changes; committed is the count of the last commit.
 		changes   uint64
--- a/pool/state.go
+++ b/pool/state.go
@@ -24,14 +24,20 @@
 
 	// WorkerSnapshot is what a pool knows of a worker.
 	WorkerSnapshot struct {
-		Agent       string `json:"agent"`
-		Instance    string `json:"instance"`
-		Rack        string `json:"rack"`
-		DataCentre  string `json:"data_centre,omitempty"`
-		Evacuated   bool   `json:"evacuated,omitempty"`
-		Usable      bool   `json:"usable"`
-		Draining    bool   `json:"draining"`
-		SetAside    bool   `json:"set_aside"`
+		Agent      string `json:"agent"`
+		Instance   string `json:"instance"`
+		Rack       string `json:"rack"`
+		DataCentre string `json:"data_centre,omitempty"`
+		Evacuated  bool   `json:"evacuated,omitempty"`
+		Usable     bool   `json:"usable"`
+		Draining   bool   `json:"draining"`
+		SetAside   bool   `json:"set_aside"`
+		// OnTrial says that the worker was set aside and no run has been done there since,
+		// Proven that its last run was done, FailuresInRow how many have failed since.
+		OnTrial       bool `json:"on_trial"`
+		Proven        bool `json:"proven"`
+		FailuresInRow int  `json:"failures_in_row"`
+
 		Tasks       int    `json:"tasks"`
 		Strays      int    `json:"strays"`
 		Free        string `json:"free"`
@@ -52,6 +58,8 @@
 		Placed    int    `json:"placed"`
 		Done      int    `json:"done"`
 		Failures  int    `json:"failures"`
+		// Waits says why nothing of the job is placed, by number of workers, as it was told last.
+		Waits string `json:"waits,omitempty"`
 	}
 )
 
@@ -88,6 +96,7 @@
 		State:     j.state.String(),
 		DueInMS:   j.job.Due().Sub(now).Milliseconds(),
 		Groups:    len(j.groups),
+		Waits:     j.waitsFor(),
 	}
 	for _, g := range j.groups {
 		s.Failures += g.failures
@@ -103,14 +112,19 @@
 
 func (w *worker) snapshot(now time.Time, settings Settings) WorkerSnapshot {
 	return WorkerSnapshot{
-		Agent:       w.agent,
-		Instance:    w.instance,
-		Rack:        w.rack,
-		DataCentre:  w.dataCentre,
-		Evacuated:   w.evacuated,
-		Usable:      w.usable(now, settings),
-		Draining:    w.draining,
-		SetAside:    w.health.aside(now),
+		Agent:      w.agent,
+		Instance:   w.instance,
+		Rack:       w.rack,
+		DataCentre: w.dataCentre,
+		Evacuated:  w.evacuated,
+		Usable:     w.usable(now, settings),
+		Draining:   w.draining,
+		SetAside:   w.health.aside(now),
+
+		OnTrial:       w.health.probing,
+		Proven:        w.health.proven,
+		FailuresInRow: w.health.streak,
+
 		Tasks:       len(w.members),
 		Strays:      len(w.strays),
 		Free:        w.free().String(),
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -161,7 +161,7 @@
 
 // usable says whether a worker may be given work.
 func (w *worker) usable(now time.Time, s Settings) bool {
-	return w.instance != "" && w.listing > 0 && !w.draining && !w.evacuated && now.Sub(w.heard) <= s.FreshFor && !w.health.aside(now)
+	return w.objection(now, s) == objectionNone
 }
 
 // free is the room that is neither taken nor promised.
@@ -211,7 +211,11 @@
 	c.checkSilent(now, w)
 	if w.health.returns(now) {
 		c.roomChanged = true
-		c.tell(Event{Kind: EventBack, Worker: w.agent})
+		kind := EventBack
+		if w.health.probing {
+			kind = EventTrial
+		}
+		c.tell(Event{Kind: kind, Worker: w.agent})
 	}
 }
 
--- a/program/ctl_pools.go
+++ b/program/ctl_pools.go
@@ -95,6 +95,9 @@
 		if err := c.printTable(poolJobRows(p.Live)); err != nil {
 			return err
 		}
+		if err := c.printWaiting(p.Live); err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -120,6 +123,8 @@
 		return "set aside"
 	case !w.Usable:
 		return "silent"
+	case w.OnTrial:
+		return "on trial"
 	default:
 		return "usable"
 	}
@@ -136,3 +141,16 @@
 	}
 	return rows
 }
+
+// printWaiting says of each job that waits with nothing placed what keeps it off the workers.
+func (c *ctl) printWaiting(jobs []pool.JobSnapshot) error {
+	for _, j := range jobs {
+		if j.Waits == "" {
+			continue
+		}
+		if _, err := fmt.Fprintf(c.stdout, "\njob %s waits; workers: %s\n", j.ID, j.Waits); err != nil {
+			return err
+		}
+	}
+	return nil
+}
