Failing tests: jobs stand still beside free workers

Cause: suits and count in pool/fit.go leave workers out without end in time or need. Change: tests alone.

--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -51,6 +51,8 @@
 	asked       int
 	// saved are the tokens of progress, each with whom it belongs to.
 	saved map[string]map[job.TaskID]bool
+	// stillSince is when a job was seen first with nothing running beside ample room.
+	stillSince map[job.ID]time.Time
 	// alone counts the tasks that waited for their gang in vain.
 	alone int
 
@@ -119,6 +121,8 @@
 		saved:   map[string]map[job.TaskID]bool{},
 		loses:   func() bool { return false },
 
+		stillSince: map[job.ID]time.Time{},
+
 		settings:  DefaultSettings(),
 		requested: map[string]time.Time{},
 	}
