Bad workers are taken last, and racks left in idle pools alone

That a worker was on trial hid that it stood away from a task's data. A group that was placed and displaced, or met a new holder, waited anew. Change: known bad workers and racks after 1.8 s, others after 0.9 s; preferences of health and of place are judged apart; the wait ends when the group runs, and begins with a job's acceptance for a holder that takes it over.

--- a/pool/core.go
+++ b/pool/core.go
@@ -84,7 +84,14 @@
 	if _, known := c.jobs[j.ID]; known {
 		return
 	}
-	c.addState(newJob(now, j))
+	state := newJob(now, j)
+	for _, g := range state.groups {
+		// Through handovers one after the other it would wait anew with each.
+		if len(g.spec().After) == 0 && now.Sub(j.Accepted) > c.settings.RelaxAfter {
+			g.passedOverSince = j.Accepted
+		}
+	}
+	c.addState(state)
 }
 
 func (c *Core) addState(j *jobState) {
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -196,7 +196,6 @@
 	reluctantly := p.objections(g, places)
 	g.run++
 	g.ending = false
-	g.passedOverSince = time.Time{}
 	g.progressAt = time.Time{}
 	g.percent = 0
 	names := make([]string, len(places))
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -134,7 +134,7 @@
 	if step.MaxPerWorker > 0 {
 		count = min(count, step.MaxPerWorker-w.tasksOf(g.round, g.step))
 	}
-	if w.health.probing && g.relaxation < relaxTrial {
+	if w.health.probing && g.relaxation < relaxUnproven {
 		count = min(count, 1-len(w.members))
 	}
 	return max(count, 0)
@@ -153,7 +153,12 @@
 
 // suits says whether a group goes to a worker that has room for it.
 func (p *pass) suits(g *group, w *worker) bool {
-	return p.requirement(g, w) == objectionNone && g.relaxation.lifts(p.preference(g, w), w)
+	return p.requirement(g, w) == objectionNone && p.liftsAll(g, w)
+}
+
+// liftsAll says whether a group goes to a worker whatever it would rather have.
+func (p *pass) liftsAll(g *group, w *worker) bool {
+	return g.relaxation.lifts(p.healthObjection(g, w), w) && g.relaxation.lifts(p.rackObjection(g, w), w)
 }
 
 // requirement is why a group may not run on a worker at all.
@@ -174,7 +179,11 @@
 
 // preference is why a group would rather not run on a worker: the worst reason.
 func (p *pass) preference(g *group, w *worker) objection {
-	step := g.spec()
+	return max(p.healthObjection(g, w), p.rackObjection(g, w))
+}
+
+// healthObjection is what the results on a worker say against giving it a group.
+func (p *pass) healthObjection(g *group, w *worker) objection {
 	switch {
 	case w.health.aside(p.now):
 		return objectionAside
@@ -182,14 +191,21 @@
 		return objectionTrial
 	case g.failedOn[w.agent] > 0 && p.core.othersThan(g):
 		return objectionFailed
-	case step.DataRack != "" && w.rack != step.DataRack && p.core.rackExists(step.DataRack):
-		return objectionRack
-	case g.failures > 0 && g.failures == g.job.job.Terms.Attempts-1 && !w.health.proven && p.anyProven:
+	case g.failures > 0 && !w.health.proven && p.anyProven && g.lastAttempt():
 		return objectionUnproven
 	}
 	return objectionNone
 }
 
+// rackObjection says whether a worker is away from a group's data.
+func (p *pass) rackObjection(g *group, w *worker) objection {
+	rack := g.spec().DataRack
+	if rack != "" && w.rack != rack && p.core.rackExists(rack) {
+		return objectionRack
+	}
+	return objectionNone
+}
+
 // rackExists says whether a rack has a worker that stays and stands outside of evacuated data
 // centres: an evacuation may last for long, and a task that waited for its data's rack would wait
 // as long.
--- a/pool/going_on_test.go
+++ b/pool/going_on_test.go
@@ -179,6 +179,43 @@
 	is.Equal(w.state(small.ID), Active)
 }
 
+// That a worker is on trial hid that it stood away from a task's data, and a trial was allowed.
+func TestWorkerOnTrialIsNotTriedAwayFromData(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 6)
+	w.run(300 * time.Millisecond)
+	for id := 1; id <= 3; id++ {
+		j := gang(id, 1, 8, time.Minute)
+		j.Steps[0].DataRack = "rack-0"
+		w.submit(j)
+		w.core.workers[fmt.Sprintf("worker-%d", id+2)].health.probing = true
+	}
+	w.run(300 * time.Millisecond)
+	j := gang(4, 2, 1, time.Second)
+	j.Steps[0].DataRack = "rack-0"
+	w.submit(j)
+	w.run(4 * time.Second) // half of the pool is in use, so it is not idle
+	is.Equal(w.state(j.ID), Queued)
+}
+
+// Holders that follow one another each began anew to wait for a rack that was full.
+func TestWorkLeavesAFullRackThroughHandovers(t *testing.T) {
+	w := newWorld(t, 9)
+	for id := 1; id <= 3; id++ {
+		j := gang(id, 1, 8, time.Minute)
+		j.Steps[0].DataRack = "rack-0"
+		w.submit(j)
+	}
+	w.run(500 * time.Millisecond)
+	j := oneTask(4, time.Second)
+	j.Steps[0].DataRack = "rack-0"
+	w.submit(j)
+	for range 4 {
+		w.goesOn(1300 * time.Millisecond)
+		w.takeOver()
+	}
+}
+
 // Workers fail what they start by turns, holders change, workers leave and come back; jobs go on
 // all the same, and what is sound in the end does all that is left.
 func TestJobsGoOnInHistories(t *testing.T) {
--- a/pool/relax.go
+++ b/pool/relax.go
@@ -10,11 +10,13 @@
 const (
 	// relaxNone: a group goes only to workers that nothing speaks against.
 	relaxNone relaxation = iota
-	// relaxTrial: it goes to workers that are not known to be bad although they have proven
-	// nothing or have failed it before, and tries one on trial that runs nothing else.
-	relaxTrial
-	// relaxHealth: it goes to any worker that answers.
-	relaxHealth
+	// relaxUnproven: it goes to workers that have proven nothing, or failed it and did well
+	// since, and tries one on trial that runs nothing else.
+	relaxUnproven
+	// relaxDoubtful: it also goes to workers that failed it last.
+	relaxDoubtful
+	// relaxAside: it goes to any worker that answers.
+	relaxAside
 	// relaxAll: it also gives up its data's rack, a rack of its own, and leaves nothing to
 	// others that room is kept or held for.
 	relaxAll
@@ -35,24 +37,27 @@
 type relaxation int
 
 // relaxationOf says how far a group gives up what it would rather have, whatever else is going
-// on. A busy pool gives it no worker that is known to be bad, and keeps its order.
+// on. A busy pool gives it no worker that is set aside, and keeps its order.
 func (p *pass) relaxationOf(g *group) relaxation {
-	if p.passedOverFor(g) < p.core.settings.RelaxAfter {
+	after := p.core.settings.RelaxAfter
+	switch waited := p.passedOverFor(g); {
+	case waited < after:
 		return relaxNone
+	case waited < 2*after:
+		return relaxUnproven
+	default:
+		return relaxDoubtful
 	}
-	return relaxTrial
 }
 
 // relaxationInIdlePool says how far a group gives up what it would rather have when most of the
-// pool is not in use: any worker beats none. What ends by itself most of the time, a busy rack or
-// room that is withheld, is waited for longer than workers that do badly.
+// pool is not in use: any worker beats none.
 func (p *pass) relaxationInIdlePool(g *group) relaxation {
-	after := p.core.settings.RelaxAfter
-	switch waited := p.passedOverFor(g); {
-	case waited < after:
+	switch {
+	case p.passedOverFor(g) < 2*p.core.settings.RelaxAfter:
 		return relaxNone
-	case waited < 2*after || p.core.averageUse >= idleBelow:
-		return relaxHealth
+	case p.core.averageUse >= idleBelow:
+		return relaxAside
 	default:
 		return relaxAll
 	}
@@ -96,11 +101,11 @@
 	case objectionNone:
 		return true
 	case objectionUnproven, objectionFailed:
-		return r >= relaxHealth || r == relaxTrial && !w.health.doubtful()
+		return r >= relaxDoubtful || r == relaxUnproven && !w.health.doubtful()
 	case objectionTrial:
-		return r >= relaxHealth || r == relaxTrial && len(w.members) == 0
+		return r >= relaxAside || r >= relaxUnproven && len(w.members) == 0
 	case objectionAside:
-		return r >= relaxHealth
+		return r >= relaxAside
 	case objectionRack:
 		return r >= relaxAll
 	default:
@@ -125,3 +130,8 @@
 		return 0
 	}
 }
+
+// lastAttempt says whether the next failure ends the group's job.
+func (g *group) lastAttempt() bool {
+	return g.failures == g.job.job.Terms.Attempts-1
+}
--- a/pool/report.go
+++ b/pool/report.go
@@ -134,6 +134,7 @@
 	c.tell(Event{Kind: EventStarted, Job: g.job.job.ID, Step: g.step, First: m.index, Run: g.run, Worker: m.worker.agent})
 	g.job.begun = true
 	if g.running() {
+		g.passedOverSince = time.Time{}
 		g.progressAt = time.Time{}
 		g.noteProgress(now)
 	}
--- a/pool/restore.go
+++ b/pool/restore.go
@@ -80,6 +80,7 @@
 }
 
 func (c *Core) restoreGroup(now time.Time, g *group, row *poolpb.GroupState) {
+	g.passedOverSince = time.Time{}
 	g.done = row.GetDone()
 	g.doneAt = now
 	g.run = int(row.GetRun())
--- a/pool/settings.go
+++ b/pool/settings.go
@@ -33,8 +33,9 @@
 	AsideAfter int
 	AsideFor   time.Duration
 	// RelaxAfter is how long a group waits for workers that it prefers while there is room on
-	// others. Twice as long is below the 3 s for which a job may have nothing running beside
-	// free workers, with 0.5 s to spare until its last end is known and its start carried out.
+	// others; for ones that are known to be bad, and to leave its rack, it waits twice as long.
+	// That is below the 3 s for which a job may have nothing running beside free workers, with
+	// 1.2 s to spare until its last end is known and its next start carried out.
 	RelaxAfter time.Duration
 	// RetryRefused is how long a worker that refused a start gets no other.
 	RetryRefused time.Duration
@@ -72,7 +73,7 @@
 		StallAfter:     2500 * time.Millisecond,
 		AsideAfter:     2,
 		AsideFor:       4 * time.Second,
-		RelaxAfter:     time.Second,
+		RelaxAfter:     900 * time.Millisecond,
 		RetryRefused:   time.Second,
 		FarFactor:      3,
 		DisplaceFactor: 1.5,
--- a/pool/waiting.go
+++ b/pool/waiting.go
@@ -140,8 +140,8 @@
 	if o := p.requirement(g, w); o != objectionNone {
 		return o
 	}
-	if o := p.preference(g, w); !g.relaxation.lifts(o, w) {
-		return o
+	if !p.liftsAll(g, w) {
+		return p.preference(g, w)
 	}
 	switch {
 	case p.free[w.slot].Holds(g.takes) == 0:
--- a/pool/waiting_test.go
+++ b/pool/waiting_test.go
@@ -46,10 +46,11 @@
 	is := is.New(t)
 	w := newWorld(t, 1)
 	w.allFail(true)
-	w.submit(gang(1, 1, 8, time.Second))
-	second := gang(2, 1, 8, time.Second)
-	second.Terms.Attempts = 1
-	w.submit(second)
+	for id := 1; id <= 2; id++ {
+		j := gang(id, 1, 8, time.Second)
+		j.Terms.Attempts = 1
+		w.submit(j)
+	}
 	w.until("the worker is set aside", func() bool { return w.count(EventAside) == 1 })
 	w.allFail(false)
 	w.until("the worker is on trial", func() bool { return w.count(EventTrial) == 1 })
