Soak: seeds of earlier soaks draw what they drew before

Change: failing workers and unanswered starts are further kinds; regressions draw among the first ten.

--- a/program/dev.go
+++ b/program/dev.go
@@ -35,6 +35,9 @@
 	workersPerRack = 3
 	demoTimeout    = 18 * time.Second
 	readyPoll      = 50 * time.Millisecond
+	// demoHeadroomAge is for jobs of 0.3 to 4 s. With the ten minutes that fit jobs of hours a
+	// job that was displaced was still queued on an idle hall after 18 s, in one of eight runs.
+	demoHeadroomAge = 2 * time.Second
 )
 
 // site is a hall with its number of workers.
@@ -164,6 +167,13 @@
 	return "http://" + listener.Addr().String(), nil
 }
 
+// demoHallSettings are the settings of halls whose jobs run for seconds.
+func demoHallSettings() hall.Settings {
+	settings := hall.DefaultSettings
+	settings.Policy.HeadroomAge = demoHeadroomAge
+	return settings
+}
+
 func (d *dev) startAgent(vm platform.VM, listener net.Listener, platformURL string, system *actor.ActorSystem) error {
 	config := agentConfig{
 		name:     vm.Name,
@@ -173,7 +183,7 @@
 		store:    strings.TrimPrefix(platformURL, "http://"),
 		vms:      platformURL,
 		worker:   platformURL + "/workers/" + vm.Name,
-		settings: hall.DefaultSettings,
+		settings: demoHallSettings(),
 	}
 	p, err := startAgent(time.Now(), config, listener, system, d.logger)
 	if err != nil {
--- a/program/soak/soak_test.go
+++ b/program/soak/soak_test.go
@@ -30,7 +30,14 @@
 	first = flag.Uint64("first", 1, "first seed")
 )
 
-// regressions are the seeds that ever failed, with their causes.
+// Numbers of the kinds of harm: the first soaks had no workers that fail or leave starts
+// unanswered, and a seed draws the same harm only among as many kinds.
+const (
+	firstHarms = 10
+	allHarms   = 12
+)
+
+// regressions are the seeds that ever failed, with their causes, among the first kinds of harm.
 var regressions = map[uint64]string{
 	23: "a listing under way at an order was taken for the next, and a stopped run was waited for without end",
 }
@@ -44,7 +51,7 @@
 		seed := *first + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, seed)
+			play(t, seed, allHarms)
 		})
 	}
 }
@@ -53,7 +60,7 @@
 	for seed, cause := range regressions {
 		t.Run(fmt.Sprintf("%d %s", seed, cause), func(t *testing.T) {
 			t.Parallel()
-			play(t, seed)
+			play(t, seed, firstHarms)
 		})
 	}
 }
@@ -68,20 +75,23 @@
 	variant *rand.Rand
 	// standing is the harm that lasts, with what ends it.
 	standing []func()
-	paused   map[*cluster.Program]bool
+	// harms is how many kinds of harm are drawn from.
+	harms  int
+	paused map[*cluster.Program]bool
 	// accepted are the jobs with a success, refused those whose every answer said that they
 	// were not taken.
 	accepted []int
 	refused  []int
 }
 
-func play(t *testing.T, seed uint64) {
+func play(t *testing.T, seed uint64, harms int) {
 	s := &soak{
 		Cluster: cluster.New(t, gateways, workers),
 		t:       t,
 		random:  rand.New(rand.NewPCG(seed, seed)),
 		variant: rand.New(rand.NewPCG(seed, seed+1)),
 		paused:  map[*cluster.Program]bool{},
+		harms:   harms,
 	}
 	pause := trouble / jobs
 	for id := 1; id <= jobs; id++ {
@@ -103,7 +113,7 @@
 	number := s.random.IntN(workers)
 	sidecar, worker := s.Sidecars[number], s.Workers[number]
 	either := []*cluster.Program{gateway, sidecar}[s.random.IntN(2)]
-	switch s.random.IntN(10) {
+	switch s.random.IntN(s.harms) {
 	case 0, 1:
 		s.endProcess(either, (*cluster.Program).Kill)
 	case 2:
@@ -117,19 +127,17 @@
 	case 7:
 		worker.Restart()
 	case 8:
-		s.harmWorker(worker)
+		worker.SetSilent(true)
+		s.last(func() { worker.SetSilent(false) })
 	case 9:
 		s.harmStore()
+	default:
+		s.harmRuns(worker)
 	}
 }
 
-// harmWorker makes a worker silent, or fail what it starts or leave starts unanswered.
-func (s *soak) harmWorker(w *fakes.Worker) {
-	if s.variant.IntN(2) == 0 {
-		w.SetSilent(true)
-		s.last(func() { w.SetSilent(false) })
-		return
-	}
+// harmRuns lets a worker fail what it starts or leave starts unanswered.
+func (s *soak) harmRuns(w *fakes.Worker) {
 	w.SetFaults([]fakes.WorkerFaults{
 		{Fail: 0.7, FailWithin: 400 * time.Millisecond},
 		{Fail: 1, FailWithin: 50 * time.Millisecond},
