Heartbeats of other writers name no worker

Cause: a heartbeat with an unknown state, of another pool, without address, capacity, data centre or sequence was taken for one of a ready worker, with room of zero or whatever it claimed. Change: a heartbeat is decoded in one place with a closed list of states, required fields and bounds; what is none gets 400, changes nothing, is counted (hollyfork_malformed_total), logged once for a sender and cause, and listed in the agent's state. A package keeps such entries for the other readers too.

--- a/program/sidecard/main.go
+++ b/program/sidecard/main.go
@@ -14,6 +14,7 @@
 
 	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/holder"
+	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/platform/adapter"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/process"
@@ -95,11 +96,12 @@
 	if err != nil {
 		return err
 	}
-	if err := serveAdmin(*o.admin, agent, set); err != nil {
+	bad := malformed.New(logger, set)
+	if err := serveAdmin(*o.admin, agent, bad, set); err != nil {
 		return err
 	}
 	go func() { _ = server.Serve(holders) }()
-	heartbeats := &http.Server{Handler: adapter.BeatHandler(agent), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	heartbeats := &http.Server{Handler: adapter.BeatHandler(agent, *o.pool, bad), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	go func() { _ = heartbeats.Serve(beats) }()
 	go register(ctx, o, agent, logger)
 	logger.Info().Str("name", *o.name).Str("pool", *o.pool).Str("worker", *o.worker).Msg("agent: started")
@@ -142,7 +144,14 @@
 	}
 }
 
-func serveAdmin(address string, agent *sidecar.Agent, set *metrics.Set) error {
+// state is the process's state, for operators.
+type state struct {
+	sidecar.State
+	// Malformed are the senders of heartbeats that could not be understood.
+	Malformed []malformed.Entry `json:"malformed,omitempty"`
+}
+
+func serveAdmin(address string, agent *sidecar.Agent, bad *malformed.Registry, set *metrics.Set) error {
 	if address == "" {
 		return nil
 	}
@@ -150,6 +159,6 @@
 	if err != nil {
 		return err
 	}
-	go process.NewAdmin(func() any { return agent.State(time.Now()) }, set).Serve(listener)
+	go process.NewAdmin(func() any { return state{State: agent.State(time.Now()), Malformed: bad.List()} }, set).Serve(listener)
 	return nil
 }
