Entries of other writers cost themselves alone

Cause, by reader: an unreadable configuration was taken for a store that is away, so after 3.5 s every gateway refused everything; an unreadable state was taken for a job of which nothing had run, so its tasks started beside themselves; noise under a cancellation's name cancelled; an agent's row without address was taken for its deletion; an unreadable job was answered as if there were none; an unreadable summary counted as zero; a gateway's row named any address. Change: each is decoded strictly in one place; the last good configuration stays in force; a job with an unreadable state is out of play until its caller cancels it; what can't be read is counted, logged once for an entry and cause, listed by hollyforkctl pools; callers get 503 where something is not known.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -9,6 +9,7 @@
 
 	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/catalog"
+	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
 )
@@ -38,8 +39,11 @@
 
 	// Update is what an answer tells of the configuration and of evacuations.
 	Update struct {
-		// Catalog is the newest configuration; nil when the answer has none.
+		// Catalog is the newest configuration; nil when the answer has none that can be read.
 		Catalog *catalog.Catalog
+		// Unreadable says why the newest configuration, of so many bytes, can't be read.
+		Unreadable error
+		Bytes      int
 		// Evacuations are all that are requested, in an answer that is Whole, else those that
 		// have changed.
 		Evacuations []Evacuation
@@ -61,6 +65,7 @@
 type Follower struct {
 	source ConfigSource
 	logger *log.Logger
+	bad    *malformed.Registry
 	began  time.Time
 
 	current     atomic.Pointer[catalog.Catalog]
@@ -75,8 +80,8 @@
 }
 
 // NewFollower returns a follower that has no configuration yet.
-func NewFollower(now time.Time, source ConfigSource, logger *log.Logger) *Follower {
-	f := &Follower{source: source, logger: logger, began: now}
+func NewFollower(now time.Time, source ConfigSource, logger *log.Logger, bad *malformed.Registry) *Follower {
+	f := &Follower{source: source, logger: logger, bad: bad, began: now}
 	f.current.Store(&catalog.Catalog{})
 	f.evacuations.Store(&catalog.Evacuations{})
 	return f
@@ -158,6 +163,7 @@
 	f.seen = update.Stamp.Version
 	f.takeEvacuations(sent, update)
 	f.takeCatalog(update.Catalog)
+	f.noteUnreadable(sent, update)
 	f.provenAt.Store(int64(sent.Sub(f.began)))
 }
 
@@ -170,6 +176,16 @@
 	f.logger.Info().Uint64("version", next.Version).Int("queues", len(next.Queues)).Int("workspaces", len(next.Workspaces)).Msg("gateway: a configuration is in force")
 }
 
+// noteUnreadable says of a configuration that can't be read that the last good one stays in force.
+func (f *Follower) noteUnreadable(now time.Time, update Update) {
+	switch {
+	case update.Unreadable != nil:
+		f.bad.Note(now, malformed.Configuration, "configuration", update.Bytes, update.Unreadable)
+	case update.Catalog != nil:
+		f.bad.Clear(malformed.Configuration, "configuration")
+	}
+}
+
 // takeEvacuations takes over which data centres are evacuated, with the proof's time.
 func (f *Follower) takeEvacuations(sent time.Time, update Update) {
 	before := f.Evacuations()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/catalog"
+	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/store"
 )
 
@@ -51,6 +52,7 @@
 		notifier Notifier
 		follower *Follower
 		logger   *log.Logger
+		bad      *malformed.Registry
 		metrics  *metrics.Set
 		stopping atomic.Bool
 	}
@@ -65,9 +67,9 @@
 )
 
 // New returns a gateway that works with the configuration of a follower, tells holders by a
-// notifier, and counts in a set.
-func New(s store.Store, notifier Notifier, follower *Follower, set *metrics.Set, logger *log.Logger) *Gateway {
-	return &Gateway{store: s, notifier: notifier, follower: follower, metrics: set, logger: logger}
+// notifier, counts in a set, and keeps in a registry what it can't read.
+func New(s store.Store, notifier Notifier, follower *Follower, set *metrics.Set, logger *log.Logger, bad *malformed.Registry) *Gateway {
+	return &Gateway{store: s, notifier: notifier, follower: follower, metrics: set, logger: logger, bad: bad}
 }
 
 // Ready says whether callers should come to this gateway.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 
 	"hollyfork.example/hollyfork/catalog"
 	"hollyfork.example/hollyfork/job"
+	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/store"
 )
 
@@ -34,9 +35,9 @@
 
 func newTestGateway(config *catalog.Catalog) *Gateway {
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	follower := NewFollower(now, nil, logger)
+	follower := NewFollower(now, nil, logger, malformed.New(logger, metrics.NewSet()))
 	follower.take(now, Update{Catalog: config})
-	return New(unused{}, nil, follower, metrics.NewSet(), logger)
+	return New(unused{}, nil, follower, metrics.NewSet(), logger, malformed.New(logger, metrics.NewSet()))
 }
 
 func testConfig(version uint64, key string) *catalog.Catalog {
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"hollyfork.example/hollyfork/job"
+	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire/poolpb"
@@ -36,7 +37,7 @@
 	}
 	state, err := pool.StateOf(row)
 	if err != nil {
-		return 0, &Error{Op: op, Kind: KindUnavailable, RetryAfter: RetryAfter, Err: err}
+		return 0, g.unreadable(op, malformed.State, row, err)
 	}
 	if found.cancelled && state != pool.Done && state != pool.Failed {
 		return pool.Cancelled, nil
@@ -65,9 +66,11 @@
 	for _, row := range page.Rows {
 		switch row.Key {
 		case pool.JobKey(t.queue.Pool, id):
-			exists = g.mayRead(t, row)
+			if exists, err = g.mayRead(op, t, row); err != nil {
+				return found{}, err
+			}
 		case pool.CancelKey(t.queue.Pool, id):
-			result.cancelled = true
+			result.cancelled = g.isCancelled(row)
 		}
 	}
 	if !exists {
@@ -76,14 +79,29 @@
 	return result, nil
 }
 
-// mayRead says whether a job belongs to the caller's workspace.
-func (g *Gateway) mayRead(t target, row store.Row) bool {
+// mayRead says whether a job belongs to the caller's workspace. Of one whose row can't be read that
+// is not known, nor that there is none.
+func (g *Gateway) mayRead(op string, t target, row store.Row) (bool, error) {
 	content := &poolpb.JobRow{}
 	if err := proto.Unmarshal(row.Value, content); err != nil {
-		g.logger.Error().Err(err).Str("row", row.Key.Name).Msg("gateway: a row can not be read")
-		return false
+		return false, g.unreadable(op, malformed.Job, row, err)
 	}
-	return content.GetWorkspace() == t.workspace || t.queue.Open
+	return content.GetWorkspace() == t.workspace || t.queue.Open, nil
+}
+
+// isCancelled says whether a row cancels its job.
+func (g *Gateway) isCancelled(row store.Row) bool {
+	err := pool.CheckCancel(row)
+	if err != nil {
+		g.bad.Note(time.Now(), malformed.Cancellation, row.Key.Name, len(row.Value), err)
+	}
+	return err == nil
+}
+
+// unreadable is what a caller is told when a row can't be understood.
+func (g *Gateway) unreadable(op string, kind malformed.Kind, row store.Row, err error) error {
+	g.bad.Note(time.Now(), kind, row.Key.Name, len(row.Value), err)
+	return &Error{Op: op, Kind: KindUnavailable, RetryAfter: RetryAfter, Err: err}
 }
 
 func (g *Gateway) read(ctx context.Context, op string, call Call, r store.Range) (store.Page, error) {
@@ -136,5 +154,9 @@
 	if err != nil {
 		return 0, err
 	}
-	return pool.WaitingOf(row, t.queue.Name), nil
+	count, err := pool.WaitingOf(row, t.queue.Name)
+	if err != nil {
+		return 0, g.unreadable(op, malformed.Summary, row, err)
+	}
+	return count, nil
 }
--- a/holder/host.go
+++ b/holder/host.go
@@ -13,6 +13,7 @@
 	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/catalog"
 	"hollyfork.example/hollyfork/mailbox"
+	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/rpc"
@@ -27,6 +28,8 @@
 		Metrics *metrics.Set
 		Traffic *rpc.Traffic
 		Logger  *log.Logger
+		// Malformed keeps the rows that can't be read.
+		Malformed *malformed.Registry
 		// Catalog returns the configuration in force.
 		Catalog func() *catalog.Catalog
 		// Evacuations returns the data centres that are evacuated, as they were proven last.
--- a/holder/host_test.go
+++ b/holder/host_test.go
@@ -8,9 +8,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
 
+	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire/poolpb"
@@ -82,7 +84,7 @@
 func takes(t *testing.T, s *busyLease, patience time.Duration) (waited time.Duration, calls int) {
 	t.Helper()
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	host := New("pool", "name", "address", pool.DefaultSettings(), Deps{Store: s, Logger: logger, Patience: patience})
+	host := New("pool", "name", "address", pool.DefaultSettings(), Deps{Store: s, Logger: logger, Patience: patience, Malformed: malformed.New(logger, metrics.NewSet())})
 	s.began = time.Now()
 	_, free := host.awaitFree(t.Context())
 	is.New(t).True(free)
--- a/holder/link_test.go
+++ b/holder/link_test.go
@@ -7,10 +7,12 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
 
+	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/process/actors"
 	"hollyfork.example/rpc"
@@ -39,7 +41,7 @@
 	t.Helper()
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	system := actors.NewSystem(logger)
-	host := New("pool", "name", "address", pool.DefaultSettings(), Deps{System: system, Logger: logger})
+	host := New("pool", "name", "address", pool.DefaultSettings(), Deps{System: system, Logger: logger, Malformed: malformed.New(logger, metrics.NewSet())})
 	restored := &restored{core: pool.New("pool", pool.DefaultSettings(), nil)}
 	h := newHolder(host, &Ledger{epoch: 7}, restored, time.Now().Add(-confirmedAgo))
 	h.self = system.Root.Spawn(actor.PropsFromFunc(func(actor.Context) {}))
--- a/holder/load.go
+++ b/holder/load.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
 )
@@ -80,9 +81,7 @@
 
 func (h *Host) restoreStates(now time.Time, core *pool.Core, rows []store.Row) {
 	for _, row := range rows {
-		if err := core.RestoreState(now, row); err != nil {
-			h.deps.Logger.Error().Err(err).Msg("holder: a state is passed over")
-		}
+		h.noteRow(now, malformed.State, row, core.RestoreState(now, row))
 	}
 }
 
--- a/pool/intake.go
+++ b/pool/intake.go
@@ -1,12 +1,15 @@
 package pool
 
 import (
+	"math"
+	"net"
 	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"hollyfork.example/hollyfork/job"
+	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire/poolpb"
 )
@@ -61,12 +64,26 @@
 	case strings.HasSuffix(name, jobSuffix):
 		return decodeJob(row, jobOf(name, jobSuffix), clock)
 	case strings.HasSuffix(name, cancelSuffix):
-		return Cancellation{ID: jobOf(name, cancelSuffix)}, nil
+		return decodeCancel(row, jobOf(name, cancelSuffix))
 	default:
 		return nil, &Error{Op: "decode row " + name, Kind: KindCorrupt}
 	}
 }
 
+// KindOfIntake says what a row of the intake table should be, by its key.
+func KindOfIntake(key store.Key) malformed.Kind {
+	switch {
+	case strings.HasPrefix(key.Name, agentPrefix):
+		return malformed.Agent
+	case strings.HasSuffix(key.Name, jobSuffix):
+		return malformed.Job
+	case strings.HasSuffix(key.Name, cancelSuffix):
+		return malformed.Cancellation
+	default:
+		return malformed.Other
+	}
+}
+
 // jobOf returns the job that a row of the intake table is about.
 func jobOf(name, suffix string) job.ID {
 	return job.ID(strings.TrimSuffix(strings.TrimPrefix(name, jobPrefix), suffix))
@@ -80,9 +97,30 @@
 	if err := proto.Unmarshal(row.Value, content); err != nil {
 		return nil, &Error{Op: "decode agent " + agent, Kind: KindCorrupt, Err: err}
 	}
+	if _, _, err := net.SplitHostPort(content.GetAddress()); err != nil {
+		return nil, &Error{Op: "decode agent " + agent, Kind: KindCorrupt, Err: err}
+	}
 	return AgentAddress{Agent: agent, Address: content.GetAddress()}, nil
 }
 
+func decodeCancel(row store.Row, id job.ID) (Intake, error) {
+	if err := CheckCancel(row); err != nil {
+		return nil, err
+	}
+	return Cancellation{ID: id}, nil
+}
+
+// CheckCancel returns an error unless a row says that a job was cancelled: what can't be read
+// cancels nothing.
+func CheckCancel(row store.Row) error {
+	content := &poolpb.CancelRow{}
+	err := proto.Unmarshal(row.Value, content)
+	if err == nil && content.GetLayout() == rowLayout {
+		return nil
+	}
+	return &Error{Op: "decode row " + row.Key.Name, Kind: KindCorrupt, Err: err}
+}
+
 func decodeJob(row store.Row, id job.ID, clock Clock) (Intake, error) {
 	content := &poolpb.JobRow{}
 	if err := proto.Unmarshal(row.Value, content); err != nil {
@@ -115,9 +153,19 @@
 	if err := j.Validate(); err != nil {
 		return nil, &Error{Op: "decode job " + string(id), Kind: KindCorrupt, Err: err}
 	}
+	if !knownTerms(j) {
+		return nil, &Error{Op: "decode job " + string(id), Kind: KindCorrupt}
+	}
 	return NewJob{Job: j}, nil
 }
 
+// knownTerms says whether a job's terms are such as gateways write.
+func knownTerms(j job.Job) bool {
+	t := j.Terms
+	stretch := t.Stretch >= 0 && !math.IsInf(t.Stretch, 0)
+	return t.Priority >= 0 && t.Attempts >= 0 && t.Goal >= 0 && stretch
+}
+
 func stepFromRow(row *poolpb.Step) job.Step {
 	step := job.Step{
 		Count: int(row.GetCount()),
--- a/pool/jobstate.go
+++ b/pool/jobstate.go
@@ -38,6 +38,9 @@
 		changes   uint64
 		committed uint64
 		dirty     bool
+		// unreadable says that the row of where it stood could not be read: nothing of it is
+		// started, and what ends changes nothing, until its caller cancels it.
+		unreadable bool
 		// removing says that the job's rows are to be deleted.
 		removing bool
 	}
--- /dev/null
+++ b/pool/malformed_test.go
@@ -0,0 +1,254 @@
+package pool
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"hollyfork.example/hollyfork/job"
+	"hollyfork.example/hollyfork/platform/fakes"
+	"hollyfork.example/hollyfork/store"
+	"hollyfork.example/wire/poolpb"
+)
+
+// The row of where a job stood was unreadable at a change of holder. It was taken for a job of
+// which nothing had run, and its tasks were started beside themselves.
+func TestNothingOfAJobWithAnUnreadableStateIsStarted(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.submit(oneTask(1, 3*time.Second))
+	w.submit(oneTask(2, time.Second))
+	w.run(500 * time.Millisecond)
+	is.Equal(w.starts, 2)
+	key := StateKey("pool", oneTask(1, 0).ID)
+	w.rows[key] = store.Row{Key: key, Value: []byte{0xff, 0xff}, Version: 9}
+	w.takeOverLoosely()
+	w.run(5 * time.Second)
+	is.Equal(w.starts, 2)
+	is.Equal(w.state(oneTask(2, 0).ID), Done)
+	is.Equal(w.core.Snapshot(w.now).Jobs["unreadable"], 1)
+	w.core.CancelJob(w.now, oneTask(1, 0).ID)
+	w.run(time.Second)
+	state, err := StateOf(w.rows[key])
+	is.NoErr(err)
+	is.Equal(state, Cancelled)
+}
+
+// takeOverLoosely makes another holder of the pool that passes over rows which it can't read.
+func (w *world) takeOverLoosely() {
+	w.epoch++
+	w.core, _ = restoreAll(w.now, w.storeClock(), w.rows, func(e Event) { w.events = append(w.events, e) })
+}
+
+// restoreAll does what a holder does with a pool's rows, and returns how many it could not read.
+func restoreAll(now time.Time, clock time.Duration, rows map[store.Key]store.Row, observe Observer) (*Core, int) {
+	core := New("pool", DefaultSettings(), observe)
+	unread := 0
+	var items []Intake
+	keys := slices.SortedFunc(maps.Keys(rows), func(a, b store.Key) int { return strings.Compare(a.Name, b.Name) })
+	for _, key := range keys {
+		if key.Table != IntakeTable {
+			continue
+		}
+		item, err := DecodeIntake(rows[key], Clock{Now: now, Store: clock})
+		if err != nil {
+			unread++
+			continue
+		}
+		if j, ok := item.(NewJob); ok {
+			core.AddJob(now, j.Job)
+			continue
+		}
+		items = append(items, item)
+	}
+	for _, key := range keys {
+		if key.Table == StateTable && core.RestoreState(now, rows[key]) != nil {
+			unread++
+		}
+	}
+	for _, item := range items {
+		switch i := item.(type) {
+		case Cancellation:
+			core.CancelJob(now, i.ID)
+		case AgentAddress:
+			core.AddAgent(now, i.Agent)
+		}
+	}
+	return core, unread
+}
+
+func TestBadIntakeRowsAreNone(t *testing.T) {
+	is := is.New(t)
+	good := oneTask(1, time.Second)
+	id := good.ID
+	edited := func(edit func(*poolpb.JobRow)) []byte {
+		row := JobRow(good, 0)
+		edit(row)
+		return Encode(row)
+	}
+	for name, row := range map[string]store.Row{
+		"a cancellation without a layout": {Key: CancelKey("pool", id), Value: Encode(&poolpb.CancelRow{CancelledMs: 5})},
+		"a cancellation of noise":         {Key: CancelKey("pool", id), Value: []byte("not a row")},
+		"an empty cancellation":           {Key: CancelKey("pool", id)},
+		"an agent without an address":     {Key: AgentKey("pool", "a"), Value: Encode(&poolpb.AgentRow{})},
+		"an agent at a place":             {Key: AgentKey("pool", "a"), Value: Encode(&poolpb.AgentRow{Address: "here"})},
+		"an agent of noise":               {Key: AgentKey("pool", "a"), Value: []byte{0xff}},
+		"a job without steps":             {Key: JobKey("pool", id), Value: edited(func(r *poolpb.JobRow) { r.Steps = nil })},
+		"a job of noise":                  {Key: JobKey("pool", id), Value: []byte{0xff}},
+		"an empty job":                    {Key: JobKey("pool", id)},
+		"a job with negative attempts":    {Key: JobKey("pool", id), Value: edited(func(r *poolpb.JobRow) { r.Attempts = -1 })},
+		"a job with a negative priority":  {Key: JobKey("pool", id), Value: edited(func(r *poolpb.JobRow) { r.Priority = -1 })},
+		"a job with a negative step":      {Key: JobKey("pool", id), Value: edited(func(r *poolpb.JobRow) { r.Steps[0].Count = -1 })},
+		"a job by another name":           {Key: JobKey("pool", "x"), Value: edited(func(*poolpb.JobRow) {})},
+		"a row of another kind":           {Key: store.Key{Table: IntakeTable, Part: "pool", Name: "job/1/other"}},
+	} {
+		item, err := DecodeIntake(row, Clock{})
+		if err == nil {
+			t.Errorf("%s is read as %#v", name, item)
+		}
+	}
+	item, err := DecodeIntake(store.Row{Key: AgentKey("pool", "a"), Deleted: true}, Clock{})
+	is.NoErr(err)
+	is.Equal(item, AgentAddress{Agent: "a"})
+}
+
+func TestBadStatesAreNone(t *testing.T) {
+	good := gang(1, 3, 1, time.Second)
+	for name, row := range map[string]*poolpb.StateRow{
+		"without a layout":      {State: poolpb.JobState_DONE},
+		"unknown state":         {Layout: rowLayout, State: 17},
+		"unknown step":          {Layout: rowLayout, Groups: []*poolpb.GroupState{{Step: 1}}},
+		"unknown task":          {Layout: rowLayout, Groups: []*poolpb.GroupState{{First: 3}}},
+		"part of a gang":        {Layout: rowLayout, Groups: []*poolpb.GroupState{{First: 1}}},
+		"too few members":       {Layout: rowLayout, Groups: []*poolpb.GroupState{{Run: 1, Members: []*poolpb.MemberState{{Agent: "a"}}}}},
+		"negative run":          {Layout: rowLayout, Groups: []*poolpb.GroupState{{Run: -1}}},
+		"negative failures":     {Layout: rowLayout, Groups: []*poolpb.GroupState{{Failures: -1}}},
+		"unknown round":         {Layout: rowLayout, Groups: []*poolpb.GroupState{{Round: 1}}},
+		"rounds beyond the job": {Layout: rowLayout, DoneRounds: []int32{4}},
+	} {
+		core := New("pool", DefaultSettings(), nil)
+		core.AddJob(time.Unix(1000, 0), good)
+		key := StateKey("pool", good.ID)
+		if err := core.RestoreState(time.Unix(1000, 0), store.Row{Key: key, Value: Encode(row), Version: 1}); err == nil {
+			t.Errorf("%s is read", name)
+		}
+		if len(core.waitingRounds()) != 0 {
+			t.Errorf("%s: its tasks wait to be started", name)
+		}
+	}
+}
+
+// Whatever else lies among a pool's rows, the good ones come to the same.
+func TestTakeoverAmongBadRows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now, clock := time.Unix(2000, 0), time.Hour
+		good := map[store.Key]store.Row{}
+		for id := range rapid.IntRange(0, 5).Draw(t, "jobs") {
+			j := gang(id, rapid.IntRange(1, 3).Draw(t, "tasks"), 1, time.Second)
+			good[JobKey("pool", j.ID)] = store.Row{Key: JobKey("pool", j.ID), Value: Encode(JobRow(j, clock)), Version: 1}
+			if rapid.Bool().Draw(t, "has run") {
+				good[StateKey("pool", j.ID)] = store.Row{Key: StateKey("pool", j.ID), Value: Encode(drawState(t, j)), Version: 1}
+			}
+			if rapid.Bool().Draw(t, "cancelled") {
+				good[CancelKey("pool", j.ID)] = store.Row{Key: CancelKey("pool", j.ID), Value: Encode(CancelRow(clock)), Version: 1}
+			}
+		}
+		good[AgentKey("pool", "a")] = store.Row{Key: AgentKey("pool", "a"), Value: Encode(&poolpb.AgentRow{Address: "10.0.0.1:1"}), Version: 1}
+		all := maps.Clone(good)
+		for range rapid.IntRange(0, 8).Draw(t, "bad rows") {
+			row := drawBadRow(t)
+			if _, taken := all[row.Key]; !taken {
+				all[row.Key] = row
+			}
+		}
+		want, _ := restoreAll(now, clock, good, nil)
+		got, unread := restoreAll(now, clock, all, nil)
+		if unread != len(all)-len(good) {
+			t.Fatalf("%d of %d bad rows were passed over", unread, len(all)-len(good))
+		}
+		a, b := want.Snapshot(now), got.Snapshot(now)
+		if fmt.Sprint(a.Live) != fmt.Sprint(b.Live) || fmt.Sprint(a.Workers) != fmt.Sprint(b.Workers) || fmt.Sprint(a.Waiting) != fmt.Sprint(b.Waiting) {
+			t.Fatalf("%+v became %+v", a, b)
+		}
+	})
+}
+
+func drawState(t *rapid.T, j job.Job) *poolpb.StateRow {
+	g := &poolpb.GroupState{Run: int32(rapid.IntRange(1, 4).Draw(t, "run"))}
+	if rapid.Bool().Draw(t, "placed") {
+		for range j.Steps[0].Count {
+			g.Members = append(g.Members, &poolpb.MemberState{Agent: "a", Instance: "i"})
+		}
+	}
+	return &poolpb.StateRow{Layout: rowLayout, State: poolpb.JobState_RUNNING, Groups: []*poolpb.GroupState{g}}
+}
+
+// drawBadRow returns a row under one of the names that a holder reads.
+func drawBadRow(t *rapid.T) store.Row {
+	id := job.ID(fmt.Sprintf("%016x", rapid.IntRange(100, 200).Draw(t, "id")))
+	key := rapid.SampledFrom([]store.Key{JobKey("pool", id), JobKey("pool", id+"0"), AgentKey("pool", string(id)), CancelKey("pool", id), StateKey("pool", id)}).Draw(t, "key")
+	noise := append([]byte{0xff}, rapid.SliceOfN(rapid.Byte(), 0, 50).Draw(t, "noise")...) // no field has this tag
+	return store.Row{Key: key, Value: noise, Version: 1}
+}
+
+func FuzzState(f *testing.F) {
+	good := gang(1, 3, 1, time.Second)
+	f.Add(Encode(&poolpb.StateRow{Layout: rowLayout, State: poolpb.JobState_RUNNING, Groups: []*poolpb.GroupState{{Run: 1, Members: []*poolpb.MemberState{{Agent: "a"}, {Agent: "b"}, {}}}}}))
+	f.Add(Encode(&poolpb.StateRow{Layout: rowLayout, State: poolpb.JobState_DONE, DoneRoundsBelow: 1}))
+	f.Add([]byte{0xff})
+	whole := Encode(&poolpb.StateRow{Layout: rowLayout, State: poolpb.JobState_RUNNING, Groups: []*poolpb.GroupState{{Run: 2, Failures: 1, Saved: "s", Members: []*poolpb.MemberState{{Agent: "a", Instance: "i"}, {Agent: "b", Instance: "i"}, {}}}}})
+	for _, variant := range fakes.Mutations(2, whole, 2000) {
+		f.Add(variant)
+	}
+	f.Fuzz(func(t *testing.T, content []byte) {
+		core := New("pool", DefaultSettings(), nil)
+		now := time.Unix(1000, 0)
+		core.AddJob(now, good)
+		err := core.RestoreState(now, store.Row{Key: StateKey("pool", good.ID), Value: content, Version: 1})
+		if err != nil && len(core.waitingRounds()) != 0 {
+			t.Error("its tasks wait to be started")
+		}
+		core.Tick(now)
+		core.Decide(now)
+	})
+}
+
+func FuzzIntake(f *testing.F) {
+	f.Add("job/0000000000000001/spec", Encode(JobRow(gang(1, 3, 1, time.Second), 0)))
+	f.Add("job/0000000000000001/cancel", Encode(CancelRow(1)))
+	f.Add("agent/a", Encode(&poolpb.AgentRow{Address: "10.0.0.1:1"}))
+	for _, variant := range fakes.Mutations(3, Encode(JobRow(gang(1, 3, 1, time.Second), time.Minute)), 2000) {
+		f.Add("job/0000000000000001/spec", variant)
+	}
+	f.Fuzz(func(t *testing.T, name string, content []byte) {
+		item, err := DecodeIntake(store.Row{Key: store.Key{Table: IntakeTable, Part: "pool", Name: name}, Value: content, Version: 1}, Clock{})
+		if err != nil {
+			return
+		}
+		switch i := item.(type) {
+		case NewJob:
+			if i.Job.Validate() != nil {
+				t.Errorf("%+v is taken over", i.Job)
+			}
+			core := New("pool", DefaultSettings(), nil)
+			core.AddJob(time.Unix(1000, 0), i.Job)
+			core.Tick(time.Unix(1000, 0))
+			core.Decide(time.Unix(1000, 0))
+		case AgentAddress:
+			if i.Address == "" {
+				t.Errorf("agent %s is taken for deleted", i.Agent)
+			}
+		case Cancellation:
+			if proto.Unmarshal(content, &poolpb.CancelRow{}) != nil {
+				t.Error("noise cancels a job")
+			}
+		}
+	})
+}
--- a/pool/report.go
+++ b/pool/report.go
@@ -190,7 +190,7 @@
 		return nil
 	}
 	g := j.find(e.Task)
-	if g == nil {
+	if g == nil || j.unreadable {
 		return nil
 	}
 	m := g.find(e.Task.Index)
--- a/pool/restore.go
+++ b/pool/restore.go
@@ -12,24 +12,74 @@
 )
 
 // RestoreState takes over a row of the state table, after the job's own row was taken
-// over. What it says was placed may run.
+// over. What it says was placed may run. A job whose row can't be read is put out of play: nothing
+// of it is started, since anything may run or be done already.
 func (c *Core) RestoreState(now time.Time, row store.Row) error {
 	id, isJob := strings.CutPrefix(row.Key.Name, jobPrefix)
 	if !isJob || row.Deleted {
 		return nil
 	}
-	content := &poolpb.StateRow{}
-	if err := proto.Unmarshal(row.Value, content); err != nil {
-		return &Error{Op: "decode state of " + id, Kind: KindCorrupt, Err: err}
-	}
 	j, known := c.jobs[job.ID(id)]
 	if !known {
 		return &Error{Op: "restore state of " + id, Kind: KindCorrupt}
 	}
+	content, err := decodeState(row, j.job)
+	if err != nil {
+		j.unreadable = true
+		delete(c.live, j.job.ID)
+		return err
+	}
 	c.restoreJob(now, j, content)
 	return nil
 }
 
+// decodeState decodes a job's row of the state table.
+func decodeState(row store.Row, j job.Job) (*poolpb.StateRow, error) {
+	content := &poolpb.StateRow{}
+	if err := proto.Unmarshal(row.Value, content); err != nil {
+		return nil, &Error{Op: "decode state of " + string(j.ID), Kind: KindCorrupt, Err: err}
+	}
+	if !knownState(content, j) {
+		return nil, &Error{Op: "decode state of " + string(j.ID), Kind: KindCorrupt}
+	}
+	return content, nil
+}
+
+// knownState says whether a row is such as holders write of a job.
+func knownState(row *poolpb.StateRow, j job.Job) bool {
+	if _, known := poolpb.JobState_Value_name[int32(row.GetState())]; !known || row.GetLayout() != rowLayout {
+		return false
+	}
+	if row.GetDoneRoundsBelow() < 0 || int(row.GetDoneRoundsBelow()) > j.Schedule.Rounds() {
+		return false
+	}
+	for _, number := range row.GetDoneRounds() {
+		if number < 0 || int(number) >= j.Schedule.Rounds() {
+			return false
+		}
+	}
+	for _, g := range row.GetGroups() {
+		if !knownGroup(g, j) {
+			return false
+		}
+	}
+	return true
+}
+
+// knownGroup says whether a row tells of a group that a job has.
+func knownGroup(row *poolpb.GroupState, j job.Job) bool {
+	step, first, round := int(row.GetStep()), int(row.GetFirst()), int(row.GetRound())
+	if step < 0 || step >= len(j.Steps) || first < 0 || first >= j.Steps[step].Count || round < 0 || round >= j.Schedule.Rounds() {
+		return false
+	}
+	size := 1
+	if j.Steps[step].Gang {
+		size = j.Steps[step].Count
+	}
+	members := len(row.GetMembers())
+	return first%size == 0 && row.GetRun() >= 0 && row.GetFailures() >= 0 && (members == 0 || members == size)
+}
+
 func (c *Core) restoreJob(now time.Time, j *jobState, row *poolpb.StateRow) {
 	for state, value := range stateToRow {
 		if value == row.GetState() {
@@ -133,11 +183,17 @@
 	return Queued, &Error{Op: "decode state " + row.Key.Name, Kind: KindCorrupt}
 }
 
-// WaitingOf reads how many jobs of a queue wait from the summary's row.
-func WaitingOf(row store.Row, queue string) int {
+// WaitingOf reads how many jobs of a queue wait from the summary's row; none while there is no
+// row.
+func WaitingOf(row store.Row, queue string) (int, error) {
+	if row.Version == 0 {
+		return 0, nil
+	}
 	content := &poolpb.SummaryRow{}
-	if err := proto.Unmarshal(row.Value, content); err != nil {
-		return 0
+	err := proto.Unmarshal(row.Value, content)
+	waiting := content.GetWaitingByQueue()[queue]
+	if err != nil || content.GetLayout() != rowLayout || waiting < 0 {
+		return 0, &Error{Op: "decode row " + row.Key.Name, Kind: KindCorrupt, Err: err}
 	}
-	return int(content.GetWaitingByQueue()[queue])
+	return int(waiting), nil
 }
--- a/pool/state.go
+++ b/pool/state.go
@@ -75,7 +75,7 @@
 		Uncommitted:   len(c.dirty),
 	}
 	for _, j := range c.jobs {
-		s.Jobs[j.state.String()]++
+		s.Jobs[j.standing()]++
 	}
 	for _, j := range c.live {
 		s.Live = append(s.Live, j.snapshot(now))
@@ -88,6 +88,14 @@
 	return s
 }
 
+// standing says where a job stands.
+func (j *jobState) standing() string {
+	if j.unreadable && !j.state.ended() {
+		return "unreadable"
+	}
+	return j.state.String()
+}
+
 func (j *jobState) snapshot(now time.Time) JobSnapshot {
 	s := JobSnapshot{
 		ID:        string(j.job.ID),
--- a/program/ctl_pools.go
+++ b/program/ctl_pools.go
@@ -11,6 +11,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/program/gatewayd"
 )
@@ -74,32 +75,53 @@
 		return fmt.Errorf("the gateway's state can not be understood: %w", err)
 	}
 	if len(state.Pools) == 0 {
-		_, err := fmt.Fprintln(c.stdout, "This gateway holds no pool; ask another.")
-		return err
-	}
-	for _, p := range state.Pools {
-		if _, err := fmt.Fprintf(c.stdout, "pool %s, configuration %d, %d changes to be committed\n\n", p.Pool, p.ConfigVersion, p.Uncommitted); err != nil {
-			return err
-		}
-		if len(p.Evacuated) > 0 {
-			if _, err := fmt.Fprintf(c.stdout, "evacuated: %s; guarantees are short of %d accelerators\n\n", strings.Join(p.Evacuated, " "), p.ShortBy); err != nil {
-				return err
-			}
-		}
-		if err := c.printTable(poolWorkerRows(p.Workers)); err != nil {
+		if _, err := fmt.Fprintln(c.stdout, "This gateway holds no pool; ask another."); err != nil {
 			return err
 		}
-		if _, err := fmt.Fprintln(c.stdout); err != nil {
-			return err
-		}
-		if err := c.printTable(poolJobRows(p.Live)); err != nil {
+	}
+	for _, p := range state.Pools {
+		if err := c.printPool(p); err != nil {
 			return err
 		}
-		if err := c.printWaiting(p.Live); err != nil {
+	}
+	return c.printMalformed(state.Malformed)
+}
+
+// printPool shows a pool's workers and live jobs, and why jobs wait.
+func (c *ctl) printPool(p pool.Snapshot) error {
+	if _, err := fmt.Fprintf(c.stdout, "pool %s, configuration %d, %d changes to be committed\n\n", p.Pool, p.ConfigVersion, p.Uncommitted); err != nil {
+		return err
+	}
+	if len(p.Evacuated) > 0 {
+		if _, err := fmt.Fprintf(c.stdout, "evacuated: %s; guarantees are short of %d accelerators\n\n", strings.Join(p.Evacuated, " "), p.ShortBy); err != nil {
 			return err
 		}
 	}
-	return nil
+	if err := c.printTable(poolWorkerRows(p.Workers)); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(c.stdout); err != nil {
+		return err
+	}
+	if err := c.printTable(poolJobRows(p.Live)); err != nil {
+		return err
+	}
+	return c.printWaiting(p.Live)
+}
+
+// printMalformed lists what the gateway could not read, if there is anything.
+func (c *ctl) printMalformed(entries []malformed.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	rows := []row{{"UNREADABLE", "FROM OR KEY", "BYTES", "SEEN", "CAUSE"}}
+	for _, e := range entries {
+		rows = append(rows, row{string(e.Kind), e.Name, fmt.Sprint(e.Bytes), fmt.Sprint(e.Seen), e.Cause})
+	}
+	if _, err := fmt.Fprintln(c.stdout); err != nil {
+		return err
+	}
+	return c.printTable(rows)
 }
 
 func poolWorkerRows(workers []pool.WorkerSnapshot) []row {
--- a/program/gatewayd/main.go
+++ b/program/gatewayd/main.go
@@ -17,6 +17,7 @@
 
 	"hollyfork.example/hollyfork/gateway"
 	"hollyfork.example/hollyfork/holder"
+	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/platform/adapter"
 	"hollyfork.example/hollyfork/process/launch"
 	"hollyfork.example/hollyfork/relay"
@@ -88,9 +89,11 @@
 
 // gatewayProcess is all that runs in the process.
 type gatewayProcess struct {
-	options  options
-	logger   *log.Logger
-	metrics  *metrics.Set
+	options options
+	logger  *log.Logger
+	metrics *metrics.Set
+	// bad keeps what this process could not read.
+	bad      *malformed.Registry
 	store    store.Store
 	follower *gateway.Follower
 	gateway  *gateway.Gateway
@@ -111,6 +114,7 @@
 		return err
 	}
 	p := &gatewayProcess{options: o, logger: logger, metrics: metrics.NewSet(), traffic: &rpc.Traffic{}, hosts: map[string]*holder.Host{}}
+	p.bad = malformed.New(logger, p.metrics)
 	direct := store.NewMetered(adapter.NewStore(*o.store), p.metrics)
 	p.store = direct
 	if *o.relay != "" {
@@ -118,8 +122,8 @@
 			return err
 		}
 	}
-	p.follower = gateway.NewFollower(time.Now(), adapter.NewConfigs(p.store), logger)
-	p.gateway = gateway.New(p.store, p, p.follower, p.metrics, logger)
+	p.follower = gateway.NewFollower(time.Now(), adapter.NewConfigs(p.store), logger, p.bad)
+	p.gateway = gateway.New(p.store, p, p.follower, p.metrics, logger, p.bad)
 	following, endFollowing := context.WithCancel(context.Background())
 	defer endFollowing()
 	go p.follower.Run(following)
@@ -146,7 +150,7 @@
 	if err != nil {
 		return nil, err
 	}
-	relayed := relay.New(relay.Deps{Direct: direct, Metrics: p.metrics, Traffic: p.traffic, Logger: p.logger})
+	relayed := relay.New(relay.Deps{Direct: direct, Metrics: p.metrics, Traffic: p.traffic, Logger: p.logger, Malformed: p.bad})
 	server := rpc.NewServer(maxGateways, p.traffic)
 	if err := server.Register(relay.ServiceName, relayed.Service()); err != nil {
 		return nil, err
--- a/program/gatewayd/pools.go
+++ b/program/gatewayd/pools.go
@@ -22,7 +22,9 @@
 		Metrics: p.metrics,
 		Traffic: p.traffic,
 		Logger:  p.logger,
-		Catalog: p.follower.Catalog,
+
+		Malformed: p.bad,
+		Catalog:   p.follower.Catalog,
 
 		Evacuations: p.follower.Evacuations,
 	}
--- a/program/gatewayd/state.go
+++ b/program/gatewayd/state.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/process"
 )
@@ -16,6 +17,8 @@
 	Evacuated []string `json:"evacuated,omitempty"`
 	Ready     bool     `json:"ready"`
 	Stopping  bool     `json:"stopping"`
+	// Malformed is what this process could not read.
+	Malformed []malformed.Entry `json:"malformed,omitempty"`
 	// Pools are those that this process holds.
 	Pools []pool.Snapshot `json:"pools"`
 }
@@ -28,6 +31,7 @@
 		Evacuated:     p.follower.Evacuations().DataCentres(),
 		Ready:         p.gateway.Ready(now),
 		Stopping:      p.gateway.Stopping(),
+		Malformed:     p.bad.List(),
 		Pools:         p.pools(),
 	}
 }
--- /dev/null
+++ b/program/pooltest/malformed_test.go
@@ -0,0 +1,123 @@
+package pooltest
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/pool"
+	"hollyfork.example/hollyfork/program"
+	"hollyfork.example/hollyfork/program/cluster"
+)
+
+// configurationEnds is longer than gateways act on a configuration that is not proved again.
+const configurationEnds = 4 * time.Second
+
+// A configuration that nobody could read was taken for a store that does not answer: after 3.5 s
+// every gateway refused every job.
+func TestUnreadableConfigurationKeepsTheLastInForce(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(t, 2, 2)
+	c.Submit(1, cluster.Tasks(2, "100ms"))
+	c.AwaitAll(1)
+	for _, content := range []string{"", "noise", `{"version":"two"}`, `{"routes":[]}`, "[]"} {
+		c.Store.Put("op", "", "config", []byte(content))
+		time.Sleep(configurationEnds / 4)
+	}
+	for _, g := range c.Gateways {
+		status, _ := g.Call(http.MethodPost, cluster.JobPath(2), cluster.APIKey, cluster.Tasks(2, "100ms"))
+		is.Equal(status, http.StatusOK)
+	}
+	c.AwaitAll(2)
+	is.True(strings.Contains(pools(t, c.Gateways[0]), "configuration"))
+	c.Configure(2, "another key")
+	cluster.Eventually(t, "the next good one is in force", func() bool {
+		status, _ := c.Gateways[0].Call(http.MethodGet, cluster.Prefix, "another key", "")
+		return status == http.StatusOK
+	})
+	cluster.Eventually(t, "nothing is listed", func() bool { return !strings.Contains(pools(t, c.Gateways[0]), "UNREADABLE") })
+}
+
+// Rows that another writer left cost themselves alone: the next holder takes the pool over, what
+// was accepted is done, and what can't be read is listed.
+func TestPoolIsTakenOverAmongRowsOfOtherWriters(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(t, 2, 3)
+	for id := 1; id <= 4; id++ {
+		c.Submit(id, cluster.Tasks(2, "3s"))
+	}
+	c.Await(4, "running")
+	const strange = "00000000000000ff"
+	for _, key := range []struct{ table, part, name string }{
+		{pool.IntakeTable, pool.JobKey("encoders", strange).Part, pool.JobKey("encoders", strange).Name},
+		{pool.IntakeTable, pool.CancelKey("encoders", "0000000000000001").Part, pool.CancelKey("encoders", "0000000000000001").Name},
+		{pool.IntakeTable, pool.AgentKey("encoders", "nobody").Part, pool.AgentKey("encoders", "nobody").Name},
+		{pool.StateTable, "encoders", pool.StateKey("encoders", strange).Name},
+		{pool.StateTable, "encoders", "a name that nobody gives"},
+		{"gateway", "gateway", "stranger"},
+	} {
+		c.Store.Put(key.table, key.part, key.name, []byte{0xff, 1, 2, 3})
+	}
+	holder := c.Holder()
+	c.Gateways[holder].Kill()
+	c.AwaitAll(4)
+	other := c.Gateways[1-holder]
+	shown := pools(t, other)
+	for _, kind := range []string{"agent", "cancellation", "job"} {
+		is.True(strings.Contains(shown, "\n"+kind+" ")) // is listed
+	}
+	status, _ := other.Call(http.MethodGet, cluster.Prefix+strange, cluster.APIKey, "")
+	is.Equal(status, http.StatusServiceUnavailable) // it is not known that there is no such job
+	c.Submit(5, cluster.Tasks(2, "100ms"))
+	c.AwaitAll(5)
+}
+
+// The row of where a job stood can't be read at a change of holder: nothing of the job starts
+// again, and its caller can cancel it.
+func TestJobWithAnUnreadableStateIsNotRunAgain(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(t, 2, 3)
+	c.Submit(1, cluster.Tasks(2, "4s"))
+	c.Submit(2, cluster.Tasks(2, "4s"))
+	c.Await(1, "running")
+	c.Await(2, "running")
+	starts := c.Runs.StartCount()
+	holder := c.Holder()
+	c.Gateways[holder].Kill()
+	c.Store.Put(pool.StateTable, "encoders", pool.StateKey("encoders", "0000000000000001").Name, []byte{0xff})
+	c.Await(2, "done")
+	time.Sleep(time.Second)
+	c.Check()
+	is.Equal(c.Runs.StartCount(), starts)
+	other := c.Gateways[1-holder]
+	status, _ := other.Call(http.MethodDelete, cluster.JobPath(1), cluster.APIKey, "")
+	is.Equal(status, http.StatusOK)
+	c.Await(1, "cancelled")
+}
+
+// A heartbeat of another writer at an agent names no worker.
+func TestHeartbeatsOfOtherWritersAreRefused(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(t, 1, 2)
+	for _, w := range c.Workers {
+		for _, body := range []string{"", "noise", `{"seq":9}`, `{"service":"painters","addr":"127.0.0.1:1","zone":"hall-0","state":"ready","seq":9,"capacity":{"cpu":1000000,"mem_mb":1000000,"gpu":64}}`} {
+			is.Equal(w.Claim("i-stranger", body), http.StatusBadRequest)
+		}
+	}
+	c.Submit(1, cluster.Gang(2, 8, "200ms"))
+	c.AwaitAll(1)
+}
+
+// pools returns what hollyforkctl shows of a gateway's pools.
+func pools(t *testing.T, g *cluster.Program) string {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	if code := program.Ctl([]string{"-server", g.Admin(), "pools"}, &stdout, &stderr); code != 0 {
+		t.Fatal(stderr.String())
+	}
+	return stdout.String()
+}
--- a/program/soak/soak_test.go
+++ b/program/soak/soak_test.go
@@ -9,8 +9,11 @@
 	"testing"
 	"time"
 
+	"hollyfork.example/hollyfork/job"
 	"hollyfork.example/hollyfork/platform/fakes"
+	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/program/cluster"
+	"hollyfork.example/hollyfork/store"
 )
 
 const (
@@ -34,7 +37,7 @@
 // unanswered, and a seed draws the same harm only among as many kinds.
 const (
 	firstHarms = 10
-	allHarms   = 12
+	allHarms   = 14
 )
 
 // regressions are the seeds that ever failed, with their causes, among the first kinds of harm.
@@ -75,6 +78,8 @@
 	variant *rand.Rand
 	// standing is the harm that lasts, with what ends it.
 	standing []func()
+	// config is the version of the configuration that was written last.
+	config int
 	// harms is how many kinds of harm are drawn from.
 	harms  int
 	paused map[*cluster.Program]bool
@@ -92,6 +97,7 @@
 		variant: rand.New(rand.NewPCG(seed, seed+1)),
 		paused:  map[*cluster.Program]bool{},
 		harms:   harms,
+		config:  1,
 	}
 	pause := trouble / jobs
 	for id := 1; id <= jobs; id++ {
@@ -131,8 +137,10 @@
 		s.last(func() { worker.SetSilent(false) })
 	case 9:
 		s.harmStore()
-	default:
+	case 10, 11:
 		s.harmRuns(worker)
+	default:
+		s.writeElsewhere(worker)
 	}
 }
 
@@ -146,6 +154,33 @@
 	s.last(func() { w.SetFaults(fakes.WorkerFaults{}) })
 }
 
+// writeElsewhere leaves what another writer might: a heartbeat, rows among the pool's own, or a
+// configuration that nobody can read.
+func (s *soak) writeElsewhere(w *fakes.Worker) {
+	noise := fakes.Noise(s.variant, 1+s.variant.IntN(200))
+	strange := job.ID(fmt.Sprintf("%016x", 1<<40+s.variant.IntN(1000)))
+	switch s.variant.IntN(4) {
+	case 0:
+		for range 5 {
+			_ = w.Claim("i-stranger", string(noise)) // it is refused, or nobody listens
+		}
+	case 1:
+		for _, key := range []store.Key{pool.JobKey(fakes.PoolName, strange), pool.CancelKey(fakes.PoolName, strange), pool.AgentKey(fakes.PoolName, string(strange))} {
+			s.Store.Put(key.Table, key.Part, key.Name, noise)
+		}
+	case 2:
+		key := pool.StateKey(fakes.PoolName, strange)
+		s.Store.Put(key.Table, key.Part, key.Name, noise)
+		s.Store.Put("gateway", "gateway", string(strange), noise)
+	case 3:
+		s.Store.Put("op", "", "config", noise)
+		s.last(func() {
+			s.config++
+			s.Configure(s.config, cluster.APIKey)
+		})
+	}
+}
+
 // endProcess ends a process that is up; it is launched again later.
 func (s *soak) endProcess(p *cluster.Program, end func(*cluster.Program)) {
 	if s.paused[p] || !p.Up() {
--- a/relay/member.go
+++ b/relay/member.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"hollyfork.example/hollyfork/backoff"
+	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire/relaypb"
 )
@@ -54,6 +57,9 @@
 	if s.peers.set(known.addresses) {
 		s.logger.Info().Int("known", len(known.addresses)).Msg("relay: the other gateways changed")
 	}
+	for _, u := range known.unreadable {
+		s.bad.Note(time.Now(), malformed.Gateway, u.row.Key.Name, len(u.row.Value), u.err)
+	}
 	value, err := proto.Marshal(&relaypb.GatewayRow{Address: address, AnnouncedMs: page.Stamp.Clock.Milliseconds()})
 	if err != nil {
 		return &store.Error{Op: "announce", Kind: store.KindInvalid, Err: err}
@@ -76,6 +82,25 @@
 	addresses []string
 	// gone are the rows of those that have long ended.
 	gone []store.Key
+	// unreadable are the rows that say nothing of a gateway.
+	unreadable []unreadableRow
+}
+
+type unreadableRow struct {
+	row store.Row
+	err error
+}
+
+// decodeMember reads the row of a gateway.
+func decodeMember(row store.Row, content *relaypb.GatewayRow) error {
+	if err := proto.Unmarshal(row.Value, content); err != nil {
+		return err
+	}
+	if content.GetAnnouncedMs() < 0 {
+		return fmt.Errorf("it was announced at %d ms", content.GetAnnouncedMs())
+	}
+	_, _, err := net.SplitHostPort(content.GetAddress())
+	return err
 }
 
 // maxRemoved bounds the rows that one renewal deletes.
@@ -89,7 +114,8 @@
 			continue
 		}
 		content := &relaypb.GatewayRow{}
-		if proto.Unmarshal(row.Value, content) != nil {
+		if err := decodeMember(row, content); err != nil {
+			m.unreadable = append(m.unreadable, unreadableRow{row, err})
 			continue
 		}
 		age := page.Stamp.Clock - time.Duration(content.GetAnnouncedMs())*time.Millisecond
--- a/relay/store.go
+++ b/relay/store.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/backoff"
+	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/rpc"
 	"hollyfork.example/wire/relaypb"
@@ -45,6 +46,8 @@
 		Metrics *metrics.Set
 		Traffic *rpc.Traffic
 		Logger  *log.Logger
+		// Malformed keeps the rows of gateways that can't be read.
+		Malformed *malformed.Registry
 	}
 
 	// Store is the platform's store, reached through another gateway while it turns this one
@@ -57,6 +60,7 @@
 		direct  store.Store
 		metrics *metrics.Set
 		logger  *log.Logger
+		bad     *malformed.Registry
 		path    *path
 		peers   *peers
 	}
@@ -71,6 +75,7 @@
 		direct:  deps.Direct,
 		metrics: deps.Metrics,
 		logger:  deps.Logger,
+		bad:     deps.Malformed,
 		path:    newPath(),
 		peers:   &peers{traffic: deps.Traffic},
 	}
--- a/relay/store_test.go
+++ b/relay/store_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
 
+	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/rpc"
 )
@@ -75,7 +76,7 @@
 func newGateway(t *testing.T) (s *Store, direct *fakeStore, address string) {
 	t.Helper()
 	direct = &fakeStore{}
-	s = New(Deps{Direct: direct, Metrics: metrics.NewSet(), Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}})
+	s = New(Deps{Direct: direct, Metrics: metrics.NewSet(), Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, Malformed: malformed.New(&log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, metrics.NewSet())})
 	server := rpc.NewServer(0, nil)
 	if err := server.Register(ServiceName, s.Service()); err != nil {
 		t.Fatal(err)
