--- a/program/soak/going_on_test.go
+++ b/program/soak/going_on_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -23,6 +24,8 @@
 const (
 	// accelerators are what a stand-in worker has.
 	accelerators = 8
+	// watched are the workers of a cluster whose jobs are watched.
+	watched = 11
 	// lookEvery is how often the runs are looked at.
 	lookEvery = 20 * time.Millisecond
 	// longestGap is how long a job may have nothing running while there is ample room for it.
@@ -71,18 +74,14 @@
 	}
 )
 
-// flow is how many jobs are handed in, and how far apart.
-type flow struct {
-	jobs  int
-	every time.Duration
-}
+// handInEvery is how far apart jobs are handed in: about a third of the room is in use.
+const handInEvery = 400 * time.Millisecond
 
-// short is the flow of CI's runs.
-var short = flow{jobs: 100, every: 400 * time.Millisecond}
+var watchedJobs = flag.Int("jobs", 100, "number of jobs that are watched in each run")
 
 func TestJobsGoOnWhileRunsFail(t *testing.T) {
 	t.Parallel()
-	keepGoing(t, 1, short, fault{
+	keepGoing(t, 1, fault{
 		worker: fakes.WorkerFaults{Fail: 0.7, FailWithin: 400 * time.Millisecond},
 		lasts:  2 * time.Second, period: 10 * time.Second,
 	})
@@ -90,7 +89,7 @@
 
 func TestJobsGoOnWhileStartsAreUnanswered(t *testing.T) {
 	t.Parallel()
-	keepGoing(t, 2, short, fault{
+	keepGoing(t, 2, fault{
 		worker: fakes.WorkerFaults{Unanswered: 0.5},
 		lasts:  2 * time.Second, period: 10 * time.Second,
 	})
@@ -98,7 +97,7 @@
 
 func TestJobsGoOnWhileRunsFailAndStartsAreUnanswered(t *testing.T) {
 	t.Parallel()
-	keepGoing(t, 3, short, fault{
+	keepGoing(t, 3, fault{
 		worker: fakes.WorkerFaults{Fail: 0.7, FailWithin: 400 * time.Millisecond, Unanswered: 0.5},
 		lasts:  2 * time.Second, period: 10 * time.Second,
 	})
@@ -106,7 +105,7 @@
 
 func TestJobsGoOnWhileRunsFailAndHoldersDie(t *testing.T) {
 	t.Parallel()
-	keepGoing(t, 4, short, fault{
+	keepGoing(t, 4, fault{
 		worker: fakes.WorkerFaults{Fail: 0.7, FailWithin: 400 * time.Millisecond, Unanswered: 0.5},
 		lasts:  2 * time.Second, period: 10 * time.Second,
 		killsHolder: true,
@@ -115,14 +114,14 @@
 
 // keepGoing hands jobs in while things go wrong, half of them gangs, and fails the test if one
 // stands still although there is room, or the last ones don't end.
-func keepGoing(t *testing.T, seed uint64, f flow, wrong fault) {
+func keepGoing(t *testing.T, seed uint64, wrong fault) {
 	t.Helper()
 	random := rand.New(rand.NewPCG(seed, seed))
-	w := &watch{Cluster: cluster.New(t, gateways, 11)}
+	w := &watch{Cluster: cluster.New(t, *gateways, watched)}
 	start := time.Now()
-	for id := 1; id <= f.jobs; id++ {
+	for id := 1; id <= *watchedJobs; id++ {
 		w.submit(random, id)
-		for end := start.Add(time.Duration(id) * f.every); time.Now().Before(end); {
+		for end := start.Add(time.Duration(id) * handInEvery); time.Now().Before(end); {
 			w.apply(wrong, time.Since(start))
 			w.look(time.Now())
 			time.Sleep(lookEvery)
--- a/program/soak/soak_test.go
+++ b/program/soak/soak_test.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// gateways and workers are the size of a cluster: some ten processes.
-	gateways = 3
-	workers  = 5
 	// trouble is how long harm is done, and jobs how many are handed in meanwhile.
 	trouble = 15 * time.Second
 	jobs    = 30
@@ -29,6 +26,10 @@
 )
 
 var (
+	// gateways and workers are the size of a cluster: some ten processes.
+	gateways = flag.Int("gateways", 3, "number of gateways of a cluster")
+	workers  = flag.Int("workers", 5, "number of workers of a cluster, each with its sidecar")
+
 	seeds = flag.Int("seeds", 1, "number of seeds to run")
 	first = flag.Uint64("first", 1, "first seed")
 )
@@ -91,7 +92,7 @@
 
 func play(t *testing.T, seed uint64, harms int) {
 	s := &soak{
-		Cluster: cluster.New(t, gateways, workers),
+		Cluster: cluster.New(t, *gateways, *workers),
 		t:       t,
 		random:  rand.New(rand.NewPCG(seed, seed)),
 		variant: rand.New(rand.NewPCG(seed, seed+1)),
@@ -115,8 +116,8 @@
 		s.mend(s.random.IntN(len(s.standing)))
 		return
 	}
-	gateway := s.Gateways[s.random.IntN(gateways)]
-	number := s.random.IntN(workers)
+	gateway := s.Gateways[s.random.IntN(*gateways)]
+	number := s.random.IntN(*workers)
 	sidecar, worker := s.Sidecars[number], s.Workers[number]
 	either := []*cluster.Program{gateway, sidecar}[s.random.IntN(2)]
 	switch s.random.IntN(s.harms) {
@@ -245,7 +246,7 @@
 	body := s.body()
 	certain := true
 	for range 3 {
-		status, _ := s.Gateways[s.random.IntN(gateways)].Call(http.MethodPost, cluster.JobPath(id), cluster.APIKey, body)
+		status, _ := s.Gateways[s.random.IntN(*gateways)].Call(http.MethodPost, cluster.JobPath(id), cluster.APIKey, body)
 		switch status {
 		case http.StatusOK:
 			s.accepted = append(s.accepted, id)
