Groups are relaxed after 0.75 and 1.5 s

Cause: on a busy VM the longest time with nothing running was 2.5 s of 3 s: 1.8 s of waiting, up to 0.7 s until the last end is known, and starts that get no answer. Change: 0.75 s for 0.9 s; and a test for a mechanism whose cut went unnoticed, a gang that tries a worker on trial in a busy pool, one at a time. The new test fails with the mechanism cut out.

--- a/pool/going_on_test.go
+++ b/pool/going_on_test.go
@@ -179,6 +179,28 @@
 	is.Equal(w.state(small.ID), Active)
 }
 
+// In a busy pool a gang never got the worker on trial, the only one with room. It is tried with one
+// gang at a time.
+func TestGangGoesOnOnTheWorkerOnTrialOfABusyPool(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 4)
+	w.run(300 * time.Millisecond)
+	for id := 1; id <= 3; id++ {
+		w.submit(gang(id, 1, 8, time.Minute))
+	}
+	w.run(300 * time.Millisecond)
+	w.core.workers["worker-3"].health.probing = true
+	first, second := gang(4, 2, 2, 3*time.Second), gang(5, 2, 2, time.Second)
+	w.submit(first)
+	w.submit(second)
+	w.run(1500 * time.Millisecond)
+	is.Equal(w.state(first.ID), Active)
+	is.Equal(w.state(second.ID), Queued)
+	w.run(3 * time.Second)
+	is.Equal(w.state(first.ID), Done)
+	is.Equal(w.state(second.ID), Active)
+}
+
 // That a worker is on trial hid that it stood away from a task's data, and a trial was allowed.
 func TestWorkerOnTrialIsNotTriedAwayFromData(t *testing.T) {
 	is := is.New(t)
--- a/pool/settings.go
+++ b/pool/settings.go
@@ -35,7 +35,8 @@
 	// RelaxAfter is how long a group waits for workers that it prefers while there is room on
 	// others; for ones that are known to be bad, and to leave its rack, it waits twice as long.
 	// That is below the 3 s for which a job may have nothing running beside free workers, with
-	// 1.2 s to spare until its last end is known and its next start carried out.
+	// 1.5 s to spare until its last end is known and its next start carried out: with 0.9 s here
+	// the longest time was 2.5 s (400 jobs as processes, on a busy VM).
 	RelaxAfter time.Duration
 	// RetryRefused is how long a worker that refused a start gets no other.
 	RetryRefused time.Duration
@@ -73,7 +74,7 @@
 		StallAfter:     2500 * time.Millisecond,
 		AsideAfter:     2,
 		AsideFor:       4 * time.Second,
-		RelaxAfter:     900 * time.Millisecond,
+		RelaxAfter:     750 * time.Millisecond,
 		RetryRefused:   time.Second,
 		FarFactor:      3,
 		DisplaceFactor: 1.5,
