--- a/pool/going_on_test.go
+++ b/pool/going_on_test.go
@@ -137,6 +137,24 @@
 	w.goesOn(10 * time.Second)
 }
 
+// A gang for one rack waited for a long task in each while most workers stood empty.
+func TestGangLeavesItsRackWhenThePoolIsIdle(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 15) // in five racks
+	for id := 1; id <= 5; id++ {
+		j := oneTask(id, time.Minute)
+		j.Steps[0].DataRack = fmt.Sprintf("rack-%d", id-1)
+		w.submit(j)
+	}
+	w.run(300 * time.Millisecond)
+	inOne := gang(30, 3, 8, time.Second)
+	inOne.Steps[0].SameRack = true
+	inOne.Terms.Priority = 1
+	w.submit(inOne)
+	w.goesOn(4 * time.Second)
+	is.Equal(w.state(inOne.ID), Done)
+}
+
 // Room that urgent work had left was kept for more of it, and each short urgent task kept it anew:
 // other work found nothing on workers that were busy for a tenth of the time.
 func TestWorkGoesOnBesideKeptRoomOfAnIdlePool(t *testing.T) {
