Tests of leases and summaries that can't be read

Cause: the table of what is read named no proof for them. Change: tests alone. Conclusion: the table has a proof for each row but the handover's.

--- a/holder/candidate_test.go
+++ b/holder/candidate_test.go
@@ -73,3 +73,15 @@
 	is.True(renewEvery*3 <= HoldFor)
 	is.True(pool.DefaultSettings().AgentLease > TakeAfter+syncWait+syncTimeout) // tasks survive a change of holder
 }
+
+// What can't be read is not free: it is taken when it has not changed for a lease's length.
+func TestLeaseOfNoiseIsNotFree(t *testing.T) {
+	is := is.New(t)
+	for _, content := range [][]byte{nil, {0xff}, []byte("not a lease")} {
+		c := &Candidate{}
+		c.Observe(begin, store.Row{Version: 5, Value: content})
+		is.True(!c.Free(begin.Add(TakeAfter - time.Millisecond)))
+		is.True(c.Free(begin.Add(TakeAfter)))
+		is.Equal(holderAddress(store.Row{Version: 5, Value: content}), "")
+	}
+}
--- a/pool/malformed_test.go
+++ b/pool/malformed_test.go
@@ -252,3 +252,18 @@
 		}
 	})
 }
+
+func TestUnreadableSummaryIsNoCount(t *testing.T) {
+	is := is.New(t)
+	key := SummaryKey("pool")
+	for _, content := range [][]byte{nil, {0xff}, Encode(&poolpb.SummaryRow{}), Encode(&poolpb.SummaryRow{Layout: rowLayout, WaitingByQueue: map[string]int32{"q": -1}})} {
+		_, err := WaitingOf(store.Row{Key: key, Value: content, Version: 3}, "q")
+		is.True(err != nil)
+	}
+	count, err := WaitingOf(store.Row{Key: key, Value: Encode(&poolpb.SummaryRow{Layout: rowLayout, WaitingByQueue: map[string]int32{"q": 4}}), Version: 3}, "q")
+	is.NoErr(err)
+	is.Equal(count, 4)
+	count, err = WaitingOf(store.Row{Key: key}, "q")
+	is.NoErr(err)
+	is.Equal(count, 0) // before the first
+}
--- a/program/pooltest/malformed_test.go
+++ b/program/pooltest/malformed_test.go
@@ -121,3 +121,18 @@
 	}
 	return stdout.String()
 }
+
+// The lease's row is noise while its holder lives: the holder finds another version and stops, and
+// the next one takes the pool once nothing has changed for a lease's length.
+func TestLeaseOfNoiseCostsATakeover(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(t, 2, 2)
+	c.Submit(1, cluster.Tasks(2, "4s"))
+	c.Await(1, "running")
+	starts := c.Runs.StartCount()
+	lease := pool.LeaseKey("encoders")
+	c.Store.Put(lease.Table, lease.Part, lease.Name, []byte{0xff})
+	c.Submit(2, cluster.Tasks(2, "100ms"))
+	c.AwaitAll(2)
+	is.Equal(c.Runs.StartCount(), starts+2)
+}
