Free accelerators are counted by the rule that keeps them so

Cause: operators could not tell room that urgent work keeps, gangs hold or workers on trial have from room that nobody wants; in the incident neither log nor state dump could rule out withheld room, and on the shifted deployment the same question cost a count by hand from the log. Change: the state dump, hollyforkctl pools and hollyfork_pool_accelerators_free{reason}. What a pass holds and promises is kept by worker for it; decisions are what they were.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -27,6 +27,7 @@
 	c.decidedAt = now
 	rounds := c.waitingRounds()
 	if len(rounds) == 0 {
+		c.forgetWithheld()
 		return
 	}
 	p := c.newPass(now)
@@ -39,6 +40,7 @@
 	if use < idleBelow {
 		p.tryPassedOver(rounds)
 	}
+	p.noteWithheld()
 	p.tellWaiting(rounds)
 }
 
--- a/pool/state.go
+++ b/pool/state.go
@@ -13,13 +13,15 @@
 		ConfigVersion uint64 `json:"config_version"`
 		// Evacuated are the data centres in which nothing is started, ShortBy the accelerators
 		// that guarantees are short of meanwhile.
-		Evacuated   []string         `json:"evacuated,omitempty"`
-		ShortBy     int              `json:"guarantees_short_by,omitempty"`
-		Jobs        map[string]int   `json:"jobs"`
-		Waiting     map[string]int   `json:"waiting_by_queue"`
-		Uncommitted int              `json:"uncommitted"`
-		Workers     []WorkerSnapshot `json:"workers"`
-		Live        []JobSnapshot    `json:"live_jobs"`
+		Evacuated   []string       `json:"evacuated,omitempty"`
+		ShortBy     int            `json:"guarantees_short_by,omitempty"`
+		Jobs        map[string]int `json:"jobs"`
+		Waiting     map[string]int `json:"waiting_by_queue"`
+		Uncommitted int            `json:"uncommitted"`
+		// Free counts the accelerators that nothing runs on.
+		Free    FreeRoom         `json:"free_accelerators"`
+		Workers []WorkerSnapshot `json:"workers"`
+		Live    []JobSnapshot    `json:"live_jobs"`
 	}
 
 	// WorkerSnapshot is what a pool knows of a worker.
@@ -73,6 +75,7 @@
 		Jobs:          map[string]int{},
 		Waiting:       c.waitingByQueue(),
 		Uncommitted:   len(c.dirty),
+		Free:          c.freeRoom(now),
 	}
 	for _, j := range c.jobs {
 		s.Jobs[j.standing()]++
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -39,6 +39,10 @@
 		health health
 		// retained is room kept for urgent work, the oldest first.
 		retained []retained
+		// held and promised are the accelerators that the last pass kept for gangs, and promised
+		// to work whose room is not free yet.
+		held     int
+		promised int
 		// slot is the worker's place in the present pass; below 0 when it has none.
 		slot int
 	}
--- a/program/ctl_pools.go
+++ b/program/ctl_pools.go
@@ -97,6 +97,9 @@
 			return err
 		}
 	}
+	if _, err := fmt.Fprintf(c.stdout, "free accelerators: %s\n\n", p.Free); err != nil {
+		return err
+	}
 	if err := c.printTable(poolWorkerRows(p.Workers)); err != nil {
 		return err
 	}
--- a/program/gatewayd/state.go
+++ b/program/gatewayd/state.go
@@ -1,6 +1,7 @@
 package gatewayd
 
 import (
+	"fmt"
 	"net"
 	"time"
 
@@ -36,6 +37,30 @@
 	}
 }
 
+// freeBy are the rules that keep accelerators free.
+var freeBy = map[string]func(pool.FreeRoom) int{
+	"open":        func(f pool.FreeRoom) int { return f.Open },
+	"kept":        func(f pool.FreeRoom) int { return f.Kept },
+	"held":        func(f pool.FreeRoom) int { return f.Held },
+	"promised":    func(f pool.FreeRoom) int { return f.Promised },
+	"on_trial":    func(f pool.FreeRoom) int { return f.OnTrial },
+	"set_aside":   func(f pool.FreeRoom) int { return f.SetAside },
+	"unavailable": func(f pool.FreeRoom) int { return f.Unavailable },
+}
+
+// addFreeGauges adds a gauge for each rule that keeps accelerators free.
+func (p *gatewayProcess) addFreeGauges() {
+	for reason, count := range freeBy {
+		p.metrics.NewGauge(fmt.Sprintf("hollyfork_pool_accelerators_free{reason=%q}", reason), func() float64 {
+			free := 0
+			for _, snapshot := range p.pools() {
+				free += count(snapshot.Free)
+			}
+			return float64(free)
+		})
+	}
+}
+
 func (p *gatewayProcess) serveAdmin(listener net.Listener) {
 	if listener == nil {
 		return
@@ -76,6 +101,7 @@
 		}
 		return float64(usable)
 	})
+	p.addFreeGauges()
 	p.metrics.NewGauge("hollyfork_rpc_received_bytes_total", func() float64 { return float64(p.traffic.BytesIn.Load()) })
 	p.metrics.NewGauge("hollyfork_rpc_sent_bytes_total", func() float64 { return float64(p.traffic.BytesOut.Load()) })
 }
