--- a/relay/member_test.go
+++ b/relay/member_test.go
@@ -69,3 +69,22 @@
 	p.set(nil)
 	is.Equal(len(p.choose(now)), 0)
 }
+
+// Rows of other writers were tried as gateways, whatever they held for an address.
+func TestRowsWithoutAnAddressAreNoMembers(t *testing.T) {
+	is := is.New(t)
+	const at = time.Hour
+	m := members(store.Page{
+		Stamp: store.Stamp{Clock: at},
+		Rows: []store.Row{
+			memberRow(t, "empty", "", at),
+			memberRow(t, "place", "here", at),
+			memberRow(t, "early", "b:1", -time.Hour),
+			{Key: memberKey("noise"), Value: []byte{0xff, 1}, Version: 1},
+			memberRow(t, "good", "c:1", at),
+		},
+	}, "self")
+	is.Equal(m.addresses, []string{"c:1"})
+	is.Equal(len(m.gone), 0)
+	is.Equal(len(m.unreadable), 4)
+}
