A test counts starts once they have happened

Change: it and TestJobWithAnUnreadableStateIsNotRunAgain wait for the starts; what they check is the same.

--- a/program/pooltest/malformed_test.go
+++ b/program/pooltest/malformed_test.go
@@ -83,9 +83,7 @@
 	c := cluster.New(t, 2, 3)
 	c.Submit(1, cluster.Tasks(2, "4s"))
 	c.Submit(2, cluster.Tasks(2, "4s"))
-	c.Await(1, "running")
-	c.Await(2, "running")
-	starts := c.Runs.StartCount()
+	starts := awaitStarts(t, c, 4)
 	holder := c.Holder()
 	c.Gateways[holder].Kill()
 	c.Store.Put(pool.StateTable, "encoders", pool.StateKey("encoders", "0000000000000001").Name, []byte{0xff})
@@ -112,6 +110,14 @@
 	c.AwaitAll(1)
 }
 
+// awaitStarts waits until workers have started so many tasks, which is some time after their jobs
+// are told to run, and returns the number.
+func awaitStarts(t *testing.T, c *cluster.Cluster, count int) int {
+	t.Helper()
+	cluster.Eventually(t, "tasks are started", func() bool { return c.Runs.StartCount() == count })
+	return count
+}
+
 // pools returns what hollyforkctl shows of a gateway's pools.
 func pools(t *testing.T, g *cluster.Program) string {
 	t.Helper()
@@ -128,8 +134,7 @@
 	is := is.New(t)
 	c := cluster.New(t, 2, 2)
 	c.Submit(1, cluster.Tasks(2, "4s"))
-	c.Await(1, "running")
-	starts := c.Runs.StartCount()
+	starts := awaitStarts(t, c, 2)
 	lease := pool.LeaseKey("encoders")
 	c.Store.Put(lease.Table, lease.Part, lease.Name, []byte{0xff})
 	c.Submit(2, cluster.Tasks(2, "100ms"))
