Soak: a job may end failed only when one task or its gang has no attempt left

Cause: the check that came with failing workers counted the failed runs of all tasks of a job together, so a job of several tasks that was wrongly given up would have passed; and in regressions, where nothing fails, 'failed' would have passed as well. Change: the task that failed most often counts, all of them for a gang; regressions have to end done. Conclusion: a check of ours that was looser than it has to be is tight again.

--- a/program/soak/soak_test.go
+++ b/program/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -79,6 +80,8 @@
 	variant *rand.Rand
 	// standing is the harm that lasts, with what ends it.
 	standing []func()
+	// gangs are the jobs of one gang, whose tasks share their attempts.
+	gangs map[int]bool
 	// config is the version of the configuration that was written last.
 	config int
 	// harms is how many kinds of harm are drawn from.
@@ -99,6 +102,7 @@
 		paused:  map[*cluster.Program]bool{},
 		harms:   harms,
 		config:  1,
+		gangs:   map[int]bool{},
 	}
 	pause := trouble / jobs
 	for id := 1; id <= jobs; id++ {
@@ -244,6 +248,7 @@
 // handIn hands a job in as callers do: at another gateway when one does not accept it.
 func (s *soak) handIn(id int) {
 	body := s.body()
+	s.gangs[id] = strings.Contains(body, `"gang":true`)
 	certain := true
 	for range 3 {
 		status, _ := s.Gateways[s.random.IntN(*gateways)].Call(http.MethodPost, cluster.JobPath(id), cluster.APIKey, body)
@@ -273,13 +278,18 @@
 	return cluster.Tasks(1+s.random.IntN(6), length)
 }
 
-// over says whether a job is done, or has failed after as many failed runs as it may have.
+// over says whether a job is done, or has failed after as many failed runs as one of its tasks, or
+// its gang, may have. Among the first kinds of harm nothing fails, so a job has to be done.
 func (s *soak) over(id int) bool {
 	switch s.State(id) {
 	case "done":
 		return true
 	case "failed":
-		return s.Runs.Failures(name(id)) >= cluster.Attempts
+		all, most := s.Runs.Failures(name(id))
+		if s.gangs[id] {
+			most = all
+		}
+		return s.harms > firstHarms && most >= cluster.Attempts
 	default:
 		return false
 	}
