The log says which workers crashed, and what ran there for how long

Cause: the log had one sentence for a worker whose process has ended, one that was silent until its lease lapsed and one that left as it had said, and did not say what ran there. Change: agents say how they know that nothing runs (a field more on the wire; older ones say nothing and are read as before). The holder's log has a line 'worker crashed' with the runs that were ordered there and since when. No decision changes. Result: tests of the agent, pool and holder pass; the two new ones of the agent tell the cases apart.

--- a/holder/translate.go
+++ b/holder/translate.go
@@ -18,6 +18,13 @@
 		poolpb.EndKind_ALONE:   pool.EndAlone,
 	}
 
+	lapses = map[poolpb.Lapse_Value]pool.Lapse{
+		poolpb.Lapse_UNKNOWN: pool.LapseUnknown,
+		poolpb.Lapse_CRASHED: pool.LapseCrashed,
+		poolpb.Lapse_LEFT:    pool.LapseLeft,
+		poolpb.Lapse_SILENT:  pool.LapseSilent,
+	}
+
 	results = map[poolpb.OrderResult_Value]pool.Result{
 		poolpb.OrderResult_UNSETTLED:      pool.ResultUnsettled,
 		poolpb.OrderResult_OK:             pool.ResultOK,
@@ -48,6 +55,7 @@
 		Rack:    w.GetRack(),
 		Listing: w.GetListing(),
 		Lapsed:  w.GetLapsed(),
+		Lapse:   lapses[w.GetLapse()],
 
 		DataCentre: w.GetDataCentre(),
 	}
--- a/pool/event.go
+++ b/pool/event.go
@@ -19,9 +19,11 @@
 	EventTrial  EventKind = "worker on trial"
 	EventProven EventKind = "worker proven"
 	// EventWaiting tells why nothing of a job is placed.
-	EventWaiting   EventKind = "job waits"
-	EventStray     EventKind = "stray run stopped"
-	EventWorker    EventKind = "worker incarnation"
+	EventWaiting EventKind = "job waits"
+	EventStray   EventKind = "stray run stopped"
+	EventWorker  EventKind = "worker incarnation"
+	// EventCrashed tells what ran on a worker whose process ended without saying so.
+	EventCrashed   EventKind = "worker crashed"
 	EventForgotten EventKind = "agent forgotten"
 	// EventEvacuated and EventTakenBack tell of a data centre, in the detail.
 	EventEvacuated EventKind = "data centre evacuated"
--- a/pool/message.go
+++ b/pool/message.go
@@ -47,7 +47,22 @@
 	ResultTicket
 )
 
+// Ways in which an agent knows that nothing runs on its worker any more.
+const (
+	// LapseUnknown is what agents say that don't tell these apart.
+	LapseUnknown Lapse = iota
+	// LapseCrashed means that the worker's process ended without saying that it would.
+	LapseCrashed
+	// LapseLeft means that the worker ended as it had said.
+	LapseLeft
+	// LapseSilent means that the worker did not answer until its lease had ended. It may live.
+	LapseSilent
+)
+
 type (
+	// Lapse says how all that a worker ran has ended.
+	Lapse int
+
 	// EndKind says how a run ended.
 	EndKind int
 
@@ -90,8 +105,9 @@
 		Listing uint64
 		Running []Running
 		Ended   []Ended
-		// Lapsed says that all that the worker ran has surely ended, unheard.
+		// Lapsed says that all that the worker ran has surely ended, unheard, and Lapse how.
 		Lapsed bool
+		Lapse  Lapse
 	}
 
 	// Start orders one task to be started.
--- a/pool/report.go
+++ b/pool/report.go
@@ -13,7 +13,7 @@
 	}
 	if r.Instance == "" {
 		if r.Lapsed {
-			c.workerLost(now, w, "its agent has not heard of it and its lease has lapsed")
+			c.workerLapsed(now, w, r.Lapse)
 		}
 		return
 	}
@@ -30,7 +30,7 @@
 	c.setDataCentre(w, r.DataCentre)
 	w.draining = r.Draining
 	if r.Lapsed {
-		c.workerLost(now, w, "the worker has ended, or its lease has lapsed unheard")
+		c.workerLapsed(now, w, r.Lapse)
 		return
 	}
 	if r.Listing <= w.listing {
@@ -58,6 +58,9 @@
 
 // newInstance gives up what ran on the worker's earlier incarnation.
 func (c *Core) newInstance(now time.Time, w *worker, r Report) {
+	if w.crashedBefore(r.Instance) {
+		c.workerCrashed(now, w, "it is back as "+r.Instance)
+	}
 	for _, m := range slices.Clone(w.members) {
 		if m.instance != r.Instance {
 			c.memberLost(now, m, "the worker was restarted")
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -60,8 +60,10 @@
 	unverifiedAsked bool
 	// former are the worker's earlier incarnations.
 	former map[string]bool
-	// gone says that the worker has ended, or has not answered until its lease ended.
-	gone bool
+	// gone says that the worker has ended, or has not answered until its lease ended; lapse says
+	// which.
+	gone  bool
+	lapse poolpb.Lapse_Value
 
 	// asked counts the listings asked for; listed is the number of the one held.
 	asked   uint64
@@ -136,7 +138,7 @@
 	}
 	c.beat = c.unverified
 	c.unverified = Heartbeat{}
-	c.gone = false
+	c.revive()
 	c.silent = false
 	c.refusals = 0
 	c.listed = 0
@@ -150,21 +152,38 @@
 func (c *Core) Leave(instance string) {
 	switch instance {
 	case c.beat.Instance:
-		c.end()
+		c.end(poolpb.Lapse_LEFT)
 	case c.unverified.Instance:
 		c.dropUnverified()
 	}
 }
 
-// end notes that nothing runs on the worker any more.
-func (c *Core) end() {
-	if c.gone {
+// end notes that nothing runs on the worker any more, and how that is known. What was known only
+// from its silence may become known for certain.
+func (c *Core) end(lapse poolpb.Lapse_Value) {
+	if c.gone && (c.lapse != poolpb.Lapse_SILENT || lapse == poolpb.Lapse_SILENT) {
 		return
 	}
 	c.gone = true
+	c.lapse = lapse
 	c.report++
 }
 
+// endProcess notes that the worker's process is not there any more.
+func (c *Core) endProcess() {
+	if c.beat.Draining {
+		c.end(poolpb.Lapse_LEFT)
+		return
+	}
+	c.end(poolpb.Lapse_CRASHED)
+}
+
+// revive notes that the worker answers.
+func (c *Core) revive() {
+	c.gone = false
+	c.lapse = poolpb.Lapse_UNKNOWN
+}
+
 // Report returns a number that grows with whatever there is to tell.
 func (c *Core) Report() uint64 {
 	return c.report
@@ -225,6 +244,7 @@
 		Running:      c.listing.Running,
 		Ended:        c.listing.Ended,
 		Lapsed:       c.gone,
+		Lapse:        c.lapse,
 	}
 }
 
@@ -287,7 +307,7 @@
 	c.heldAt = now
 	c.silent = false
 	c.refusals = 0
-	c.gone = false
+	c.revive()
 	if told {
 		c.tellAfter = 0
 	}
@@ -328,14 +348,14 @@
 	case KindNoWorker:
 		c.refusals++
 		if c.refusals >= refusalsUntilGone {
-			c.end()
+			c.endProcess()
 		}
 	case KindOtherInstance:
-		c.end()
+		c.endProcess()
 	default:
 		c.silent = true
 		if c.lapsed(now) {
-			c.end()
+			c.end(poolpb.Lapse_SILENT)
 		}
 	}
 	return c.report != before
@@ -347,7 +367,7 @@
 	if c.gone || c.beat.Instance != "" || now.Sub(c.began) < longestLease {
 		return false
 	}
-	c.end()
+	c.end(poolpb.Lapse_SILENT)
 	return true
 }
 
--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -123,6 +123,39 @@
 	is.True(c.worker().GetLapsed())
 }
 
+// Whether a worker crashed, left as it had said, or was only silent was not told apart, so nobody
+// could say under which tasks workers crash.
+func TestAgentTellsHowItsWorkerEnded(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	list(c, 0, Listing{Clock: 100 * time.Second})
+	c.NextHold(start)
+	is.Equal(c.worker().GetLapse(), poolpb.Lapse_UNKNOWN)
+	is.True(c.HoldFailed(start.Add(5*time.Second), "first", KindUnanswered))
+	is.Equal(c.worker().GetLapse(), poolpb.Lapse_SILENT)
+	c.HoldFailed(start.Add(5*time.Second), "first", KindNoWorker)
+	is.True(c.HoldFailed(start.Add(5*time.Second), "first", KindNoWorker)) // now that is known for certain
+	is.Equal(c.worker().GetLapse(), poolpb.Lapse_CRASHED)
+	is.True(!c.HoldFailed(start.Add(12*time.Second), "first", KindUnanswered))
+	is.Equal(c.worker().GetLapse(), poolpb.Lapse_CRASHED)
+	list(c, 6*time.Second, Listing{Clock: 106 * time.Second})
+	is.Equal(c.worker().GetLapse(), poolpb.Lapse_UNKNOWN)
+}
+
+func TestWorkerThatEndsAsItSaidHasNotCrashed(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	list(c, 0, Listing{Clock: 100 * time.Second})
+	c.Heartbeat(Heartbeat{Instance: "first", Sequence: 99, Draining: true})
+	c.HoldFailed(start, "first", KindNoWorker)
+	c.HoldFailed(start, "first", KindNoWorker)
+	is.Equal(c.worker().GetLapse(), poolpb.Lapse_LEFT)
+	c = newTestCore()
+	list(c, 0, Listing{Clock: 100 * time.Second})
+	c.Leave("first")
+	is.Equal(c.worker().GetLapse(), poolpb.Lapse_LEFT)
+}
+
 func TestUnheardWorkerHasLapsedAfterTheLongestLease(t *testing.T) {
 	is := is.New(t)
 	c := NewCore(start, "agent")
