Failing tests: tasks that crash the workers which start them

Change: stand-in workers crash under a task, in virtual time and as processes: nothing listens at their address for 2 s, they come back with another id, and the rest of a gang's run ends with them. Tests: such a task is given up, also if the holder changes after each crash, if starts are never answered, if crashes are heard of late; what stands beside it is lost once and done; no sound job is given up, also where workers crash by themselves; the same in random histories and as processes. That sound jobs are not given up holds already, since nobody is.

--- /dev/null
+++ b/pool/crash_test.go
@@ -0,0 +1,223 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/job"
+)
+
+// Each worker that started a task crashed, and the task was started again on the next one, without
+// end: a run that is lost with its worker counted nothing. All eleven workers were down most of the
+// time, and what ran beside the task was lost again and again. The log of the holder:
+//
+//	run lost 187e9f3f066d22a1.0.0.0 run 13 on side-asahikawa-hall-3
+//	run lost 187e9f3f066d22a1.0.0.0 run 14 on side-sapporo-hall-1
+//	placed 187e9f3f066d22a1.0.0.0 run 15 on side-hakodate-hall-1, "1 tasks of 8 accelerators, waited 97ms"
+//
+// with no failure of the task in its row after 219 runs.
+
+// quick is how long after its start a task crashes its worker, slow when it has done most of its work.
+const (
+	quick = 200 * time.Millisecond
+	slow  = 1700 * time.Millisecond
+)
+
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	for name, j := range map[string]job.Job{
+		"one task":     oneTask(1, 2*time.Second),
+		"whole worker": gang(1, 1, 8, 2*time.Second),
+		"gang":         gang(1, 4, 3, 2*time.Second),
+		"lasts":        endless(1),
+	} {
+		for _, after := range []time.Duration{0, quick, slow} {
+			t.Run(fmt.Sprintf("%s after %s", name, after), func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, 11)
+				w.submitCulprit(j, 0, after)
+				w.run(40 * time.Second)
+				is.Equal(w.state(j.ID), Failed)
+			})
+		}
+	}
+}
+
+// endless returns a job of a task that runs until its caller cancels it.
+func endless(id int) job.Job {
+	j := oneTask(id, time.Hour)
+	j.Steps[0].LongRunning = true
+	return j
+}
+
+// What is counted has to outlive the holder: each new one began at zero.
+func TestCrashesOutliveTheHolder(t *testing.T) {
+	for _, later := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+		t.Run(later.String(), func(t *testing.T) {
+			w := newWorld(t, 11)
+			j := gang(1, 3, 4, 2*time.Second)
+			w.submitCulprit(j, 1, quick)
+			for crashes := 1; crashes <= 12 && !w.state(j.ID).ended(); crashes++ {
+				w.until("a worker crashes or the job is given up", func() bool {
+					return w.crashes[job.TaskID{Job: j.ID, Index: 1}] >= crashes || w.state(j.ID).ended()
+				})
+				w.run(later)
+				w.takeOver()
+			}
+			is.New(t).Equal(w.state(j.ID), Failed)
+		})
+	}
+}
+
+// A crash may come before the start is answered, so a start whose answer is open counts.
+func TestCrashesBeforeAnAnswerCount(t *testing.T) {
+	w := newWorld(t, 11)
+	w.loses = func() bool { return true }
+	j := oneTask(1, 2*time.Second)
+	w.submitCulprit(j, 0, 0)
+	w.run(40 * time.Second)
+	is.New(t).Equal(w.state(j.ID), Failed)
+}
+
+// The agent of a worker that crashed may be silent, so that the holder learns of the crash late.
+func TestCrashesThatAreHeardOfLateCount(t *testing.T) {
+	w := newWorld(t, 11)
+	j := oneTask(1, 2*time.Second)
+	w.submitCulprit(j, 0, quick)
+	for range 60 {
+		w.run(time.Second)
+		for _, f := range w.workers {
+			f.silent = f.down && !f.silent
+		}
+	}
+	is.New(t).Equal(w.state(j.ID), Failed)
+}
+
+// What stands beside such a task is lost with it once, is not given up, and goes on.
+func TestSoundTasksBesideACulpritAreLostOnce(t *testing.T) {
+	for _, after := range []time.Duration{0, quick, slow} {
+		t.Run(after.String(), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 11)
+			sound := 0
+			for id := 1; id <= 40; id++ {
+				sound++
+				w.submit(oneTask(id, 3*time.Second))
+			}
+			w.submitCulprit(gang(100, 1, 1, 2*time.Second), 0, after)
+			w.goesOn(30 * time.Second)
+			is.Equal(w.state(gang(100, 1, 1, 0).ID), Failed)
+			for id := 1; id <= sound; id++ {
+				is.Equal(w.state(oneTask(id, 0).ID), Done)
+			}
+			t.Logf("%d runs of sound tasks were lost", w.lost)
+			is.True(w.lost <= 14) // seven fit beside it; one that takes its time is not suspected at once
+		})
+	}
+}
+
+// Workers crash for reasons of their own as well, a rack of them at once, again and again. Nobody is
+// given up for that.
+func TestNoJobIsGivenUpForWorkersThatCrashByThemselves(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 11)
+			w.random = newRandom(seed)
+			for id := 1; id <= 60; id++ {
+				w.submitRandom(id)
+				w.fallByTurns()
+				w.goesOn(400 * time.Millisecond)
+			}
+			w.goesOn(30 * time.Second)
+			w.allSoundAreDone()
+		})
+	}
+}
+
+// fallByTurns crashes a worker now and then, or a rack.
+func (w *world) fallByTurns() {
+	rack := ""
+	switch w.random.IntN(12) {
+	case 0:
+		rack = fmt.Sprintf("rack-%d", w.random.IntN(4))
+	case 1, 2:
+		w.fall(w.workers[w.random.IntN(len(w.workers))])
+	}
+	for _, f := range w.workers {
+		if f.rack == rack {
+			w.fall(f)
+		}
+	}
+}
+
+// fall ends a worker's process, unless it is down.
+func (w *world) fall(f *fakeWorker) {
+	if !f.down {
+		f.fall(w)
+	}
+}
+
+// allSoundAreDone fails the test unless every job that can be done is done.
+func (w *world) allSoundAreDone() {
+	w.t.Helper()
+	for id, j := range w.core.jobs {
+		if _, is := w.culprits[id]; !is && j.state != Done {
+			w.t.Errorf("job %s can be done and is %s", id, j.state)
+		}
+	}
+}
+
+// Culprits come beside sound jobs, holders change and workers crash by themselves: sound jobs are done,
+// culprits are started no more often than they may be, and are given up.
+func TestSoundJobsGoOnBesideCulpritsInHistories(t *testing.T) {
+	lost, crashed, culprits := 0, 0, 0
+	for seed := uint64(1); seed <= 30; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, 11)
+			w.random = newRandom(seed)
+			for id := 1; id <= 60; id++ {
+				w.submitRandom(id)
+				if id%10 == 5 {
+					w.submitRandomCulprit(1000 + id)
+				}
+				if seed%3 == 0 && w.random.IntN(10) == 0 {
+					w.takeOver()
+				}
+				if seed%3 == 1 {
+					w.fallByTurns()
+				}
+				w.goesOn(400 * time.Millisecond)
+			}
+			w.goesOn(40 * time.Second)
+			w.allSoundAreDone()
+			for id := range w.culprits {
+				if w.state(id) != Failed {
+					t.Errorf("job %s crashes workers and is %s", id, w.state(id))
+				}
+			}
+			for _, crashes := range w.crashes {
+				crashed += crashes
+			}
+			lost += w.lost
+			culprits += len(w.culprits)
+		})
+	}
+	t.Logf("%d culprits crashed %d workers; %d runs of sound tasks were lost beside them", culprits, crashed, lost)
+	if lost > 7*culprits {
+		t.Errorf("%d runs of sound tasks were lost beside %d culprits", lost, culprits)
+	}
+}
+
+// submitRandomCulprit hands in a single task or a gang that crashes its workers soon or late.
+func (w *world) submitRandomCulprit(id int) {
+	j := gang(id, 1, 1+w.random.IntN(8), 2*time.Second)
+	if w.random.IntN(2) == 0 {
+		j = gang(id, 3+w.random.IntN(4), 1+w.random.IntN(3), 2*time.Second)
+	}
+	j.Terms.Priority = w.random.IntN(3)
+	after := []time.Duration{10 * time.Millisecond, quick, time.Second, slow}[w.random.IntN(4)]
+	w.submitCulprit(j, w.random.IntN(j.Steps[0].Count), after)
+}
--- a/pool/going_on_test.go
+++ b/pool/going_on_test.go
@@ -377,7 +377,7 @@
 	}
 	room, used, all := 0, 0, 0
 	for _, f := range w.workers {
-		if f.draining {
+		if f.draining || f.down {
 			continue
 		}
 		free := f.free(w)
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -56,6 +56,14 @@
 	// alone counts the tasks that waited for their gang in vain.
 	alone int
 
+	// culprits are the jobs of which a task crashes each worker that starts it; crashes counts the
+	// workers that have crashed under a task, and lost the runs of other jobs lost with them.
+	culprits map[job.ID]culprit
+	crashes  map[job.TaskID]int
+	// startsAfter counts the starts of a culprit after its third crash.
+	startsAfter map[job.TaskID]int
+	lost        int
+
 	settings Settings
 	// evacuations are those that the store has, requested when they were asked for, and proven
 	// those that the holder's process has read; unproven keeps it from reading.
@@ -91,6 +99,8 @@
 	// fails makes every task fail.
 	fails bool
 	hangs bool
+	// down workers have crashed: nothing listens at their address.
+	down bool
 }
 
 type fakeRun struct {
@@ -123,6 +133,10 @@
 
 		stillSince: map[job.ID]time.Time{},
 
+		culprits:    map[job.ID]culprit{},
+		crashes:     map[job.TaskID]int{},
+		startsAfter: map[job.TaskID]int{},
+
 		settings:  DefaultSettings(),
 		requested: map[string]time.Time{},
 	}
@@ -326,7 +340,7 @@
 // order lets a worker carry out orders. Answers may be lost.
 func (w *world) order(orders Orders) {
 	f := w.workerOf(orders.Agent)
-	if f.silent || f.instance != orders.Instance {
+	if f.silent || f.down || f.instance != orders.Instance {
 		w.after(time.Second, w.ofHolder(func() { w.core.TakeResults(w.now, orders, Results{}) }))
 		return
 	}
@@ -377,6 +391,7 @@
 	if w.evacuations.Has(f.dataCentre) && w.settings.EvacuateWithin > 0 && w.now.Sub(w.requested[f.dataCentre]) > w.settings.EvacuateWithin {
 		w.t.Errorf("%s: %v starts on %s, whose data centre was evacuated at %s", w.now, s.Task, f.name, w.requested[f.dataCentre])
 	}
+	w.checkCulprit(s)
 	if w.failed[s.Task] >= w.jobs[s.Task.Job].Terms.Attempts {
 		w.t.Errorf("%s: %v starts although it has no attempt left", w.now, s.Task)
 	}
--- a/pool/world_worker_test.go
+++ b/pool/world_worker_test.go
@@ -48,6 +48,8 @@
 func (w *world) playWorker(f *fakeWorker) {
 	for key, run := range f.running {
 		switch {
+		case w.crashesNow(key, run):
+			f.crash(w, key.task)
 		case w.now.After(f.leaseUntil):
 			f.end(w, key, EndLapsed)
 		case w.now.Sub(run.placed) > gangWait && !f.complete(w, key):
@@ -126,6 +128,11 @@
 		Listing:     f.listing,
 		Ended:       slices.Clone(f.ended),
 	}
+	if f.down {
+		r.Lapsed = true
+		r.Lapse = LapseCrashed
+		return r
+	}
 	for key, run := range f.running {
 		percent := 0
 		if !f.hangs {
--- a/program/cluster/cluster.go
+++ b/program/cluster/cluster.go
@@ -48,6 +48,8 @@
 	Sidecars []*Program
 	Workers  []*fakes.Worker
 	Runs     *fakes.Recorder
+	// Fleet lets the runs of gangs end together when a worker crashes.
+	Fleet *fakes.Fleet
 	// Advice is the advice service of the queue, or nil when its policy needs none.
 	Advice *fakes.Advice
 
@@ -85,7 +87,7 @@
 
 func start(t testing.TB, gateways, workers int, advice *fakes.Advice) *Cluster {
 	t.Helper()
-	c := &Cluster{t: t, Store: fakes.NewStore(time.Now()), Runs: fakes.NewRecorder(Attempts), Advice: advice}
+	c := &Cluster{t: t, Store: fakes.NewStore(time.Now()), Runs: fakes.NewRecorder(Attempts), Fleet: fakes.NewFleet(), Advice: advice}
 	if advice != nil {
 		service := httptest.NewServer(advice)
 		t.Cleanup(service.Close)
@@ -143,8 +145,13 @@
 	c.t.Cleanup(func() { close(done) })
 	control := c.freeAddress()
 	w := fakes.NewWorker(time.Now(), fmt.Sprintf("worker-%d", number), control, c.Runs)
-	server := httptest.NewServer(w.Handler())
-	c.t.Cleanup(server.Close)
+	address := c.freeAddress()
+	server, err := fakes.NewServer(address, w.Handler())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(server.Down)
+	c.Fleet.Add(w, server)
 	w.SetAdvice(c.Advice)
 	w.SetZone(DataCentre(number))
 	go w.Run(done)
@@ -153,7 +160,7 @@
 	holders := c.freeAddress()
 	fromHolder, toStore := c.proxy(holders), c.proxy(c.storeAddress)
 	config := fmt.Sprintf("[sidecar]\nname = sidecar-%d\npool = encoders\nholders = %s\nadvertise = %s\nheartbeats = %s\nworker = %s\n\n[platform]\nstore = %s\n",
-		number, holders, fromHolder.Address(), control, strings.TrimPrefix(server.URL, "http://"), toStore.Address())
+		number, holders, fromHolder.Address(), control, address, toStore.Address())
 	p := c.start(sidecarProgram, number, config)
 	p.Links = []*fakes.Proxy{fromHolder, toStore}
 	c.Sidecars = append(c.Sidecars, p)
@@ -214,6 +221,9 @@
 // Submit hands a job in until a gateway accepts it.
 func (c *Cluster) Submit(id int, body string) {
 	c.t.Helper()
+	if strings.Contains(body, `"gang":true`) {
+		c.Fleet.NoteGang(strings.TrimPrefix(JobPath(id), Prefix))
+	}
 	Eventually(c.t, "a job is accepted", func() bool {
 		for _, g := range c.Gateways {
 			if status, _ := g.Call(http.MethodPost, JobPath(id), APIKey, body); status == http.StatusOK {
--- a/program/soak/going_on_test.go
+++ b/program/soak/going_on_test.go
@@ -224,7 +224,7 @@
 // noteStill counts how long a job has nothing running while room for it exists twice over and
 // less than half of all is in use.
 func (w *watch) noteStill(now time.Time, j *handedIn) {
-	all := len(w.Workers) * accelerators
+	all := w.up() * accelerators
 	ample := 2*w.used < all && all-w.used >= 2*j.tasks*j.accelerators
 	if !ample {
 		j.stillSince = time.Time{}
@@ -244,6 +244,17 @@
 	j.longest = max(j.longest, gap)
 }
 
+// up counts the workers that have not crashed a short time ago.
+func (w *watch) up() int {
+	count := 0
+	for _, worker := range w.Workers {
+		if worker.Up() {
+			count++
+		}
+	}
+	return count
+}
+
 // open counts the jobs that have not ended.
 func (w *watch) open() int {
 	count := 0
