--- a/pool/going_on_test.go
+++ b/pool/going_on_test.go
@@ -387,3 +387,20 @@
 	}
 	return room >= 2*need && 2*used < all
 }
+
+// A task that stands still wherever it runs had one worker after the other set aside and put on
+// trial, and sound work found none: whose fault it is was decided by one run. From the second worker
+// on it is the task's.
+func TestATaskThatStandsStillEverywhereCostsFewWorkers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 11)
+	hanging := oneTask(1, time.Second)
+	w.hanging[hanging.ID] = true
+	w.submit(hanging)
+	for id := 2; id <= 60; id++ {
+		w.submit(gang(id, 2, 4, time.Second))
+		w.goesOn(500 * time.Millisecond)
+	}
+	t.Logf("%d times a worker was set aside", w.count(EventAside))
+	is.True(w.count(EventAside) <= 2)
+}
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -65,6 +65,8 @@
 	// startsAfter counts the starts of a culprit after its third crash.
 	startsAfter map[job.TaskID]int
 	lost        int
+	// hanging are the jobs whose tasks stand still wherever they run.
+	hanging map[job.ID]bool
 
 	settings Settings
 	// evacuations are those that the store has, requested when they were asked for, and proven
@@ -139,6 +141,7 @@
 		crashes:     map[job.TaskID]int{},
 		fell:        map[job.TaskID]int{},
 		startsAfter: map[job.TaskID]int{},
+		hanging:     map[job.ID]bool{},
 
 		settings:  DefaultSettings(),
 		requested: map[string]time.Time{},
--- a/pool/world_worker_test.go
+++ b/pool/world_worker_test.go
@@ -55,7 +55,7 @@
 		case w.now.Sub(run.placed) > gangWait && !f.complete(w, key):
 			f.end(w, key, EndAlone)
 			w.alone++
-		case f.hangs:
+		case f.hangs || w.hanging[key.task.Job]:
 		case f.fails && w.now.Sub(run.begun) > 100*time.Millisecond:
 			f.end(w, key, EndFailed)
 		case w.now.Sub(run.begun) >= run.work && f.complete(w, key):
@@ -135,7 +135,7 @@
 	}
 	for key, run := range f.running {
 		percent := 0
-		if !f.hangs {
+		if !f.hangs && !w.hanging[key.task.Job] {
 			percent = int(100 * w.now.Sub(run.begun) / (run.work + 1))
 		}
 		if w.jobs[key.task.Job].Steps[key.task.Step].LongRunning && w.now.Sub(run.begun) > startsWithin {
