A task that stands still on two workers is not held against the second

Each worker on which a task stood still was set aside for 4 s and on trial after it, also when the task did so wherever it ran. Change: only the first worker on which a group stands still is set aside for it. Figures: workers set aside in 30 s for one task of one accelerator that stands still everywhere: 10 before, 1 after (virtual time, 11 workers).

--- a/pool/health.go
+++ b/pool/health.go
@@ -87,13 +87,26 @@
 	c.tell(Event{Kind: EventStalled, Job: g.job.job.ID, Step: g.step, First: g.first, Run: g.run, Detail: fmt.Sprintf("at %d%% since %s", g.percent, now.Sub(g.progressAt))})
 	for _, m := range g.members {
 		if m.percent <= g.percent {
-			c.setAside(now, m.worker, c.settings.AsideFor, "a task stands still")
-			m.worker.health.probing = true
+			c.noteStall(now, g, m.worker)
 		}
 	}
 	c.abort(now, g)
 }
 
+// noteStall holds it against a worker that a group stands still there, unless it did elsewhere: one
+// task that stood still wherever it ran had ten workers set aside in 30 s (virtual time, 11 workers).
+func (c *Core) noteStall(now time.Time, g *group, w *worker) {
+	if g.stalledOn == nil {
+		g.stalledOn = map[string]bool{}
+	}
+	g.stalledOn[w.agent] = true
+	if len(g.stalledOn) > 1 {
+		return
+	}
+	c.setAside(now, w, c.settings.AsideFor, "a task stands still")
+	w.health.probing = true
+}
+
 // stallAfter is the time in which a sound task's progress grows by several hundredths.
 func (c *Core) stallAfter(g *group) time.Duration {
 	const hundredths = 100
