Soak: workers that crash by themselves and under tasks

Cause: no random run had a worker whose process ends, nor a task that crashes its workers, beside other harm. A sound job may be shown as failed only if attempts ran out or three workers or more were lost under one of its tasks.

--- a/program/soak/soak_test.go
+++ b/program/soak/soak_test.go
@@ -36,10 +36,15 @@
 )
 
 // Numbers of the kinds of harm: the first soaks had no workers that fail or leave starts
-// unanswered, and a seed draws the same harm only among as many kinds.
+// unanswered, later ones no workers that crash, and a seed draws the same harm only among as many
+// kinds.
 const (
 	firstHarms = 10
-	allHarms   = 14
+	crashHarms = 14
+	allHarms   = 16
+	// lostUnderFailed is how many workers have to be lost under a task before its job may be
+	// given up for that.
+	lostUnderFailed = 3
 )
 
 // regressions are the seeds that ever failed, with their causes, among the first kinds of harm.
@@ -80,6 +85,8 @@
 	variant *rand.Rand
 	// standing is the harm that lasts, with what ends it.
 	standing []func()
+	// culprits are the accepted jobs of which a task crashes its workers.
+	culprits []int
 	// gangs are the jobs of one gang, whose tasks share their attempts.
 	gangs map[int]bool
 	// config is the version of the configuration that was written last.
@@ -144,11 +151,30 @@
 		s.harmStore()
 	case 10, 11:
 		s.harmRuns(worker)
+	case crashHarms:
+		worker.Fall()
+	case crashHarms + 1:
+		s.handInCulprit()
 	default:
 		s.writeElsewhere(worker)
 	}
 }
 
+// handInCulprit hands in a job of which a task crashes each worker that starts it.
+func (s *soak) handInCulprit() {
+	id := culpritID + len(s.accepted) + len(s.refused)
+	spec := fakes.CrashSpec(0, time.Duration(s.variant.IntN(1000))*time.Millisecond, 2*time.Second)
+	body := cluster.Tasks(1+s.variant.IntN(3), spec)
+	if s.variant.IntN(2) == 0 {
+		s.Fleet.NoteGang(name(id))
+		body = cluster.Gang(1+s.variant.IntN(3), 1+s.variant.IntN(4), spec)
+	}
+	status, _ := s.Gateways[s.random.IntN(*gateways)].Call(http.MethodPost, cluster.JobPath(id), cluster.APIKey, body)
+	if status == http.StatusOK {
+		s.culprits = append(s.culprits, id)
+	}
+}
+
 // harmRuns lets a worker fail what it starts or leave starts unanswered.
 func (s *soak) harmRuns(w *fakes.Worker) {
 	w.SetFaults([]fakes.WorkerFaults{
@@ -289,6 +315,9 @@
 		if s.gangs[id] {
 			most = all
 		}
+		if s.harms > crashHarms && s.Runs.Fell(name(id)) >= lostUnderFailed {
+			return true
+		}
 		return s.harms > firstHarms && most >= cluster.Attempts
 	default:
 		return false
@@ -307,11 +336,21 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
+	for _, id := range s.culprits {
+		for s.State(id) != "failed" {
+			if time.Now().After(deadline) {
+				s.t.Errorf("job %d crashes workers and is %q", id, s.State(id))
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
 	for _, id := range s.refused {
 		if s.Runs.Ran(name(id) + ".0.0.0") {
 			s.t.Errorf("job %d ran although every answer said that it was not taken", id)
 		}
 	}
 	s.Check()
-	s.t.Logf("%d jobs accepted, %d refused, %d runs", len(s.accepted), len(s.refused), s.Runs.StartCount())
+	crashes, most, _ := s.Runs.Crashes()
+	s.t.Logf("%d jobs accepted, %d refused, %d runs; %d crashed %d workers, one of them %d", len(s.accepted), len(s.refused), s.Runs.StartCount(), len(s.culprits), crashes, most)
 }
