Failing test: all tasks of a job crash workers, and each is tried on one of its own

Cause: suspects run alone, each on a worker; of one job that is one worker for each of its tasks, though one task tells for the whole job. Result on this code (11 workers, 24 tasks): 11 workers were down at once, 14 crashes.

--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -340,3 +340,33 @@
 	is.True(w.core.workers["worker-0"].usable(w.now, w.settings))
 	is.True(w.core.workers["worker-0"].health.proven)
 }
+
+// Each task of a job that crashes workers was run on a worker of its own to find out which one does
+// it, so that all workers were down at once, twice. One task tells for the job.
+func TestTasksOfOneJobThatAllCrashWorkersAreTriedInTurn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 11)
+	w.run(10 * time.Second)
+	j := oneTask(1, 2*time.Second)
+	j.Steps[0].Count = 24
+	w.culprits[j.ID] = culprit{all: true, after: quick}
+	w.submit(j)
+	down := 0
+	for range 1000 {
+		w.run(worldStep)
+		down = max(down, w.downWorkers())
+	}
+	is.Equal(w.state(j.ID), Failed)
+	w.t.Logf("%d workers were down at once, %d crashes", down, w.count(EventCrashed))
+	is.True(down <= 5) // three that the tasks were placed on first, and one for each crash that proves it
+}
+
+func (w *world) downWorkers() int {
+	count := 0
+	for _, f := range w.workers {
+		if f.down {
+			count++
+		}
+	}
+	return count
+}
--- a/pool/world_crash_test.go
+++ b/pool/world_crash_test.go
@@ -15,9 +15,11 @@
 	startsAllowed  = 2
 )
 
-// culprit says which task of a job crashes each worker that starts it, and when after its start.
+// culprit says which task of a job crashes each worker that starts it, or all of them, and when
+// after its start.
 type culprit struct {
 	index int
+	all   bool
 	after time.Duration
 }
 
@@ -30,7 +32,7 @@
 // crashesNow says whether a run's worker crashes under it by now.
 func (w *world) crashesNow(key runKey, run *fakeRun) bool {
 	c, is := w.culprits[key.task.Job]
-	return is && c.index == key.task.Index && w.now.Sub(run.begun) >= c.after
+	return is && (c.all || c.index == key.task.Index) && w.now.Sub(run.begun) >= c.after
 }
 
 // crash ends a worker's process under a task, and the rest of the gangs that ran there. The worker
