Suspects of one job are tried in turn

Cause: suspects run alone, each on a worker, and of one job that was one worker for each of its tasks. Change: while one task of a job is tried, its other suspects wait, as do its tasks under which nothing has crashed yet once two workers have under the one; like all such waits for 1.5 s at most beside room.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -245,7 +245,7 @@
 func (p *pass) objections(g *group, places []*worker) string {
 	counts := map[objection]int{}
 	for _, w := range places {
-		counts[max(p.preference(g, w), g.aloneObjection(w, p.free[w.slot]))]++
+		counts[max(p.preference(g, w), p.aloneObjection(g, w, p.free[w.slot]))]++
 	}
 	delete(counts, objectionNone)
 	if len(counts) == 0 {
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -130,7 +130,7 @@
 func (p *pass) count(g *group, w *worker, free job.Shape) int {
 	step := g.spec()
 	count := min(free.Holds(g.takes), g.size)
-	if count == 0 || !p.suits(g, w) || !g.relaxation.lifts(g.aloneObjection(w, free), w) {
+	if count == 0 || !p.suits(g, w) || !g.relaxation.lifts(p.aloneObjection(g, w, free), w) {
 		return 0
 	}
 	if step.MaxPerWorker > 0 {
@@ -189,7 +189,7 @@
 	if g.relaxation == relaxNone {
 		return objectionNone
 	}
-	return max(p.preference(g, w), g.aloneObjection(w, free))
+	return max(p.preference(g, w), p.aloneObjection(g, w, free))
 }
 
 // healthObjection is what the results on a worker say against giving it a group.
--- a/pool/objection.go
+++ b/pool/objection.go
@@ -15,6 +15,7 @@
 	objectionFailed
 	objectionTrial
 	objectionShared
+	objectionTried
 	objectionLeftAlone
 	objectionAside
 	// These are requirements, and the state of a worker that gets no work at all.
@@ -42,6 +43,7 @@
 	objectionSilent:    "silent",
 	objectionAside:     "set aside",
 	objectionShared:    "run other work, beside which it is not to run",
+	objectionTried:     "not tried while another task of the job is",
 	objectionLeftAlone: "left alone with a task under which workers crash",
 	objectionLabel:     "without the label",
 	objectionRack:      "away from its data",
@@ -78,7 +80,7 @@
 	if !p.liftsAll(g, w) {
 		return p.preference(g, w)
 	}
-	if o := g.aloneObjection(w, p.free[w.slot]); !g.relaxation.lifts(o, w) {
+	if o := p.aloneObjection(g, w, p.free[w.slot]); !g.relaxation.lifts(o, w) {
 		return o
 	}
 	switch {
--- a/pool/pass.go
+++ b/pool/pass.go
@@ -39,6 +39,9 @@
 		anyTrial bool
 		// anyAlone says that a worker is left to a suspect.
 		anyAlone bool
+		// trying are the groups that run alone at present to find out whether workers crash under
+		// them, one for a job.
+		trying map[*jobState]*group
 		// doubtful counts the workers whose last run failed.
 		doubtful int
 		// urgentNeed is what the jobs of priority 0 that have not ended still need, in
@@ -104,6 +107,7 @@
 		releasing:  make(room, 0, len(c.workers)),
 		scratch:    make([]slot, 0, len(c.workers)),
 		prospects:  map[demand]*prospect{},
+		trying:     map[*jobState]*group{},
 		urgentNeed: c.urgentNeed(),
 	}
 	for _, w := range c.inOrder() {
@@ -127,7 +131,7 @@
 	p.workers = append(p.workers, w)
 	p.rackOf = append(p.rackOf, number)
 	p.free = append(p.free, w.free())
-	w.suspected = w.suspects()
+	w.suspected = p.noteSuspects(w)
 	w.alone = w.suspected > 0 && w.leftAlone(p.now)
 	p.anyAlone = p.anyAlone || w.alone
 	p.releasing = append(p.releasing, w.releasing())
--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -298,21 +298,38 @@
 	return false
 }
 
-// suspects counts the groups' tasks on a worker under which workers have crashed.
-func (w *worker) suspects() int {
+// noteSuspects counts the groups' tasks on a worker under which workers have crashed, and notes which
+// are tried there.
+func (p *pass) noteSuspects(w *worker) int {
 	count := 0
 	for _, m := range w.members {
 		if m.group.suspicion != suspectNone {
 			count++
 		}
+		if m.group.suspicion == suspectAlone {
+			p.trying[m.group.job] = m.group
+		}
 	}
 	return count
 }
 
+// waitsForTrial says whether another group of the same job is being tried, whose result tells for the
+// job: where each of 24 tasks was tried on a worker of its own all of 11 workers were down at once.
+// What no worker has crashed under waits as well once two have under the other.
+func (p *pass) waitsForTrial(g *group) bool {
+	other := p.trying[g.job]
+	if other == nil || other == g {
+		return false
+	}
+	return g.suspicion == suspectAlone || other.crashCount() >= 2
+}
+
 // aloneObjection says whether a worker is left to another group, or with some room is not empty for
 // one that is to run alone itself.
-func (g *group) aloneObjection(w *worker, free job.Shape) objection {
+func (p *pass) aloneObjection(g *group, w *worker, free job.Shape) objection {
 	switch {
+	case len(p.trying) > 0 && p.waitsForTrial(g):
+		return objectionTried
 	case w.alone:
 		return objectionLeftAlone
 	case g.suspicion == suspectAlone && free != w.capacity:
@@ -337,7 +354,10 @@
 		w.suspected++
 		w.alone = w.alone || g.suspicion == suspectAlone
 	}
-	p.anyAlone = p.anyAlone || g.suspicion == suspectAlone
+	if g.suspicion == suspectAlone {
+		p.anyAlone = true
+		p.trying[g.job] = g
+	}
 }
 
 // compareCrashed orders workers for a suspect: those that have not crashed under it first, then those
