Test clusters take ports from larger blocks

Cause: each stand-in worker serves at a port of its own from the process's block since workers can crash, and seven clusters at once used 200 of them up: four runs beside one another failed with 'no port is free' within 0.3 s. Change: blocks of 400 ports, half as many of them.

--- a/program/cluster/cluster.go
+++ b/program/cluster/cluster.go
@@ -194,7 +194,7 @@
 // that run tests.
 func (c *Cluster) freeAddress() string {
 	c.t.Helper()
-	const firstPort, blocks, block = 10000, 100, 200
+	const firstPort, blocks, block = 10000, 50, 400
 	config := net.ListenConfig{}
 	for range block {
 		number := int(nextPort.Add(1)) % block
