Failing test: starts on workers that had fallen count as crashes

Change: in the virtual world agents notice at different times, have no news until then, and answer orders for a fallen worker with a refusal.

--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -370,3 +370,34 @@
 	}
 	return count
 }
+
+// Half of the workers fell at the same moment, and their agents noticed one after the other. A task
+// was started on one that had fallen already, and the next, and the next: three crashes within 30 ms,
+// each as soon after the order, each time alone. It was given up, and no worker had crashed under it
+// but the first:
+//
+//	worker crashed sweetgum-1, "its process has ended; it ran c2c7d388bb02e1db.0.0.1 run 1 for 123ms"
+//	worker crashed sweetgum-2, "its process has ended; it ran c2c7d388bb02e1db.0.0.1 run 2 for 3ms"
+//	worker crashed sweetgum-4, "its process has ended; it ran c2c7d388bb02e1db.0.0.1 run 3 for 3ms"
+//	job ended, "failed: 3 workers crashed under task c2c7d388bb02e1db.0.0.1, after 3ms to 123ms"
+func TestStartsOnWorkersThatHaveFallenAreNoCrashes(t *testing.T) {
+	for seed := uint64(1); seed <= 10; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, 11)
+			w.random = newRandom(seed)
+			w.run(10 * time.Second)
+			for id := 1; id <= 5; id++ {
+				w.submit(gang(id, 1, 8, 8*time.Second))
+			}
+			for range 4 {
+				w.run(time.Duration(w.random.IntN(3000)) * time.Millisecond)
+				for _, i := range w.random.Perm(11)[:6] {
+					w.fall(w.workers[i])
+				}
+				w.run(3 * time.Second)
+			}
+			w.run(30 * time.Second)
+			w.allSoundAreDone()
+		})
+	}
+}
--- a/pool/world_crash_test.go
+++ b/pool/world_crash_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"hollyfork.example/hollyfork/job"
@@ -52,6 +53,7 @@
 	lost := f.running
 	f.running = map[runKey]*fakeRun{}
 	f.down = true
+	f.noticedAt = w.now.Add(w.noticeAfter(f))
 	for key := range lost {
 		w.fell[key.task]++
 		if w.jobs[key.task.Job].Steps[key.task.Step].Gang {
@@ -74,3 +76,9 @@
 		w.t.Errorf("%s: %v is started %d times after %d workers have crashed under it", w.now, s.Task, w.startsAfter[s.Task], crashesCounted)
 	}
 }
+
+// noticeAfter is how long after a worker has ended its agent notices: each at another time.
+func (w *world) noticeAfter(f *fakeWorker) time.Duration {
+	const apart = 15 * time.Millisecond
+	return time.Duration(1+slices.Index(w.workers, f)) * apart
+}
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -103,8 +103,9 @@
 	// fails makes every task fail.
 	fails bool
 	hangs bool
-	// down workers have crashed: nothing listens at their address.
-	down bool
+	// down workers have crashed: nothing listens at their address. Their agent notices at a time.
+	down      bool
+	noticedAt time.Time
 }
 
 type fakeRun struct {
@@ -346,7 +347,11 @@
 // order lets a worker carry out orders. Answers may be lost.
 func (w *world) order(orders Orders) {
 	f := w.workerOf(orders.Agent)
-	if f.silent || f.down || f.instance != orders.Instance {
+	if f.down && !f.silent {
+		w.after(20*time.Millisecond, w.ofHolder(func() { w.core.TakeResults(w.now, orders, refuseAll(orders)) }))
+		return
+	}
+	if f.silent || f.instance != orders.Instance {
 		w.after(time.Second, w.ofHolder(func() { w.core.TakeResults(w.now, orders, Results{}) }))
 		return
 	}
@@ -363,6 +368,18 @@
 	w.after(3*time.Millisecond, w.ofHolder(func() { w.core.TakeResults(w.now, orders, results) }))
 }
 
+// refuseAll is the answer of an agent whose worker's address refuses connections.
+func refuseAll(orders Orders) Results {
+	results := Results{}
+	for range orders.Starts {
+		results.Starts = append(results.Starts, ResultRefused)
+	}
+	for range orders.Stops {
+		results.Stops = append(results.Stops, ResultRefused)
+	}
+	return results
+}
+
 func (w *world) start(f *fakeWorker, s Start) Result {
 	key := runKey{s.Task, s.Run}
 	if _, runs := f.running[key]; runs {
--- a/pool/world_worker_test.go
+++ b/pool/world_worker_test.go
@@ -62,7 +62,8 @@
 			w.finish(f, key)
 		}
 	}
-	if f.silent || w.now.UnixMilli()%100 >= worldStep.Milliseconds() {
+	noticed := f.down && w.now.Sub(f.noticedAt) >= 0 && w.now.Sub(f.noticedAt) < worldStep
+	if f.silent || !noticed && w.now.UnixMilli()%100 >= worldStep.Milliseconds() {
 		return
 	}
 	f.leaseUntil = w.now.Add(DefaultSettings().AgentLease)
@@ -76,6 +77,9 @@
 		})
 	}
 	w.core.Heard(w.now, f.name, Grant{Incarnation: f.incarnation, Reading: w.storeClock()})
+	if f.down && w.now.Before(f.noticedAt) {
+		return // its agent has no news
+	}
 	w.core.Report(w.now, f.name, f.report(w))
 }
 
