Only runs that were there prove who crashed a worker, and the next start waits 0.3 s

Cause: half of the workers fell at once; a task that had lost one was started on the next in the same millisecond, which had fallen already but not been noticed, and so on. Each counted as a crash under it. Change: after a crash a group waits for 0.3 s, in which agents notice what else fell; a start whose answer says that it was not carried out is taken back; only runs that were known to be there count as proof, all others towards the bound of five. Suspects of one job are tried in the order of their crashes, also while the first waits, and a job with a crash no longer shares what a pass has found out about a demand with other jobs.

--- a/pool/advice.go
+++ b/pool/advice.go
@@ -91,7 +91,7 @@
 	if !c.advised || c.asking || now.Before(c.askAt) {
 		return Question{}, false
 	}
-	rounds := slices.DeleteFunc(c.waitingRounds(), func(r readyRound) bool { return !r.job.job.Terms.Advised })
+	rounds := slices.DeleteFunc(c.waitingRounds(now), func(r readyRound) bool { return !r.job.job.Terms.Advised })
 	if len(rounds) == 0 {
 		return Question{}, false
 	}
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -234,6 +234,7 @@
 			Certain:  k.certain,
 			Inexact:  k.inexact,
 			Run:      int32(k.run),
+			Started:  k.started,
 		}
 	}
 	return rows
--- a/pool/crash.go
+++ b/pool/crash.go
@@ -15,6 +15,10 @@
 	// maxCrashes bounds the crashes that are kept of a group: a gang may have eight tasks on each
 	// of the workers that crash under it.
 	maxCrashes = 64
+	// crashPause is how long a group waits after a worker has crashed under it. Where several fall at
+	// once their agents notice within some 0.3 s, and a task that did not wait was started on one
+	// after the other that had fallen already: three in 30 ms.
+	crashPause = 300 * time.Millisecond
 )
 
 // crash is that of a worker while it ran a task of a group, or may have.
@@ -33,6 +37,8 @@
 	// certain is false as long as the worker is only known to have been silent until its lease
 	// had ended.
 	certain bool
+	// started says that the run was known to be there.
+	started bool
 }
 
 var lapseNames = map[Lapse]string{
@@ -120,15 +126,16 @@
 			continue
 		}
 		under = append(under, m.group)
-		c.addCrash(m.group, crash{
+		c.addCrash(now, m.group, crash{
 			index: m.index, run: m.group.run, agent: w.agent, instance: m.instance, after: m.ranFor(now),
 			inexact: m.restored, alone: w.runsOnly(m.group), certain: certain,
+			started: m.phase == memberRunning || m.phase == memberStopping && m.floorKnown,
 		})
 	}
 	for key, s := range w.strays {
 		if g := c.groupOf(key.task); g != nil {
 			under = append(under, g)
-			c.addCrash(g, crash{index: key.task.Index, run: key.run, agent: w.agent, instance: w.instance, after: now.Sub(s.since), inexact: true, certain: certain})
+			c.addCrash(now, g, crash{index: key.task.Index, run: key.run, agent: w.agent, instance: w.instance, after: now.Sub(s.since), inexact: true, certain: certain})
 		}
 	}
 	w.unsettled = w.unsettled || !certain
@@ -139,7 +146,7 @@
 
 // addCrash counts a crash against a group, once for each of its tasks there. A run crashes one worker
 // and ends with it: what else falls at the same time falls for another reason.
-func (c *Core) addCrash(g *group, next crash) {
+func (c *Core) addCrash(now time.Time, g *group, next crash) {
 	if g.done || g.job.state.ended() {
 		return
 	}
@@ -155,6 +162,27 @@
 		g.survived = max(0, g.survived-surplus)
 	}
 	g.suspect()
+	g.job.crashed = true
+	g.notBefore = now.Add(crashPause)
+	c.markDirty(g.job)
+}
+
+// dropCrash takes back that a worker may have crashed under a start, when the answer comes that it was
+// not carried out.
+func (c *Core) dropCrash(agent string, start Start) {
+	g := c.groupOf(start.Task)
+	if g == nil {
+		return
+	}
+	before := len(g.crashes)
+	g.crashes = slices.DeleteFunc(g.crashes, func(k crash) bool {
+		return k.agent == agent && k.run == start.Run && k.index == start.Task.Index && !k.started
+	})
+	if len(g.crashes) == before {
+		return
+	}
+	g.survived = min(g.survived, len(g.crashes))
+	g.suspect()
 	c.markDirty(g.job)
 }
 
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -25,7 +25,7 @@
 func (c *Core) Decide(now time.Time) {
 	c.roomChanged = false
 	c.decidedAt = now
-	rounds := c.waitingRounds()
+	rounds := c.waitingRounds(now)
 	if len(rounds) == 0 {
 		c.forgetWithheld()
 		return
@@ -65,14 +65,14 @@
 }
 
 // waitingRounds returns the rounds of which a group could be placed.
-func (c *Core) waitingRounds() []readyRound {
+func (c *Core) waitingRounds(now time.Time) []readyRound {
 	var rounds []readyRound
 	for _, j := range c.live {
 		if j.state.ended() {
 			continue
 		}
 		for _, r := range j.rounds {
-			if ready := r.readyGroups(); len(ready) > 0 {
+			if ready := r.readyGroups(now); len(ready) > 0 {
 				rounds = append(rounds, readyRound{round: r, job: j, ready: ready})
 			}
 		}
@@ -82,14 +82,14 @@
 
 // readyGroups returns the groups of the round that could be placed, in the order of their
 // steps.
-func (r *round) readyGroups() []*group {
+func (r *round) readyGroups(now time.Time) []*group {
 	var ready []*group
 	for _, groups := range r.byStep {
 		if !groups[0].ready() {
 			continue
 		}
 		for _, g := range groups {
-			if g.waiting() {
+			if g.waiting() && !now.Before(g.notBefore) {
 				ready = append(ready, g)
 			}
 		}
--- a/pool/decide_test.go
+++ b/pool/decide_test.go
@@ -52,7 +52,7 @@
 		}
 	}
 	report()
-	for id := 1; c.readyCount() < waiting; id++ {
+	for id := 1; c.readyCount(now) < waiting; id++ {
 		j := mix(random, id)
 		j.Accepted = now
 		c.AddJob(now, j)
@@ -70,9 +70,9 @@
 	return c, now
 }
 
-func (c *Core) readyCount() int {
+func (c *Core) readyCount(now time.Time) int {
 	count := 0
-	for _, r := range c.waitingRounds() {
+	for _, r := range c.waitingRounds(now) {
 		count += len(r.ready)
 	}
 	return count
@@ -155,7 +155,7 @@
 		w.health.streak = random.IntN(8) / 7
 	}
 	workers := c.inOrder()
-	rounds := c.waitingRounds()
+	rounds := c.waitingRounds(now)
 	slices.SortFunc(rounds, func(a, b readyRound) int { return strings.Compare(string(a.job.job.ID), string(b.job.job.ID)) })
 	for _, r := range rounds {
 		for _, g := range r.ready {
--- a/pool/group.go
+++ b/pool/group.go
@@ -68,6 +68,8 @@
 		crashes   []crash
 		survived  int
 		suspicion suspicion
+		// notBefore is when it may be placed again after a crash.
+		notBefore time.Time
 		// extraStarts counts the runs since provenCrashes workers have crashed under it.
 		extraStarts int
 		// avoided are workers that the group is not placed on before a time.
--- a/pool/jobstate.go
+++ b/pool/jobstate.go
@@ -27,6 +27,8 @@
 		groups []*group
 		log    roundLog
 		state  State
+		// crashed says that a worker has crashed under it.
+		crashed bool
 		// begun says that a task of it was started.
 		begun   bool
 		endedAt time.Time
--- a/pool/malformed_test.go
+++ b/pool/malformed_test.go
@@ -129,6 +129,9 @@
 		"part of a gang":        {Layout: rowLayout, Groups: []*poolpb.GroupState{{First: 1}}},
 		"too few members":       {Layout: rowLayout, Groups: []*poolpb.GroupState{{Run: 1, Members: []*poolpb.MemberState{{Agent: "a"}}}}},
 		"negative run":          {Layout: rowLayout, Groups: []*poolpb.GroupState{{Run: -1}}},
+		"crash of another task": {Layout: rowLayout, Groups: []*poolpb.GroupState{{Run: 1, Crashes: []*poolpb.CrashState{{Index: 99, Agent: "a"}}}}},
+		"crash of no worker":    {Layout: rowLayout, Groups: []*poolpb.GroupState{{Run: 1, Crashes: []*poolpb.CrashState{{}}}}},
+		"negative extra starts": {Layout: rowLayout, Groups: []*poolpb.GroupState{{Run: 1, ExtraStarts: -1}}},
 		"negative failures":     {Layout: rowLayout, Groups: []*poolpb.GroupState{{Failures: -1}}},
 		"unknown round":         {Layout: rowLayout, Groups: []*poolpb.GroupState{{Round: 1}}},
 		"rounds beyond the job": {Layout: rowLayout, DoneRounds: []int32{4}},
@@ -139,7 +142,7 @@
 		if err := core.RestoreState(time.Unix(1000, 0), store.Row{Key: key, Value: Encode(row), Version: 1}); err == nil {
 			t.Errorf("%s is read", name)
 		}
-		if len(core.waitingRounds()) != 0 {
+		if len(core.waitingRounds(time.Unix(1000, 0))) != 0 {
 			t.Errorf("%s: its tasks wait to be started", name)
 		}
 	}
@@ -212,7 +215,7 @@
 		now := time.Unix(1000, 0)
 		core.AddJob(now, good)
 		err := core.RestoreState(now, store.Row{Key: StateKey("pool", good.ID), Value: content, Version: 1})
-		if err != nil && len(core.waitingRounds()) != 0 {
+		if err != nil && len(core.waitingRounds(now)) != 0 {
 			t.Error("its tasks wait to be started")
 		}
 		core.Tick(now)
--- a/pool/order.go
+++ b/pool/order.go
@@ -74,12 +74,16 @@
 // TakeResults takes over what became of orders. Missing results count as unsettled.
 func (c *Core) TakeResults(now time.Time, orders Orders, results Results) {
 	for i, start := range orders.Starts {
+		result := resultAt(results.Starts, i)
 		m := c.memberOf(orders.Agent, start.Task, start.Run)
 		if m == nil {
+			if !result.mayRun() {
+				c.dropCrash(orders.Agent, start)
+			}
 			continue
 		}
 		m.inFlight = false
-		c.startResult(now, m, resultAt(results.Starts, i), results.Listing)
+		c.startResult(now, m, result, results.Listing)
 	}
 	for i, stop := range orders.Stops {
 		m := c.memberOf(orders.Agent, stop.Task, stop.Run)
@@ -95,6 +99,11 @@
 	}
 }
 
+// mayRun says whether a run may be there after a start with a result.
+func (r Result) mayRun() bool {
+	return r == ResultOK || r == ResultUnsettled || r == ResultOldRun
+}
+
 func resultAt(results []Result, i int) Result {
 	if i >= len(results) {
 		return ResultUnsettled
--- a/pool/pass.go
+++ b/pool/pass.go
@@ -39,9 +39,9 @@
 		anyTrial bool
 		// anyAlone says that a worker is left to a suspect.
 		anyAlone bool
-		// trying are the groups that run alone at present to find out whether workers crash under
-		// them, one for a job.
-		trying map[*jobState]*group
+		// tried are the groups that are tried before the others of their jobs, as far as they were
+		// asked for; nil for none.
+		tried map[*jobState]*group
 		// doubtful counts the workers whose last run failed.
 		doubtful int
 		// urgentNeed is what the jobs of priority 0 that have not ended still need, in
@@ -107,7 +107,7 @@
 		releasing:  make(room, 0, len(c.workers)),
 		scratch:    make([]slot, 0, len(c.workers)),
 		prospects:  map[demand]*prospect{},
-		trying:     map[*jobState]*group{},
+		tried:      map[*jobState]*group{},
 		urgentNeed: c.urgentNeed(),
 	}
 	for _, w := range c.inOrder() {
@@ -131,7 +131,7 @@
 	p.workers = append(p.workers, w)
 	p.rackOf = append(p.rackOf, number)
 	p.free = append(p.free, w.free())
-	w.suspected = p.noteSuspects(w)
+	w.suspected = w.suspects()
 	w.alone = w.suspected > 0 && w.leftAlone(p.now)
 	p.anyAlone = p.anyAlone || w.alone
 	p.releasing = append(p.releasing, w.releasing())
@@ -217,9 +217,9 @@
 }
 
 // plain says whether the group's demand alone decides where it may run: it has neither failed nor
-// been refused anywhere, also not under an earlier holder, and no worker has crashed under it.
+// been refused anywhere, also not under an earlier holder, and no worker has crashed under its job.
 func (g *group) plain() bool {
-	return g.failures == 0 && len(g.failedOn) == 0 && len(g.avoided) == 0 && g.suspicion == suspectNone
+	return g.failures == 0 && len(g.failedOn) == 0 && len(g.avoided) == 0 && g.suspicion == suspectNone && !g.job.crashed
 }
 
 // withReleasing is the free room, with what is about to become free.
--- a/pool/relax.go
+++ b/pool/relax.go
@@ -100,7 +100,7 @@
 // there is nothing to relax but racks and withheld room. Told apart, a pass over 400 waiting groups
 // on 240 workers takes 0.54 ms instead of 0.95 ms (BenchmarkDecide).
 func (p *pass) allSoundFor(g *group) bool {
-	return !p.anyTrial && !p.anyAlone && len(p.trying) == 0 && g.plain()
+	return !p.anyTrial && !p.anyAlone && g.plain()
 }
 
 // prefersNothing says whether a group would go to any worker with room as it is.
--- a/pool/restore.go
+++ b/pool/restore.go
@@ -181,10 +181,12 @@
 // restoreCrashes takes over which workers crashed under a group. Whether a silent one did is still
 // to be learnt from its agent.
 func (c *Core) restoreCrashes(now time.Time, g *group, rows []*poolpb.CrashState) {
+	g.job.crashed = g.job.crashed || len(rows) > 0
 	for _, k := range rows {
 		g.crashes = append(g.crashes, crash{
 			index:    int(k.GetIndex()),
 			run:      int(k.GetRun()),
+			started:  k.GetStarted(),
 			agent:    k.GetAgent(),
 			instance: k.GetInstance(),
 			after:    time.Duration(k.GetAfterMs()) * time.Millisecond,
--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -121,11 +121,12 @@
 
 // crashRecord sums up the crashes under one task of a group.
 type crashRecord struct {
-	// all counts them with those that are not certain; alone are those with nothing beside it.
-	all     int
-	certain int
-	alone   int
-	agents  map[string]bool
+	// all counts them with those that are not certain, proven those under a run that was known to be
+	// there, and alone those of them with nothing beside it.
+	all    int
+	proven int
+	alone  int
+	agents map[string]bool
 	// shortest and longest are how soon after a start they came, as far as that is known, and
 	// exposed all that time.
 	shortest time.Duration
@@ -146,10 +147,10 @@
 
 func (r *crashRecord) add(k crash) {
 	r.all++
-	if !k.certain {
+	if !k.certain || !k.started {
 		return
 	}
-	r.certain++
+	r.proven++
 	r.agents[k.agent] = true
 	if k.alone {
 		r.alone++
@@ -165,10 +166,10 @@
 	r.longest = max(r.longest, k.after)
 }
 
-// proven says whether it is the task that crashes workers, and not one beside it, nor the workers by
+// convincing says whether it is the task that crashes workers, and not one beside it, nor the workers by
 // themselves.
-func (r crashRecord) proven(workers int) bool {
-	return r.certain >= provenCrashes && r.alone > 0 && r.alike() && len(r.agents) >= min(provenCrashes, workers)
+func (r crashRecord) convincing(workers int) bool {
+	return r.proven >= provenCrashes && r.alone > 0 && r.alike() && len(r.agents) >= min(provenCrashes, workers)
 }
 
 // alike says whether all crashes came as soon after the start: a task that workers crash under for
@@ -182,7 +183,7 @@
 func (c *Core) crashVerdict(now time.Time, g *group) string {
 	for _, k := range g.crashes {
 		r := g.recordOf(k.index)
-		if r.all >= boundCrashes || r.proven(len(c.workers)) && c.byChance(now, r) < maxByChance {
+		if r.all >= boundCrashes || r.convincing(len(c.workers)) && c.byChance(now, r) < maxByChance {
 			return fmt.Sprintf("%d workers crashed under task %s, after %s to %s, %d times with nothing beside it",
 				r.all, g.task(k.index), r.shortest, r.longest, r.alone)
 		}
@@ -201,7 +202,7 @@
 	others := max(0, len(c.recentCrashes)-1) // the first under the group itself
 	workerTime := float64(len(c.workers)) * min(seen, crashesRemembered).Seconds()
 	rate := max(float64(others)/workerTime, ownCrashes)
-	return poissonTail(rate*max(r.exposed, leastExposed).Seconds(), r.certain)
+	return poissonTail(rate*max(r.exposed, leastExposed).Seconds(), r.proven)
 }
 
 // poissonTail is the chance of so many events or more of which some are expected.
@@ -298,26 +299,41 @@
 	return false
 }
 
-// noteSuspects counts the groups' tasks on a worker under which workers have crashed, and notes which
-// are tried there.
-func (p *pass) noteSuspects(w *worker) int {
+// suspects counts the groups' tasks on a worker under which workers have crashed.
+func (w *worker) suspects() int {
 	count := 0
 	for _, m := range w.members {
 		if m.group.suspicion != suspectNone {
 			count++
 		}
-		if m.group.suspicion == suspectAlone {
-			p.trying[m.group.job] = m.group
-		}
 	}
 	return count
 }
 
-// waitsForTrial says whether another group of the same job is being tried, whose result tells for the
-// job: where each of 24 tasks was tried on a worker of its own all of 11 workers were down at once.
-// What no worker has crashed under waits as well once two have under the other.
+// tried returns the group of a job that is tried before its others: that under which most workers have
+// crashed. Its result tells for the job: where each of 24 tasks was tried on a worker of its own all of 11
+// workers were down at once.
+func (p *pass) triedOf(j *jobState) *group {
+	if known, ok := p.tried[j]; ok {
+		return known
+	}
+	var first *group
+	for _, g := range j.groups {
+		if !g.done && g.suspicion == suspectAlone && (first == nil || g.crashCount() > first.crashCount()) {
+			first = g
+		}
+	}
+	p.tried[j] = first
+	return first
+}
+
+// waitsForTrial says whether another group of the same job is to be tried first. What no worker has
+// crashed under waits as well once two have under the other.
 func (p *pass) waitsForTrial(g *group) bool {
-	other := p.trying[g.job]
+	if !g.job.crashed {
+		return false
+	}
+	other := p.triedOf(g.job)
 	if other == nil || other == g {
 		return false
 	}
@@ -328,7 +344,7 @@
 // one that is to run alone itself.
 func (p *pass) aloneObjection(g *group, w *worker, free job.Shape) objection {
 	switch {
-	case len(p.trying) > 0 && p.waitsForTrial(g):
+	case p.waitsForTrial(g):
 		return objectionTried
 	case w.alone:
 		return objectionLeftAlone
@@ -354,10 +370,7 @@
 		w.suspected++
 		w.alone = w.alone || g.suspicion == suspectAlone
 	}
-	if g.suspicion == suspectAlone {
-		p.anyAlone = true
-		p.trying[g.job] = g
-	}
+	p.anyAlone = p.anyAlone || g.suspicion == suspectAlone
 }
 
 // compareCrashed orders workers for a suspect: those that have not crashed under it first, then those
