Stalls are held against workers by run, not by worker

Change: the first two runs of a group that stand still are held against all workers where they do, later runs are not.

--- a/pool/group.go
+++ b/pool/group.go
@@ -61,8 +61,8 @@
 		relaxation      relaxation
 		// failedOn counts failures by worker.
 		failedOn map[string]int
-		// stalledOn are the workers on which it stood still.
-		stalledOn map[string]bool
+		// stalls counts its runs that stood still.
+		stalls int
 		// crashes are those of workers under its tasks, the oldest first; the first survived of them
 		// a later run has outlived. suspicion is what follows for where it runs.
 		crashes   []crash
--- a/pool/health.go
+++ b/pool/health.go
@@ -7,7 +7,9 @@
 	"hollyfork.example/hollyfork/job"
 )
 
-// maxStallsBlamed is the number of workers against which it is held that one group stands still there.
+// maxStallsBlamed is the number of a group's runs that are held against their workers when they stand
+// still; after that it is the group's own fault. One task that stood still wherever it ran had ten workers
+// set aside in 30 s without this (virtual time, 11 workers).
 const maxStallsBlamed = 2
 
 // health is what a worker's results say of it.
@@ -88,28 +90,21 @@
 		return
 	}
 	c.tell(Event{Kind: EventStalled, Job: g.job.job.ID, Step: g.step, First: g.first, Run: g.run, Detail: fmt.Sprintf("at %d%% since %s", g.percent, now.Sub(g.progressAt))})
-	for _, m := range g.members {
-		if m.percent <= g.percent {
-			c.noteStall(now, g, m.worker)
-		}
+	g.stalls++
+	if g.stalls <= maxStallsBlamed {
+		c.blameStall(now, g)
 	}
 	c.abort(now, g)
 }
 
-// noteStall holds it against a worker that a group stands still there, unless it did on two others: one
-// task that stood still wherever it ran had ten workers set aside in 30 s (virtual time, 11 workers). With
-// one other, worth was 0.009 ± 0.007 and 0.011 ± 0.009 lower on two of four deployments, on which several
-// workers stand still (40 and 10 pairs).
-func (c *Core) noteStall(now time.Time, g *group, w *worker) {
-	if g.stalledOn == nil {
-		g.stalledOn = map[string]bool{}
-	}
-	g.stalledOn[w.agent] = true
-	if len(g.stalledOn) > maxStallsBlamed {
-		return
+// blameStall sets the workers aside on which a group's slowest tasks stand still.
+func (c *Core) blameStall(now time.Time, g *group) {
+	for _, m := range g.members {
+		if m.percent <= g.percent {
+			c.setAside(now, m.worker, c.settings.AsideFor, "a task stands still")
+			m.worker.health.probing = true
+		}
 	}
-	c.setAside(now, w, c.settings.AsideFor, "a task stands still")
-	w.health.probing = true
 }
 
 // stallAfter is the time in which a sound task's progress grows by several hundredths.
