A crash that a new holder hears of when the worker is back counts

Cause: found in reading: a holder that has just taken over knows no incarnation of a worker, and took the one before the present for counted already, since both were empty. So a crash in a takeover counted nothing when the worker was back before its agent was asked: one start more than is allowed for each such takeover. Change: the crash is counted by the incarnation that came after it; whether a run was there is noted where it is seen, and not inferred from a stop that was confirmed.

--- a/pool/crash.go
+++ b/pool/crash.go
@@ -52,7 +52,7 @@
 func (c *Core) workerLapsed(now time.Time, w *worker, lapse Lapse) {
 	switch lapse {
 	case LapseCrashed:
-		c.workerCrashed(now, w, "its process has ended")
+		c.workerCrashed(now, w, w.instance, "its process has ended")
 		c.settleCrashes(now, w, "")
 	case LapseLeft:
 		c.dropUnsettled(w)
@@ -76,12 +76,13 @@
 	return len(w.strays) > 0 && w.instance != ""
 }
 
-// workerCrashed counts the crash of a worker against all that ran there. It tells what that was.
-func (c *Core) workerCrashed(now time.Time, w *worker, how string) {
-	if w.crashed == w.instance {
+// workerCrashed counts the crash of a worker's incarnation against all that ran there, once. It tells
+// what that was.
+func (c *Core) workerCrashed(now time.Time, w *worker, instance, how string) {
+	if w.crashed == instance {
 		return
 	}
-	w.crashed = w.instance
+	w.crashed = instance
 	w.crashedAt = now
 	c.noteRecent(now, w)
 	c.tell(Event{Kind: EventCrashed, Worker: w.agent, Detail: how + "; it ran " + w.ran(now)})
@@ -129,7 +130,7 @@
 		c.addCrash(now, m.group, crash{
 			index: m.index, run: m.group.run, agent: w.agent, instance: m.instance, after: m.ranFor(now),
 			inexact: m.restored, alone: w.runsOnly(m.group), certain: certain,
-			started: m.phase == memberRunning || m.phase == memberStopping && m.floorKnown,
+			started: m.ran,
 		})
 	}
 	for key, s := range w.strays {
--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -401,3 +401,25 @@
 		})
 	}
 }
+
+// The holder that takes the pool over may hear of a worker first when it is back with another
+// incarnation.
+func TestCrashBeforeATakeoverCounts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 11)
+	j := oneTask(1, 2*time.Second)
+	w.submitCulprit(j, 0, quick)
+	w.until("a worker has crashed", func() bool { return w.crashes[job.TaskID{Job: j.ID}] == 1 })
+	for _, f := range w.workers {
+		f.silent = f.down
+	}
+	w.run(backAfter + 100*time.Millisecond)
+	w.takeOver()
+	for _, f := range w.workers {
+		f.silent = false
+	}
+	w.run(200 * time.Millisecond)
+	g := w.core.jobs[j.ID].groups[0]
+	is.Equal(len(g.crashes), 1)
+	is.True(g.crashes[0].certain)
+}
--- a/pool/group.go
+++ b/pool/group.go
@@ -90,6 +90,8 @@
 		// have sent it.
 		maybeSent bool
 		restored  bool
+		// ran says that the run was known to be there.
+		ran bool
 		// inFlight says that an order was sent whose result is awaited.
 		inFlight bool
 		sendAt   time.Time
--- a/pool/report.go
+++ b/pool/report.go
@@ -60,7 +60,7 @@
 // newInstance gives up what ran on the worker's earlier incarnation.
 func (c *Core) newInstance(now time.Time, w *worker, r Report) {
 	if w.crashedBefore(r.Instance) {
-		c.workerCrashed(now, w, "it is back as "+r.Instance)
+		c.workerCrashed(now, w, "before "+r.Instance, "it is back as "+r.Instance)
 	}
 	for _, m := range slices.Clone(w.members) {
 		if m.instance != r.Instance {
@@ -136,6 +136,7 @@
 // memberStarted notes that a member runs.
 func (c *Core) memberStarted(now time.Time, m *member) {
 	m.phase = memberRunning
+	m.ran = true
 	g := m.group
 	c.tell(Event{Kind: EventStarted, Job: g.job.job.ID, Step: g.step, First: m.index, Run: g.run, Worker: m.worker.agent})
 	g.job.begun = true
