Failing test: a suspect waits without end in a full pool

Cause: the time after which preferences end counts from when there was room; in a full pool there is none, so a suspect went on wanting a worker for itself, and urgent work stopped others only for a whole one.

--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -423,3 +423,29 @@
 	is.Equal(len(g.crashes), 1)
 	is.True(g.crashes[0].certain)
 }
+
+// A suspect that wants a worker for itself found none in a full pool, and stopped others only where a
+// whole worker's work was worth less than its own: an urgent task that had lost its worker waited as
+// long as the pool was full.
+func TestSuspectGoesOnInAFullPool(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.run(time.Second)
+	for id := 1; id <= 30; id++ {
+		j := oneTask(id, time.Minute)
+		j.Terms.Priority = 2
+		w.submit(j)
+	}
+	w.run(time.Second)
+	urgent := oneTask(100, 2*time.Second)
+	w.submit(urgent)
+	w.until("it runs", func() bool { return w.runs(urgent.ID) })
+	w.run(100 * time.Millisecond)
+	lost := w.workerOf(w.core.jobs[urgent.ID].groups[0].members[0].worker.agent)
+	lost.fall(w)
+	w.run(500 * time.Millisecond)
+	is.Equal(w.core.jobs[urgent.ID].groups[0].suspicion, suspectAlone)
+	lost.silent = true // it does not come back
+	w.run(2 * time.Second)
+	is.True(w.runs(urgent.ID))
+}
