Suspects stop wanting a worker of their own after 1.5 s, with or without room

Change: a suspect's wait for a worker of its own, and for another task of its job to be tried, ends 1.5 s after it could be placed, whatever room there is.

--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -334,7 +334,7 @@
 		return false
 	}
 	other := p.triedOf(g.job)
-	if other == nil || other == g {
+	if other == nil || other == g || p.now.Sub(g.readySince) >= 2*p.core.settings.RelaxAfter {
 		return false
 	}
 	return g.suspicion == suspectAlone || other.crashCount() >= 2
@@ -348,17 +348,23 @@
 		return objectionTried
 	case w.alone:
 		return objectionLeftAlone
-	case g.suspicion == suspectAlone && free != w.capacity:
+	case free != w.capacity && p.wantsAlone(g):
 		return objectionShared
 	default:
 		return objectionNone
 	}
 }
 
+// wantsAlone says whether a group waits for a worker of its own. That ends by time also where there is
+// no room at all: in a full pool urgent work would stop nobody for less than a whole worker.
+func (p *pass) wantsAlone(g *group) bool {
+	return g.suspicion == suspectAlone && p.now.Sub(g.readySince) < 2*p.core.settings.RelaxAfter
+}
+
 // waitsToDisplace says whether a group waits before others are stopped for it: under one that
 // workers crash under they would be lost for nothing.
 func (p *pass) waitsToDisplace(g *group) bool {
-	return g.suspicion == suspectAlone && p.now.Sub(g.readySince) < 2*p.core.settings.RelaxAfter
+	return p.wantsAlone(g)
 }
 
 // leaveAlone gives nothing more in this pass to the workers on which a suspect was just placed.
