Soak: the last job that crashes workers gets its time

Cause: TestSoundJobsGoOnBesideTasksThatCrashWorkersLate failed once in six runs: the last such job is handed in some 1.5 s before the check, which read its state at once; a task that crashes its worker after 1.3 s can't have lost three workers by then. The test's own mistake.

--- a/program/soak/crash_test.go
+++ b/program/soak/crash_test.go
@@ -108,7 +108,11 @@
 // runs were lost beside them, or a sound job is shown as failed.
 func (w *watch) checkCulprits(t *testing.T, culprits, bound int) {
 	t.Helper()
+	deadline := time.Now().Add(lastEnds)
 	for number := 1; number <= culprits; number++ {
+		for w.State(culpritID+number) != "failed" && time.Now().Before(deadline) {
+			time.Sleep(lookEvery)
+		}
 		if state := w.State(culpritID + number); state != "failed" {
 			t.Errorf("job %s, which crashes workers, is %s", name(culpritID+number), state)
 		}
