--- a/program/soak/crash_test.go
+++ b/program/soak/crash_test.go
@@ -66,10 +66,11 @@
 			w.submitCulprit(culprits, after)
 			if killsHolders {
 				w.killed = w.Gateways[max(0, w.Holder())]
-				time.AfterFunc(after+time.Second, w.killed.Kill)
+				w.killAt = time.Now().Add(after + time.Second)
 			}
 		}
 		for end := start.Add(time.Duration(id) * handInEvery); time.Now().Before(end); {
+			w.kill(time.Now())
 			w.look(time.Now())
 			time.Sleep(lookEvery)
 		}
@@ -94,6 +95,13 @@
 	w.Check()
 }
 
+// kill ends the holder that is to die, once its time has come.
+func (w *watch) kill(now time.Time) {
+	if w.killed != nil && w.killed.Up() && now.After(w.killAt) {
+		w.killed.Kill()
+	}
+}
+
 // submitCulprit hands in a job of which the first task crashes each worker that starts it.
 func (w *watch) submitCulprit(number int, after time.Duration) {
 	spec := fakes.CrashSpec(0, after, length)
--- a/program/soak/going_on_test.go
+++ b/program/soak/going_on_test.go
@@ -69,8 +69,9 @@
 
 		jobs []*handedIn
 		used int
-		// killed is the gateway that was killed at the last onset, or nil.
+		// killed is the gateway that was killed at the last onset, or is to be at killAt; nil if none.
 		killed *cluster.Program
+		killAt time.Time
 	}
 )
 
