Failing test: lines of the log are read after they went back to their pool

Cause of the open finding on races in child processes: the library's queue hands a line to its writer and reads its length afterwards, when the writer may have given it back and another goroutine writes it. Here: TestLinesOfManyGoroutinesAreWhole fails under the race detector (go test -race ./process).

--- /dev/null
+++ b/process/process_test.go
@@ -0,0 +1,82 @@
+package process_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/process"
+)
+
+// sink is a reader of a log that may be looked at while it is written.
+type sink struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+	// stuck, unless nil, is waited for before each write.
+	stuck chan struct{}
+}
+
+func (s *sink) Write(content []byte) (int, error) {
+	if s.stuck != nil {
+		<-s.stuck
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buffer.Write(content)
+}
+
+func (s *sink) lines() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Split(strings.TrimSuffix(s.buffer.String(), "\n"), "\n")
+}
+
+// Lines that were handed to the queue went back to their pool while their length was still read: the
+// race detector told of it in each child process of a test that logged from two goroutines at once.
+func TestLinesOfManyGoroutinesAreWhole(t *testing.T) {
+	is := is.New(t)
+	const writers, each = 8, 100
+	out := &sink{}
+	logger := process.NewDroppingLogger(out, "info")
+	var wg sync.WaitGroup
+	for i := range writers {
+		wg.Go(func() {
+			for k := range each {
+				logger.Info().Int("writer", i).Int("line", k).Msg("test: a line")
+			}
+		})
+	}
+	wg.Wait()
+	eventually(t, func() bool { return len(out.lines()) == writers*each })
+	for _, line := range out.lines() {
+		is.True(strings.HasPrefix(line, `{"time":`))
+		is.True(strings.HasSuffix(line, `"message":"test: a line"}`))
+	}
+}
+
+func TestLoggingDoesNotWaitForItsReader(t *testing.T) {
+	is := is.New(t)
+	const lines = 5000
+	out := &sink{stuck: make(chan struct{})}
+	logger := process.NewDroppingLogger(out, "info")
+	for k := range lines {
+		logger.Info().Int("line", k).Msg("test: a line")
+	}
+	close(out.stuck)
+	eventually(t, func() bool { return strings.Contains(strings.Join(out.lines(), ""), fmt.Sprintf(`"line":%d`, 900)) })
+	is.True(len(out.lines()) < lines) // what found the queue full was dropped
+}
+
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("it does not come true")
+		}
+	}
+}
