--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
 
@@ -94,7 +96,7 @@
 
 // Receive implements actor.Actor.
 func (l *loop) Receive(ctx actor.Context) {
-	now := time.Now()
+	now := clock.Now()
 	switch m := ctx.Message().(type) {
 	case *actor.Started:
 		l.started(ctx)
--- /dev/null
+++ b/clock/watch_test.go
@@ -0,0 +1,31 @@
+package clock_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/clock"
+	"hollyfork.example/hollyfork/clock/clocktest"
+)
+
+func TestWatchTellsOfSuspensions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		vm := clocktest.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		var told []clock.Absence
+		go clock.Watch(ctx, vm, func(a clock.Absence) { told = append(told, a) })
+		time.Sleep(10 * time.Second)
+		vm.Suspend(100 * time.Millisecond) // too short to be told
+		time.Sleep(10 * time.Second)
+		vm.Suspend(3 * time.Second)
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+		is.Equal(told, []clock.Absence{{For: 3 * time.Second, Suspended: 3 * time.Second}})
+	})
+}
--- a/entry/catalog.go
+++ b/entry/catalog.go
@@ -4,6 +4,8 @@
 	"maps"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"github.com/asynkron/protoactor-go/actor"
 
 	"hollyfork.example/hollyfork/mailbox"
@@ -61,7 +63,7 @@
 
 // Receive implements actor.Actor.
 func (c *catalog) Receive(ctx actor.Context) {
-	now := time.Now()
+	now := clock.Now()
 	switch m := ctx.Message().(type) {
 	case configRead:
 		c.setConfig(m.config)
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"google.golang.org/protobuf/proto"
 
 	"hollyfork.example/hollyfork/api"
@@ -122,13 +124,13 @@
 	*R
 	reply
 }](ctx context.Context, d *directory, name, method string, request proto.Message) (P, error) {
-	deadline := time.Now().Add(routeTimeout)
+	deadline := clock.Now().Add(routeTimeout)
 	for {
 		answer, err := askOnce[R, P](ctx, d, name, method, request)
 		if err == nil && answer.GetRefusal().GetKind() != wire.Refusal_NOT_HOLDER {
 			return answer, nil
 		}
-		if time.Now().After(deadline) || ctx.Err() != nil {
+		if clock.Now().After(deadline) || ctx.Err() != nil {
 			return nil, hallUnavailable(name)
 		}
 		backoff.Sleep(ctx, routeRetry)
@@ -139,7 +141,7 @@
 	*R
 	reply
 }](ctx context.Context, d *directory, name, method string, request proto.Message) (P, error) {
-	client, err := d.client(ctx, time.Now(), name)
+	client, err := d.client(ctx, clock.Now(), name)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/cancel.go
+++ b/gateway/cancel.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
@@ -10,15 +9,15 @@
 
 // Cancel ends a job.
 func (g *Gateway) Cancel(ctx context.Context, call Call) error {
-	began := time.Now()
+	began := g.now()
 	err := g.cancel(ctx, call)
-	g.logAnswer(time.Now(), "cancel", call, began, err)
+	g.logAnswer(g.now(), "cancel", call, began, err)
 	return err
 }
 
 func (g *Gateway) cancel(ctx context.Context, call Call) error {
 	const op = "cancel"
-	t, err := g.resolve(time.Now(), op, call)
+	t, err := g.resolve(g.now(), op, call)
 	if err != nil {
 		return err
 	}
@@ -27,7 +26,7 @@
 		return err
 	}
 	key := pool.CancelKey(t.queue.Pool, found.id)
-	row := pool.Encode(pool.CancelRow(g.follower.StoreClock(time.Now())))
+	row := pool.Encode(pool.CancelRow(g.follower.StoreClock(g.now())))
 	txn := store.Txn{Writes: []store.Write{{Key: key, Value: row}}}
 	unsettled, err := g.retry(ctx, call, func(ctx context.Context) error { return g.write(ctx, t.queue.Pool, txn) })
 	return writeError(op, unsettled, err)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/backoff"
@@ -63,6 +65,7 @@
 
 // Follower keeps the newest configuration, and which data centres are evacuated. Create it with NewFollower, then call Run.
 type Follower struct {
+	steady clock.Clock
 	source ConfigSource
 	logger *log.Logger
 	bad    *malformed.Registry
@@ -80,8 +83,8 @@
 }
 
 // NewFollower returns a follower that has no configuration yet.
-func NewFollower(now time.Time, source ConfigSource, logger *log.Logger, bad *malformed.Registry) *Follower {
-	f := &Follower{source: source, logger: logger, bad: bad, began: now}
+func NewFollower(c clock.Clock, source ConfigSource, logger *log.Logger, bad *malformed.Registry) *Follower {
+	f := &Follower{steady: c, source: source, logger: logger, bad: bad, began: c.Now()}
 	f.current.Store(&catalog.Catalog{})
 	f.evacuations.Store(&catalog.Evacuations{})
 	return f
@@ -127,7 +130,7 @@
 	pause := backoff.New(firstRetry, lastRetry)
 	up := true
 	for ctx.Err() == nil {
-		sent := time.Now()
+		sent := f.steady.Now()
 		update, err := f.ask(ctx, version)
 		f.away.Store(err != nil)
 		if (err == nil) != up && ctx.Err() == nil {
@@ -141,7 +144,7 @@
 		}
 		pause.Reset()
 		version = update.Stamp.Version
-		f.clock.Store(&pool.Clock{Now: time.Now(), Store: update.Stamp.Clock})
+		f.clock.Store(&pool.Clock{Now: f.steady.Now(), Store: update.Stamp.Clock})
 		f.take(sent, update)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,11 @@
 	return &Gateway{store: s, notifier: notifier, follower: follower, metrics: set, logger: logger, bad: bad}
 }
 
+// now returns the present time, on the clock of the follower.
+func (g *Gateway) now() time.Time {
+	return g.follower.steady.Now()
+}
+
 // Ready says whether callers should come to this gateway.
 func (g *Gateway) Ready(now time.Time) bool {
 	return !g.stopping.Load() && g.follower.Fresh(now)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"hollyfork.example/hollyfork/clock/clocktest"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
@@ -35,7 +37,7 @@
 
 func newTestGateway(config *catalog.Catalog) *Gateway {
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	follower := NewFollower(now, nil, logger, malformed.New(logger, metrics.NewSet()))
+	follower := NewFollower(clocktest.Standing(now), nil, logger, malformed.New(logger, metrics.NewSet()))
 	follower.take(now, Update{Catalog: config})
 	return New(unused{}, nil, follower, metrics.NewSet(), logger, malformed.New(logger, metrics.NewSet()))
 }
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -15,15 +14,15 @@
 
 // State tells where a job stands.
 func (g *Gateway) State(ctx context.Context, call Call) (pool.State, error) {
-	began := time.Now()
+	began := g.now()
 	state, err := g.state(ctx, call)
-	g.logAnswer(time.Now(), "state", call, began, err)
+	g.logAnswer(g.now(), "state", call, began, err)
 	return state, err
 }
 
 func (g *Gateway) state(ctx context.Context, call Call) (pool.State, error) {
 	const op = "state"
-	t, err := g.resolve(time.Now(), op, call)
+	t, err := g.resolve(g.now(), op, call)
 	if err != nil {
 		return 0, err
 	}
@@ -93,14 +92,14 @@
 func (g *Gateway) isCancelled(row store.Row) bool {
 	err := pool.CheckCancel(row)
 	if err != nil {
-		g.bad.Note(time.Now(), malformed.Cancellation, row.Key.Name, len(row.Value), err)
+		g.bad.Note(g.now(), malformed.Cancellation, row.Key.Name, len(row.Value), err)
 	}
 	return err == nil
 }
 
 // unreadable is what a caller is told when a row can't be understood.
 func (g *Gateway) unreadable(op string, kind malformed.Kind, row store.Row, err error) error {
-	g.bad.Note(time.Now(), kind, row.Key.Name, len(row.Value), err)
+	g.bad.Note(g.now(), kind, row.Key.Name, len(row.Value), err)
 	return &Error{Op: op, Kind: KindUnavailable, RetryAfter: RetryAfter, Err: err}
 }
 
@@ -138,15 +137,15 @@
 
 // Waiting counts a queue's jobs of which no task has begun.
 func (g *Gateway) Waiting(ctx context.Context, call Call) (int, error) {
-	began := time.Now()
+	began := g.now()
 	count, err := g.waiting(ctx, call)
-	g.logAnswer(time.Now(), "waiting", call, began, err)
+	g.logAnswer(g.now(), "waiting", call, began, err)
 	return count, err
 }
 
 func (g *Gateway) waiting(ctx context.Context, call Call) (int, error) {
 	const op = "waiting"
-	t, err := g.resolve(time.Now(), op, call)
+	t, err := g.resolve(g.now(), op, call)
 	if err != nil {
 		return 0, err
 	}
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"hollyfork.example/hollyfork/job"
 	"hollyfork.example/hollyfork/pool"
@@ -12,15 +11,15 @@
 // Submit accepts a job under the identifier in the path. The job is read with decode once
 // it is known that the caller may hand it in.
 func (g *Gateway) Submit(ctx context.Context, call Call, decode func() (job.Job, error)) error {
-	began := time.Now()
+	began := g.now()
 	err := g.submit(ctx, call, decode)
-	g.logAnswer(time.Now(), "submit", call, began, err)
+	g.logAnswer(g.now(), "submit", call, began, err)
 	return err
 }
 
 func (g *Gateway) submit(ctx context.Context, call Call, decode func() (job.Job, error)) error {
 	const op = "submit"
-	t, err := g.resolve(time.Now(), op, call)
+	t, err := g.resolve(g.now(), op, call)
 	if err != nil {
 		return err
 	}
@@ -41,7 +40,7 @@
 // accept writes a job's row, unless it is there.
 func (g *Gateway) accept(ctx context.Context, call Call, poolName string, j job.Job) error {
 	key := pool.JobKey(poolName, j.ID)
-	row := pool.Encode(pool.JobRow(j, g.follower.StoreClock(time.Now())))
+	row := pool.Encode(pool.JobRow(j, g.follower.StoreClock(g.now())))
 	txn := store.Txn{
 		Checks: []store.Check{{Key: key}},
 		Writes: []store.Write{{Key: key, Value: row}},
@@ -66,7 +65,7 @@
 	}
 	for _, w := range txn.Writes {
 		row := store.Row{Key: w.Key, Value: w.Value, Version: stamp.Version}
-		g.notifier.Notify(poolName, row, g.follower.StoreClock(time.Now()))
+		g.notifier.Notify(poolName, row, g.follower.StoreClock(g.now()))
 	}
 	return nil
 }
--- a/hall/holder.go
+++ b/hall/holder.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
 
@@ -71,7 +73,7 @@
 
 // Receive implements actor.Actor.
 func (h *Holder) Receive(ctx actor.Context) {
-	now := time.Now()
+	now := clock.Now()
 	switch m := ctx.Message().(type) {
 	case *actor.Started:
 		h.self = ctx.Self()
--- a/hall/host.go
+++ b/hall/host.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"github.com/asynkron/protoactor-go/actor"
 
 	"hollyfork.example/hollyfork/backoff"
@@ -80,7 +82,7 @@
 	}
 	h.setLease(lease)
 	h.learned(lease.GetEpoch())
-	if candidate.Observe(time.Now(), lease, version) == Wait {
+	if candidate.Observe(clock.Now(), lease, version) == Wait {
 		return nil
 	}
 	ledger, err := Acquire(ctx, h.deps.Store, h.hall, lease, version, h.name, h.address)
@@ -190,7 +192,7 @@
 	if err != nil {
 		return nil, err
 	}
-	now := time.Now()
+	now := clock.Now()
 	core := NewCore(h.hall, h.name, ledger.Epoch(), h.settings)
 	core.SetConfiguration(config)
 	core.SetVMs(now, vms)
@@ -226,7 +228,7 @@
 func (h *Host) scanJobs(ctx context.Context, ledger *Ledger, rows store.Range) ([]*wire.StoredJob, error) {
 	rows.Limit = scanPage
 	var jobs []*wire.StoredJob
-	renewed := time.Now()
+	renewed := clock.Now()
 	for {
 		page, err := h.deps.Store.Read(ctx, rows)
 		if err != nil {
@@ -243,8 +245,8 @@
 		if len(page.Rows) < scanPage {
 			return jobs, nil
 		}
-		if time.Since(renewed) > h.settings.HolderLease/renewalsPerLease {
-			renewed = time.Now()
+		if clock.Since(renewed) > h.settings.HolderLease/renewalsPerLease {
+			renewed = clock.Now()
 			if err := ledger.Commit(ctx, nil, nil); err != nil {
 				return nil, errors.Join(errRenewal, err)
 			}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"github.com/asynkron/protoactor-go/actor"
 
 	"hollyfork.example/hollyfork/backoff"
@@ -21,6 +23,8 @@
 	placing struct{}
 	// stopping asks the holder to place nothing more and to commit what is under way.
 	stopping struct{}
+	// woke is sent when the process was away: connections to agents may have broken meanwhile.
+	woke struct{}
 	// committed tells the outcome of a transaction.
 	committed struct {
 		sent time.Time
@@ -97,7 +101,7 @@
 		root:    h.deps.System.Root,
 		links:   map[string]*link{},
 		began:   confirmed,
-		wroteAt: time.Now(),
+		wroteAt: h.deps.Clock.Now(),
 		version: r.version,
 		pending: r.agents,
 		lost:    make(chan struct{}),
@@ -107,18 +111,21 @@
 
 // Receive implements actor.Actor.
 func (h *Holder) Receive(c actor.Context) {
-	now := time.Now()
+	now := h.host.deps.Clock.Now()
 	switch m := c.Message().(type) {
 	case *actor.Started:
 		h.start(c.Self())
 	case *actor.Stopping:
 		h.cancel()
 	case tick:
+		h.core.SetTimeOfDay(clock.TimeOfDay(now))
 		h.core.Tick(now)
 	case placing:
 		h.placing = false
 	case stopping:
 		h.stopping = true
+	case woke:
+		h.dropConnections()
 	case committed:
 		h.takeCommitted(now, m)
 	case arrived:
@@ -176,14 +183,10 @@
 	}
 }
 
-// inForce says whether the lease was confirmed recently enough to act on it.
+// inForce says whether the lease was confirmed recently enough to act on it. It is safe for concurrent
+// use.
 func (h *Holder) inForce(now time.Time) bool {
-	return now.Before(h.forceUntil())
-}
-
-// forceUntil is until when the holder may act on its lease. It is safe for concurrent use.
-func (h *Holder) forceUntil() time.Time {
-	return h.began.Add(time.Duration(h.confirmed.Load())).Add(HoldFor)
+	return now.Before(h.began.Add(time.Duration(h.confirmed.Load())).Add(HoldFor))
 }
 
 // commit begins the next transaction, if there is something to write or the lease is to be
@@ -254,6 +257,13 @@
 	}
 }
 
+// dropConnections has all agents dialled anew.
+func (h *Holder) dropConnections() {
+	for _, l := range h.links {
+		l.client.Reset()
+	}
+}
+
 // lose ends the holding because another process holds the pool.
 func (h *Holder) lose() {
 	if h.isLost {
--- a/holder/host.go
+++ b/holder/host.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
@@ -24,6 +26,8 @@
 	Deps struct {
 		System *actor.ActorSystem
 		Store  store.Store
+		// Clock tells from when on the holder's and the agents' leases count.
+		Clock clock.Clock
 		// Metrics gets the holder's counters.
 		Metrics *metrics.Set
 		Traffic *rpc.Traffic
@@ -106,7 +110,7 @@
 	candidate := &Candidate{address: h.address}
 	pause := backoff.New(firstRetry, lastRetry)
 	for ctx.Err() == nil {
-		sent := time.Now()
+		sent := h.deps.Clock.Now()
 		row, _, err := readLease(ctx, h.deps.Store, h.pool)
 		if err != nil {
 			candidate.Unread()
@@ -209,6 +213,15 @@
 	h.pid = pid
 }
 
+// Woke tells a holder in this process that the process was away.
+func (h *Host) Woke() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.pid != nil {
+		h.deps.System.Root.Send(h.pid, woke{})
+	}
+}
+
 // Snapshot returns what the holder in this process knows; ok is false while it does not
 // hold the pool.
 func (h *Host) Snapshot() (snapshot pool.Snapshot, ok bool) {
--- a/holder/host_test.go
+++ b/holder/host_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"hollyfork.example/hollyfork/clock/clocktest"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
@@ -84,7 +86,7 @@
 func takes(t *testing.T, s *busyLease, patience time.Duration) (waited time.Duration, calls int) {
 	t.Helper()
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	host := New("pool", "name", "address", pool.DefaultSettings(), Deps{Store: s, Logger: logger, Patience: patience, Malformed: malformed.New(logger, metrics.NewSet())})
+	host := New("pool", "name", "address", pool.DefaultSettings(), Deps{Clock: clocktest.New(), Store: s, Logger: logger, Patience: patience, Malformed: malformed.New(logger, metrics.NewSet())})
 	s.began = time.Now()
 	_, free := host.awaitFree(t.Context())
 	is.New(t).True(free)
--- a/holder/link_test.go
+++ b/holder/link_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/matryer/is"
@@ -41,9 +44,9 @@
 	t.Helper()
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	system := actors.NewSystem(logger)
-	host := New("pool", "name", "address", pool.DefaultSettings(), Deps{System: system, Logger: logger, Malformed: malformed.New(logger, metrics.NewSet())})
+	host := New("pool", "name", "address", pool.DefaultSettings(), Deps{Clock: clock.System{}, System: system, Logger: logger, Malformed: malformed.New(logger, metrics.NewSet())})
 	restored := &restored{core: pool.New("pool", pool.DefaultSettings(), nil)}
-	h := newHolder(host, &Ledger{epoch: 7}, restored, time.Now().Add(-confirmedAgo))
+	h := newHolder(host, &Ledger{epoch: 7}, restored, clock.Now().Add(-confirmedAgo))
 	h.self = system.Root.Spawn(actor.PropsFromFunc(func(actor.Context) {}))
 	t.Cleanup(h.cancel)
 	return h
@@ -65,22 +68,62 @@
 func TestAgentsGetTheirLeaseAtOnceAfterAnOutage(t *testing.T) {
 	is := is.New(t)
 	agent := &patientAgent{release: make(chan struct{}), asked: make(chan *poolpb.SyncRequest, 10)}
-	server := rpc.NewServer(0, nil)
-	is.NoErr(server.Register(ServiceName, agent))
-	config := net.ListenConfig{}
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	go func() { _ = server.Serve(listener) }()
-	defer func() { _ = server.Close() }()
+	address := serveAgent(t, agent)
 	defer close(agent.release)
 
 	h := newTestHolder(t, HoldFor)
-	h.setAgent(pool.AgentAddress{Agent: "a", Address: listener.Addr().String()})
+	h.setAgent(pool.AgentAddress{Agent: "a", Address: address})
 	<-agent.asked // the first renewal fetches the agent's clock
 	held := <-agent.asked
 	is.Equal(held.GetLeaseMs(), int32(0))
-	h.takeCommitted(time.Now(), committed{sent: time.Now()})
+	h.takeCommitted(clock.Now(), committed{sent: clock.Now()})
 	next := <-agent.asked
 	is.Equal(time.Duration(next.GetLeaseMs())*time.Millisecond, h.host.settings.AgentLease)
 	is.Equal(next.GetWaitMs(), int32(0)) // it did not wait for the one that is held back
 }
+
+// countingAgent counts the orders that it is given.
+type countingAgent struct {
+	orders atomic.Int32
+}
+
+func (a *countingAgent) Order(_ *poolpb.OrderRequest, _ *poolpb.OrderReply) error {
+	a.orders.Add(1)
+	return nil
+}
+
+// An order was decided on while the lease was in force, and its process stood still before it was sent.
+func TestNoOrderIsGivenAfterTheLeaseHasEnded(t *testing.T) {
+	for name, test := range map[string]struct {
+		confirmedAgo time.Duration
+		given        int32
+	}{
+		"in force":      {confirmedAgo: 0, given: 1},
+		"ended by then": {confirmedAgo: HoldFor, given: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			agent := &countingAgent{}
+			l := newLink(newTestHolder(t, test.confirmedAgo), pool.AgentAddress{Agent: "a", Address: serveAgent(t, agent)})
+			l.order(context.Background(), 7, pool.Orders{Agent: "a", Starts: []pool.Start{{Run: 1}}})
+			is.Equal(agent.orders.Load(), test.given)
+		})
+	}
+}
+
+// serveAgent serves an agent's interface and returns its address.
+func serveAgent(t *testing.T, agent any) string {
+	t.Helper()
+	server := rpc.NewServer(0, nil)
+	if err := server.Register(ServiceName, agent); err != nil {
+		t.Fatal(err)
+	}
+	config := net.ListenConfig{}
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
--- a/holder/load.go
+++ b/holder/load.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"golang.org/x/sync/errgroup"
 
 	"hollyfork.example/hollyfork/malformed"
@@ -32,13 +34,14 @@
 	if err != nil {
 		return nil, &Error{Op: "read jobs", Kind: KindStore, Err: err}
 	}
-	now := time.Now()
+	now := h.deps.Clock.Now()
 	r := &restored{
 		core:    pool.New(h.pool, h.settings, h.logEvent),
 		version: intake.Stamp.Version,
 		clock:   pool.Clock{Now: now, Store: intake.Stamp.Clock},
 	}
 	r.core.SetCatalog(h.deps.Catalog())
+	r.core.SetTimeOfDay(clock.TimeOfDay(now))
 	items := h.decodeIntake(intake.Rows, r.clock)
 	for _, item := range items {
 		if j, ok := item.(pool.NewJob); ok {
--- a/pool/core.go
+++ b/pool/core.go
@@ -45,6 +45,8 @@
 	// first.
 	recentCrashes []time.Time
 	watchedSince  time.Time
+	// timeOfDay is how far the time of day is ahead of the present time that the core is told.
+	timeOfDay time.Duration
 	// advised says that there was a job of a queue whose policy is asked.
 	advised bool
 	// asking says that a question to the advice service is under way; none is asked before
@@ -114,6 +116,12 @@
 	c.endJob(now, j, Cancelled, "its caller cancelled it")
 }
 
+// SetTimeOfDay takes over how far the time of day is ahead of the present time that the other methods
+// are told, which counts ages. Rounds of jobs that repeat are due at times of day.
+func (c *Core) SetTimeOfDay(ahead time.Duration) {
+	c.timeOfDay = ahead
+}
+
 // Tick does what is due at a time: leases that have lapsed, starts that take too long,
 // tasks that stand still, jobs that are kept no longer.
 func (c *Core) Tick(now time.Time) {
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -105,7 +105,7 @@
 func (p *pass) order(rounds []readyRound) {
 	for i := range rounds {
 		rounds[i].rank = p.rank(rounds[i].job)
-		rounds[i].due = rounds[i].job.job.DueBy(rounds[i].round.number)
+		rounds[i].due = rounds[i].round.due
 		rounds[i].tooLate = rounds[i].rank == 0 && rounds[i].round.tooLate(p.now, rounds[i].due)
 	}
 	slices.SortFunc(rounds, func(a, b readyRound) int {
--- a/pool/group.go
+++ b/pool/group.go
@@ -121,7 +121,7 @@
 
 // due is when the group's round should be done.
 func (g *group) due() time.Time {
-	return g.job.job.DueBy(g.round.number)
+	return g.round.due
 }
 
 // placed says whether the group has a run under way.
--- a/pool/jobstate.go
+++ b/pool/jobstate.go
@@ -59,7 +59,7 @@
 func newJob(now time.Time, j job.Job) *jobState {
 	state := &jobState{job: j}
 	if j.Schedule.None() {
-		state.open(now, 0)
+		state.open(now, 0, 0)
 	}
 	return state
 }
--- a/pool/restore.go
+++ b/pool/restore.go
@@ -94,7 +94,7 @@
 	}
 	j.begun = j.state != Queued
 	j.endedAt = now
-	j.restoreRounds(now, row)
+	j.restoreRounds(now, c.timeOfDay, row)
 	for _, saved := range row.GetGroups() {
 		g := j.find(job.TaskID{Job: j.job.ID, Round: int(saved.GetRound()), Step: int(saved.GetStep()), Index: int(saved.GetFirst())})
 		if g != nil {
@@ -131,7 +131,7 @@
 
 // restoreRounds takes over which rounds of a job are done, and opens the others of which
 // something was placed. Those before them that have no group in the row are due as well.
-func (j *jobState) restoreRounds(now time.Time, row *poolpb.StateRow) {
+func (j *jobState) restoreRounds(now time.Time, ahead time.Duration, row *poolpb.StateRow) {
 	if j.job.Schedule.None() {
 		return
 	}
@@ -149,7 +149,7 @@
 	j.log.next = opened
 	for number := j.log.below; number < opened; number++ {
 		if !j.log.has(number) {
-			j.open(now, number)
+			j.open(now, number, ahead)
 		}
 	}
 }
--- a/pool/round.go
+++ b/pool/round.go
@@ -14,8 +14,8 @@
 // round is one run of all steps of a job. A job without a schedule has one.
 type round struct {
 	number int
-	// from is when the round may start.
-	from time.Time
+	// due is when the round should be done.
+	due time.Time
 	// byStep holds its groups.
 	byStep [][]*group
 	// advice holds what the advice service said of its steps, in queues that need it.
@@ -53,19 +53,20 @@
 func (c *Core) openRounds(now time.Time, j *jobState) bool {
 	opened := false
 	for j.log.next < j.job.Schedule.Rounds() && len(j.rounds) < maxOpenRounds {
-		if now.Before(j.job.From(j.log.next)) {
+		if now.Add(c.timeOfDay).Before(j.job.From(j.log.next)) {
 			break
 		}
-		j.open(now, j.log.next)
+		j.open(now, j.log.next, c.timeOfDay)
 		opened = true
 	}
 	c.roomChanged = c.roomChanged || opened
 	return opened
 }
 
-// open adds a round's groups to the job.
-func (j *jobState) open(now time.Time, number int) {
-	r := &round{number: number, from: j.job.From(number), byStep: make([][]*group, len(j.job.Steps))}
+// open adds a round's groups to the job. The times of a job that repeats are times of day, which is
+// ahead of the present time by so much.
+func (j *jobState) open(now time.Time, number int, ahead time.Duration) {
+	r := &round{number: number, due: j.job.DueBy(number).Add(-ahead), byStep: make([][]*group, len(j.job.Steps))}
 	for step := range j.job.Steps {
 		r.byStep[step] = j.newGroups(now, r, step)
 		j.groups = append(j.groups, r.byStep[step]...)
--- a/program/agent.go
+++ b/program/agent.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/google/uuid"
@@ -95,7 +97,7 @@
 func runAgent(config agentConfig, listener net.Listener, logger *log.Logger) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	p, err := startAgent(time.Now(), config, listener, actors.NewSystem(logger), logger)
+	p, err := startAgent(clock.Now(), config, listener, actors.NewSystem(logger), logger)
 	if err != nil {
 		logger.Error().Err(err).Msg("agent: cannot start")
 		return launch.ExitFailure
--- a/program/dev.go
+++ b/program/dev.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
@@ -185,7 +187,7 @@
 		worker:   platformURL + "/workers/" + vm.Name,
 		settings: demoHallSettings(),
 	}
-	p, err := startAgent(time.Now(), config, listener, system, d.logger)
+	p, err := startAgent(clock.Now(), config, listener, system, d.logger)
 	if err != nil {
 		return err
 	}
--- a/program/gatewayd/main.go
+++ b/program/gatewayd/main.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
@@ -115,20 +117,22 @@
 	}
 	p := &gatewayProcess{options: o, logger: logger, metrics: metrics.NewSet(), traffic: &rpc.Traffic{}, hosts: map[string]*holder.Host{}}
 	p.bad = malformed.New(logger, p.metrics)
-	direct := store.NewMetered(adapter.NewStore(*o.store), p.metrics)
+	client := adapter.NewStore(*o.store)
+	direct := store.NewMetered(client, p.metrics)
 	p.store = direct
 	if *o.relay != "" {
 		if p.store, err = p.startRelay(ctx, direct); err != nil {
 			return err
 		}
 	}
-	p.follower = gateway.NewFollower(time.Now(), adapter.NewConfigs(p.store), logger, p.bad)
+	p.follower = gateway.NewFollower(clock.System{}, adapter.NewConfigs(p.store), logger, p.bad)
 	p.gateway = gateway.New(p.store, p, p.follower, p.metrics, logger, p.bad)
 	following, endFollowing := context.WithCancel(context.Background())
 	defer endFollowing()
 	go p.follower.Run(following)
+	go clock.Watch(following, clock.System{}, func(a clock.Absence) { p.wake(a, client) })
 	p.serveAdmin(listeners[2])
-	go serve(listeners[1], adapter.ReadyHandler(func() bool { return p.gateway.Ready(time.Now()) }))
+	go serve(listeners[1], adapter.ReadyHandler(func() bool { return p.gateway.Ready(clock.Now()) }))
 	callers := &http.Server{
 		Handler:           adapter.NewCallers(p.gateway),
 		ReadHeaderTimeout: headerTimeout,
@@ -143,6 +147,15 @@
 	return nil
 }
 
+// wake goes on after the process was away: it says what has ended meanwhile, and drops connections that may
+// have broken.
+func (p *gatewayProcess) wake(a clock.Absence, client *adapter.Store) {
+	age := p.follower.Age(clock.Now())
+	p.logger.Warn().Dur("for", a.For).Dur("suspended", a.Suspended).Int64("config_age_ms", age.Milliseconds()).
+		Bool("config_lapsed", age > gateway.MaxAge).Strs("pools", p.wakeHolders()).Msg("gateway: was away")
+	client.DropIdle()
+}
+
 // startRelay serves other gateways that the store turns away, and returns the store as it is
 // reached through them while it turns this one away.
 func (p *gatewayProcess) startRelay(ctx context.Context, direct store.Store) (store.Store, error) {
--- a/program/gatewayd/pools.go
+++ b/program/gatewayd/pools.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hollyfork.example/hollyfork/backoff"
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/holder"
 	"hollyfork.example/hollyfork/platform/adapter"
 	"hollyfork.example/hollyfork/pool"
@@ -17,6 +18,7 @@
 // hostPools runs a host for each pool of the configuration, until ctx is done.
 func (p *gatewayProcess) hostPools(ctx context.Context) {
 	deps := holder.Deps{
+		Clock:   clock.System{},
 		System:  actors.NewSystem(p.logger),
 		Store:   p.store,
 		Metrics: p.metrics,
@@ -74,6 +76,16 @@
 	return host, hosted
 }
 
+// wakeHolders tells the holders in this process that it was away, and returns the pools of all hosts.
+func (p *gatewayProcess) wakeHolders() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, host := range p.hosts {
+		host.Woke()
+	}
+	return slices.Sorted(maps.Keys(p.hosts))
+}
+
 // Notify implements gateway.Notifier.
 func (p *gatewayProcess) Notify(poolName string, row store.Row, clock time.Duration) {
 	if host, hosted := p.host(poolName); hosted {
--- a/program/gatewayd/state.go
+++ b/program/gatewayd/state.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/process"
@@ -25,7 +27,7 @@
 }
 
 func (p *gatewayProcess) dump() any {
-	now := time.Now()
+	now := clock.Now()
 	return State{
 		ConfigVersion: p.follower.Catalog().Version,
 		ConfigAge:     p.follower.Age(now),
@@ -73,13 +75,13 @@
 // addGauges adds what is looked up when the metrics are read.
 func (p *gatewayProcess) addGauges() {
 	p.metrics.NewGauge("hollyfork_gateway_ready", func() float64 {
-		if p.gateway.Ready(time.Now()) {
+		if p.gateway.Ready(clock.Now()) {
 			return 1
 		}
 		return 0
 	})
 	p.metrics.NewGauge("hollyfork_gateway_config_version", func() float64 { return float64(p.follower.Catalog().Version) })
-	p.metrics.NewGauge("hollyfork_gateway_config_age_seconds", func() float64 { return p.follower.Age(time.Now()).Seconds() })
+	p.metrics.NewGauge("hollyfork_gateway_config_age_seconds", func() float64 { return p.follower.Age(clock.Now()).Seconds() })
 	p.metrics.NewGauge("hollyfork_gateway_data_centres_evacuated", func() float64 { return float64(len(p.follower.Evacuations().DataCentres())) })
 	p.metrics.NewGauge("hollyfork_pools_held", func() float64 { return float64(len(p.pools())) })
 	p.metrics.NewGauge("hollyfork_pool_jobs_waiting", func() float64 {
--- a/program/sidecard/main.go
+++ b/program/sidecard/main.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
@@ -83,7 +85,8 @@
 	defer stop()
 	signal.Ignore(syscall.SIGHUP)
 	set := metrics.NewSet()
-	agent := sidecar.New(time.Now(), adapter.NewWorker(*o.worker), set, logger)
+	worker := adapter.NewWorker(*o.worker)
+	agent := sidecar.New(clock.System{}, worker, set, logger)
 	server := rpc.NewServer(maxHolders, nil).CloseIdle(silentHolder)
 	if err := server.Register(holder.ServiceName, agent.Service()); err != nil {
 		return err
@@ -104,6 +107,10 @@
 	heartbeats := &http.Server{Handler: adapter.BeatHandler(agent, *o.pool, bad), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	go func() { _ = heartbeats.Serve(beats) }()
 	go register(ctx, o, agent, logger)
+	go clock.Watch(ctx, clock.System{}, func(a clock.Absence) {
+		logger.Warn().Dur("for", a.For).Dur("suspended", a.Suspended).Dur("lease_left", agent.State(clock.Now()).LeaseLeft).Msg("agent: was away")
+		worker.DropIdle()
+	})
 	logger.Info().Str("name", *o.name).Str("pool", *o.pool).Str("worker", *o.worker).Msg("agent: started")
 	agent.Run(ctx)
 	logger.Info().Msg("agent: stopping")
@@ -136,9 +143,9 @@
 
 // awaitSilence waits until no holder has called for some time.
 func awaitSilence(ctx context.Context, agent *sidecar.Agent) {
-	began := time.Now()
+	began := clock.Now()
 	for backoff.Sleep(ctx, registerAgain/4) {
-		if now := time.Now(); now.Sub(began) > registerAgain && now.Sub(agent.SyncedAt()) > registerAgain {
+		if now := clock.Now(); now.Sub(began) > registerAgain && now.Sub(agent.SyncedAt()) > registerAgain {
 			return
 		}
 	}
@@ -159,6 +166,6 @@
 	if err != nil {
 		return err
 	}
-	go process.NewAdmin(func() any { return state{State: agent.State(time.Now()), Malformed: bad.List()} }, set).Serve(listener)
+	go process.NewAdmin(func() any { return state{State: agent.State(clock.Now()), Malformed: bad.List()} }, set).Serve(listener)
 	return nil
 }
--- a/relay/member.go
+++ b/relay/member.go
@@ -6,6 +6,8 @@
 	"net"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"google.golang.org/protobuf/proto"
 
 	"hollyfork.example/hollyfork/backoff"
@@ -58,7 +60,7 @@
 		s.logger.Info().Int("known", len(known.addresses)).Msg("relay: the other gateways changed")
 	}
 	for _, u := range known.unreadable {
-		s.bad.Note(time.Now(), malformed.Gateway, u.row.Key.Name, len(u.row.Value), u.err)
+		s.bad.Note(clock.Now(), malformed.Gateway, u.row.Key.Name, len(u.row.Value), u.err)
 	}
 	value, err := proto.Marshal(&relaypb.GatewayRow{Address: address, AnnouncedMs: page.Stamp.Clock.Milliseconds()})
 	if err != nil {
--- a/relay/store.go
+++ b/relay/store.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
@@ -159,10 +161,10 @@
 // tryPeers makes a call through other gateways while the store turns this one away. done says
 // that one of them made it, or may have.
 func (s *Store) tryPeers(ctx context.Context, op string, timeout time.Duration, via viaPeer) (page store.Page, done bool, err error) {
-	if !s.path.throughPeers(time.Now()) {
+	if !s.path.throughPeers(clock.Now()) {
 		return store.Page{}, false, nil
 	}
-	for _, p := range s.peers.choose(time.Now()) {
+	for _, p := range s.peers.choose(clock.Now()) {
 		if s.path.direct() {
 			return store.Page{}, false, nil
 		}
@@ -171,7 +173,7 @@
 			return page, true, err
 		}
 	}
-	s.path.noPeer(time.Now())
+	s.path.noPeer(clock.Now())
 	return store.Page{}, false, nil
 }
 
@@ -180,7 +182,7 @@
 	defer cancel()
 	outcome, err := via(ctx, p.client)
 	if err != nil {
-		s.peers.failed(time.Now(), p, true)
+		s.peers.failed(clock.Now(), p, true)
 		s.count(op, "no answer")
 		if op != opCommit || undelivered(err) {
 			return store.Page{}, false, nil
@@ -190,7 +192,7 @@
 	page, err = pageFrom(op, outcome)
 	s.count(op, store.KindOf(err).String())
 	if store.KindOf(err) == store.KindRefused {
-		s.peers.failed(time.Now(), p, false)
+		s.peers.failed(clock.Now(), p, false)
 		return store.Page{}, false, nil
 	}
 	return page, true, err
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
@@ -36,6 +38,7 @@
 
 // Agent runs a Core. Create it with New, then call Run.
 type Agent struct {
+	clock   clock.Clock
 	worker  Worker
 	metrics *metrics.Set
 	logger  *log.Logger
@@ -52,8 +55,10 @@
 }
 
 // New returns an agent for the worker beside it, which counts in a set.
-func New(now time.Time, worker Worker, set *metrics.Set, logger *log.Logger) *Agent {
+func New(c clock.Clock, worker Worker, set *metrics.Set, logger *log.Logger) *Agent {
+	now := c.Now()
 	return &Agent{
+		clock:   c,
 		worker:  worker,
 		metrics: set,
 		logger:  logger,
@@ -90,8 +95,8 @@
 // holdOnce asks the worker once, and returns how long to wait before the next question.
 func (a *Agent) holdOnce(ctx context.Context) time.Duration {
 	a.mu.Lock()
-	hold, number, ok := a.core.NextHold(time.Now())
-	if a.core.CheckUnheard(time.Now()) {
+	hold, number, ok := a.core.NextHold(a.now())
+	if a.core.CheckUnheard(a.now()) {
 		a.logger.Warn().Msg("agent: no worker was heard of; what it ran has lapsed")
 		a.announce()
 	}
@@ -102,13 +107,13 @@
 	if !ok {
 		return pauseIdle
 	}
-	began := time.Now()
+	began := a.clock.Now()
 	listing, err := a.worker.Hold(ctx, hold)
-	now := time.Now()
 	a.metrics.GetOrCreateCounter(fmt.Sprintf(`hollyfork_sidecar_holds_total{result=%q}`, KindOf(err))).Inc()
-	a.metrics.GetOrCreateHistogram("hollyfork_sidecar_hold_seconds").Update(now.Sub(began).Seconds())
+	a.metrics.GetOrCreateHistogram("hollyfork_sidecar_hold_seconds").Update(a.clock.Now().Sub(began).Seconds())
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.now()
 	if errors.Is(ctx.Err(), context.Canceled) && err != nil {
 		return 0 // another incarnation is to be asked first
 	}
@@ -122,6 +127,9 @@
 	if a.core.Listed(now, hold.Instance, number, listing) {
 		a.announce()
 	}
+	if overdue := a.core.TakeOverdue(); len(overdue) > 0 {
+		go a.stopOverdue(context.WithoutCancel(ctx), hold, overdue)
+	}
 	switch {
 	case a.core.uncommitted():
 		return pauseUncommitted
@@ -132,6 +140,28 @@
 	}
 }
 
+// now reads the clock for the core. The lock must be held.
+func (a *Agent) now() time.Time {
+	a.core.NoteSuspended(a.clock.Suspended())
+	return a.clock.Now()
+}
+
+// stopOverdue stops runs that have outlasted their lease while the VM was suspended. One whose stop goes
+// unanswered is stopped by the holder, which knows that it should not be there.
+func (a *Agent) stopOverdue(ctx context.Context, hold Hold, runs []*poolpb.RunningTask) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	var work []func()
+	for _, run := range runs {
+		stop := StopTask{Instance: hold.Instance, Epoch: hold.Epoch, Order: &poolpb.StopOrder{Task: run.GetTask(), Run: run.GetRun()}}
+		work = append(work, func() {
+			result, err := a.worker.Stop(ctx, stop)
+			a.logOrder("stop a run whose lease has ended", run.GetTask(), run.GetRun(), result, err)
+		})
+	}
+	together(work)
+}
+
 // announce wakes the renewals that are held back. The lock must be held.
 func (a *Agent) announce() {
 	close(a.changed)
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -19,6 +19,11 @@
 	clockDrift = 0.02
 	// lapseMargin is added to when a silent worker's lease must have ended.
 	lapseMargin = 150 * time.Millisecond
+	// suspensionSlack is how much more of suspensions a reading may tell for want of a processor.
+	suspensionSlack = 20 * time.Millisecond
+	// overdueAfter is how long after the end of its lease a run is stopped that goes on: the drift of the
+	// worker's clock in the longest lease, and late answers.
+	overdueAfter = 300 * time.Millisecond
 	// refusalsUntilGone is how many connections in a row must be refused before the
 	// worker's process is taken to have ended.
 	refusalsUntilGone = 2
@@ -73,9 +78,15 @@
 	heldAt time.Time
 	// until is the latest end of the lease that the worker may have been given.
 	until time.Duration
+	// suspended is for how long the VM has been suspended, heldSuspended how much of it was before
+	// the last listing.
+	suspended     time.Duration
+	heldSuspended time.Duration
 	// silent says that the last question was not answered.
 	silent   bool
 	refusals int
+	// overdue are runs that go on although their lease has ended, to be stopped.
+	overdue []*poolpb.RunningTask
 
 	committed uint64
 	report    uint64
@@ -265,7 +276,7 @@
 		Committed: c.committed,
 		Until:     c.extend(now),
 	}
-	if c.listed > 0 && !c.uncommitted() && !c.silent {
+	if c.listed > 0 && !c.uncommitted() && !c.silent && c.suspendedSinceHeld() == 0 {
 		h.Wait = holdWait
 	}
 	return h, c.asked, true
@@ -278,11 +289,27 @@
 	return len(ended) > 0 && ended[len(ended)-1].GetNumber() > c.committed
 }
 
+// NoteSuspended takes over for how long the VM has been suspended so far. It is to be called with each
+// reading of the clock that NextHold, StartUntil, Listed and HoldFailed are given.
+func (c *Core) NoteSuspended(total time.Duration) {
+	c.suspended = total
+}
+
+// suspendedSinceHeld is for how long the VM has been suspended since the last listing. The worker's clock
+// may have stood still for as long: it stands on the same VM.
+func (c *Core) suspendedSinceHeld() time.Duration {
+	if missed := c.suspended - c.heldSuspended; missed > suspensionSlack {
+		return missed
+	}
+	return 0
+}
+
 // extend returns the reading of the worker's clock up to which its lease may be extended;
 // 0 when it may not, or when the worker's clock is not known. A worker that does not
-// answer gets no extension: one that comes late would outlast what the agent counts.
+// answer gets no extension: one that comes late would outlast what the agent counts. After a suspension
+// it is not known what the worker's clock says until the next listing.
 func (c *Core) extend(now time.Time) time.Duration {
-	if c.heldAt.IsZero() || c.silent || c.listed == 0 || !now.Before(c.leaseUntil) {
+	if c.heldAt.IsZero() || c.silent || c.listed == 0 || !now.Before(c.leaseUntil) || c.suspendedSinceHeld() > 0 {
 		return 0
 	}
 	until := c.listing.Clock + c.leaseUntil.Sub(c.heldAt)
@@ -304,7 +331,9 @@
 	news := first || c.gone || c.silent || told || progress || differs(c.listing, listing)
 	c.listed = number
 	c.listing = listing
+	c.overdue = c.outlasting(now)
 	c.heldAt = now
+	c.heldSuspended = c.suspended
 	c.silent = false
 	c.refusals = 0
 	c.revive()
@@ -318,6 +347,22 @@
 	return news
 }
 
+// outlasting returns the runs of a new listing that go on although their lease has ended: the VM was
+// suspended, and the worker's clock stood still with it, so its lease lasts longer than the holder counts.
+func (c *Core) outlasting(now time.Time) []*poolpb.RunningTask {
+	if c.suspendedSinceHeld() == 0 || now.Before(c.leaseUntil.Add(overdueAfter)) {
+		return nil
+	}
+	return c.listing.Running
+}
+
+// TakeOverdue returns the runs that are to be stopped since their lease has ended, each once.
+func (c *Core) TakeOverdue() []*poolpb.RunningTask {
+	overdue := c.overdue
+	c.overdue = nil
+	return overdue
+}
+
 // TellNext makes the next listing that is asked for news, although nothing in it may have
 // changed: the holder waits to see what orders have done. One that is under way does not
 // count, since it may be from before.
@@ -364,7 +409,7 @@
 // CheckUnheard notes that a worker that has never been heard of runs nothing any more. It
 // says whether that is news.
 func (c *Core) CheckUnheard(now time.Time) bool {
-	if c.gone || c.beat.Instance != "" || now.Sub(c.began) < longestLease {
+	if c.gone || c.beat.Instance != "" || now.Sub(c.began) < longestLease+c.suspended {
 		return false
 	}
 	c.end(poolpb.Lapse_SILENT)
@@ -374,10 +419,10 @@
 // lapsed says whether the lease that a silent worker was given has surely ended.
 func (c *Core) lapsed(now time.Time) bool {
 	if c.listed == 0 {
-		return now.Sub(c.began) > longestLease
+		return now.Sub(c.began) > longestLease+c.suspended
 	}
 	length := time.Duration(float64(c.until-c.listing.Clock) / (1 - clockDrift))
-	return now.After(c.heldAt.Add(length).Add(lapseMargin))
+	return now.After(c.heldAt.Add(length).Add(c.suspendedSinceHeld()).Add(lapseMargin))
 }
 
 // StartUntil returns the end of the lease for a start, or why there is to be none.
--- a/sidecar/incarnation_test.go
+++ b/sidecar/incarnation_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -131,13 +132,17 @@
 
 // touch is a time without trouble: two renewals and a listing go through at once.
 func (p *lossyPair) touch(t *rapid.T) {
+	p.renewTwice()
+	p.listen(t)
+}
+
+func (p *lossyPair) renewTwice() {
 	for range 2 {
 		request := &poolpb.SyncRequest{Epoch: 7, Incarnation: p.known.GetIncarnation(), LeaseToken: p.known.GetLeaseToken(), LeaseMs: 4500}
 		p.agent.Sync(request)
 		p.now = p.now.Add(time.Millisecond)
 		p.takeReply(p.agent.Reply(p.now, request))
 	}
-	p.listen(t)
 }
 
 func (p *lossyPair) order(t *rapid.T) {
@@ -196,7 +201,7 @@
 
 func (p *lossyPair) restartAgent(*rapid.T) {
 	p.agents++
-	p.agent = NewCore(p.now, "agent "+string(rune('a'+p.agents%26)))
+	p.agent = NewCore(p.now, fmt.Sprintf("agent %d", p.agents))
 	p.agent.Heartbeat(Heartbeat{Instance: "first", Sequence: 1})
 }
 
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -22,7 +22,7 @@
 // Sync renews the agent's lease. The answer waits until there is news.
 func (s *Service) Sync(request *poolpb.SyncRequest, reply *poolpb.SyncReply) error {
 	a := s.agent
-	old, news := a.sync(time.Now(), request)
+	old, news := a.sync(a.clock.Now(), request)
 	if !old && news != nil {
 		wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maxSyncWait)
 		timer := time.NewTimer(wait)
@@ -34,7 +34,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	answer := a.core.Reply(time.Now(), request)
+	answer := a.core.Reply(a.clock.Now(), request)
 	reply.OldEpoch = old
 	reply.Epoch = answer.GetEpoch()
 	reply.Incarnation = answer.GetIncarnation()
@@ -50,7 +50,6 @@
 	a.mu.Lock()
 	old := a.core.MeetEpoch(request.GetEpoch())
 	reply.Epoch = a.core.epoch
-	until, verdict := a.core.StartUntil(time.Now(), request)
 	a.mu.Unlock()
 	if old {
 		reply.OldEpoch = true
@@ -65,11 +64,7 @@
 		work = append(work, func() { reply.Stops[i] = a.stop(ctx, request, order) })
 	}
 	for i, order := range request.GetStarts() {
-		if verdict != poolpb.OrderResult_OK {
-			reply.Starts[i] = verdict
-			continue
-		}
-		work = append(work, func() { reply.Starts[i] = a.start(ctx, request, order, until) })
+		work = append(work, func() { reply.Starts[i] = a.start(ctx, request, order) })
 	}
 	together(work)
 	a.mu.Lock()
@@ -94,7 +89,15 @@
 	running.Wait()
 }
 
-func (a *Agent) start(ctx context.Context, request *poolpb.OrderRequest, order *poolpb.StartOrder, until time.Duration) poolpb.OrderResult_Value {
+// start gives a start to the worker, unless what it rests on has ended by now.
+func (a *Agent) start(ctx context.Context, request *poolpb.OrderRequest, order *poolpb.StartOrder) poolpb.OrderResult_Value {
+	a.mu.Lock()
+	until, verdict := a.core.StartUntil(a.now(), request)
+	a.mu.Unlock()
+	if verdict != poolpb.OrderResult_OK {
+		a.logOrder("start", order.GetTask(), order.GetRun(), verdict, nil)
+		return verdict
+	}
 	result, err := a.worker.Start(ctx, StartTask{
 		Instance: request.GetInstance(),
 		Epoch:    request.GetEpoch(),
--- a/sidecar/service_test.go
+++ b/sidecar/service_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"hollyfork.example/hollyfork/clock/clocktest"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
@@ -42,7 +44,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		worker := &muteWorker{unanswered: 3}
-		agent := New(time.Now(), worker, metrics.NewSet(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+		agent := New(clocktest.New(), worker, metrics.NewSet(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
 		agent.Heartbeat(Heartbeat{Instance: "first", Sequence: 1})
 		agent.sync(time.Now(), &poolpb.SyncRequest{Epoch: 7, Incarnation: agent.core.incarnation, LeaseMs: 4000})
 		agent.holdOnce(t.Context())
--- a/store/metered.go
+++ b/store/metered.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"github.com/VictoriaMetrics/metrics"
 )
 
@@ -21,7 +23,7 @@
 
 // Commit implements Store.
 func (m *Metered) Commit(ctx context.Context, txn Txn) (Stamp, error) {
-	began := time.Now()
+	began := clock.Now()
 	stamp, err := m.inner.Commit(ctx, txn)
 	m.note("commit", began, err)
 	return stamp, err
@@ -29,7 +31,7 @@
 
 // Read implements Reader.
 func (m *Metered) Read(ctx context.Context, r Range) (Page, error) {
-	began := time.Now()
+	began := clock.Now()
 	page, err := m.inner.Read(ctx, r)
 	m.note("read", began, err)
 	return page, err
--- a/store/settle.go
+++ b/store/settle.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"hollyfork.example/hollyfork/clock"
+
 	"hollyfork.example/hollyfork/backoff"
 )
 
@@ -45,7 +47,7 @@
 	txn = guarded(guard, txn)
 	pause := backoff.New(firstRetry, lastRetry)
 	for {
-		sent := time.Now()
+		sent := clock.Now()
 		stamp, err := s.Commit(ctx, txn)
 		if err == nil {
 			return Outcome{Stamp: stamp, Sent: sent, Version: stamp.Version}, nil
