--- a/pool/event.go
+++ b/pool/event.go
@@ -22,6 +22,8 @@
 	EventWaiting EventKind = "job waits"
 	EventStray   EventKind = "stray run stopped"
 	EventWorker  EventKind = "worker incarnation"
+	// EventRoom tells that a worker has more or less room than before.
+	EventRoom EventKind = "worker room"
 	// EventCrashed tells what ran on a worker whose process ended without saying so.
 	EventCrashed   EventKind = "worker crashed"
 	EventForgotten EventKind = "agent forgotten"
