--- a/entry/catalog.go
+++ b/entry/catalog.go
@@ -4,10 +4,9 @@
 	"maps"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"github.com/asynkron/protoactor-go/actor"
 
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/mailbox"
 	"hollyfork.example/wire"
 )
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -6,12 +6,11 @@
 	"sync"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"google.golang.org/protobuf/proto"
 
 	"hollyfork.example/hollyfork/api"
 	"hollyfork.example/hollyfork/backoff"
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/hall"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/rpc"
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -5,12 +5,11 @@
 	"sync/atomic"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/catalog"
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -6,13 +6,12 @@
 	"testing"
 	"time"
 
-	"hollyfork.example/hollyfork/clock/clocktest"
-
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/catalog"
+	"hollyfork.example/hollyfork/clock/clocktest"
 	"hollyfork.example/hollyfork/job"
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/store"
--- a/hall/holder.go
+++ b/hall/holder.go
@@ -5,11 +5,10 @@
 	"sync/atomic"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
 
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/platform"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/rpc"
--- a/hall/host.go
+++ b/hall/host.go
@@ -6,11 +6,10 @@
 	"sync"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"github.com/asynkron/protoactor-go/actor"
 
 	"hollyfork.example/hollyfork/backoff"
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/platform"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire"
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -5,11 +5,10 @@
 	"sync/atomic"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"github.com/asynkron/protoactor-go/actor"
 
 	"hollyfork.example/hollyfork/backoff"
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/mailbox"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
--- a/holder/host.go
+++ b/holder/host.go
@@ -6,14 +6,13 @@
 	"sync"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/catalog"
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/mailbox"
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
--- a/holder/host_test.go
+++ b/holder/host_test.go
@@ -8,12 +8,11 @@
 	"testing/synctest"
 	"time"
 
-	"hollyfork.example/hollyfork/clock/clocktest"
-
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
 
+	"hollyfork.example/hollyfork/clock/clocktest"
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
--- a/holder/link_test.go
+++ b/holder/link_test.go
@@ -8,13 +8,12 @@
 	"testing"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
 
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/process/actors"
--- a/holder/load.go
+++ b/holder/load.go
@@ -5,10 +5,9 @@
 	"fmt"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"golang.org/x/sync/errgroup"
 
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
--- a/program/agent.go
+++ b/program/agent.go
@@ -9,14 +9,13 @@
 	"syscall"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/agent"
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/hall"
 	"hollyfork.example/hollyfork/platform"
 	"hollyfork.example/hollyfork/process"
--- a/program/dev.go
+++ b/program/dev.go
@@ -12,13 +12,12 @@
 	"syscall"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/client"
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/declare"
 	"hollyfork.example/hollyfork/entry"
 	"hollyfork.example/hollyfork/examples"
--- a/program/gatewayd/main.go
+++ b/program/gatewayd/main.go
@@ -12,11 +12,10 @@
 	"syscall"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/gateway"
 	"hollyfork.example/hollyfork/holder"
 	"hollyfork.example/hollyfork/malformed"
@@ -150,6 +149,7 @@
 // wake goes on after the process was away: it says what has ended meanwhile, and drops connections that may
 // have broken.
 func (p *gatewayProcess) wake(a clock.Absence, client *adapter.Store) {
+	p.metrics.GetOrCreateCounter("hollyfork_gateway_absences_total").Inc()
 	age := p.follower.Age(clock.Now())
 	p.logger.Warn().Dur("for", a.For).Dur("suspended", a.Suspended).Int64("config_age_ms", age.Milliseconds()).
 		Bool("config_lapsed", age > gateway.MaxAge).Strs("pools", p.wakeHolders()).Msg("gateway: was away")
--- a/program/gatewayd/state.go
+++ b/program/gatewayd/state.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"hollyfork.example/hollyfork/clock"
-
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/process"
@@ -51,6 +50,17 @@
 	"unavailable": func(f pool.FreeRoom) int { return f.Unavailable },
 }
 
+// addLackingGauge adds a gauge of what workers have less than they had.
+func (p *gatewayProcess) addLackingGauge() {
+	p.metrics.NewGauge("hollyfork_pool_accelerators_lacking", func() float64 {
+		lacking := 0
+		for _, snapshot := range p.pools() {
+			lacking += snapshot.Lacking
+		}
+		return float64(lacking)
+	})
+}
+
 // addFreeGauges adds a gauge for each rule that keeps accelerators free.
 func (p *gatewayProcess) addFreeGauges() {
 	for reason, count := range freeBy {
@@ -105,6 +115,7 @@
 		return float64(usable)
 	})
 	p.addFreeGauges()
+	p.addLackingGauge()
 	p.metrics.NewGauge("hollyfork_rpc_received_bytes_total", func() float64 { return float64(p.traffic.BytesIn.Load()) })
 	p.metrics.NewGauge("hollyfork_rpc_sent_bytes_total", func() float64 { return float64(p.traffic.BytesOut.Load()) })
 }
--- a/program/sidecard/main.go
+++ b/program/sidecard/main.go
@@ -9,12 +9,11 @@
 	"syscall"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/backoff"
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/holder"
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/platform/adapter"
--- a/relay/member.go
+++ b/relay/member.go
@@ -6,11 +6,10 @@
 	"net"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"google.golang.org/protobuf/proto"
 
 	"hollyfork.example/hollyfork/backoff"
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire/relaypb"
--- a/relay/store.go
+++ b/relay/store.go
@@ -6,12 +6,11 @@
 	"fmt"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/backoff"
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/rpc"
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -7,12 +7,11 @@
 	"sync"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/wire/poolpb"
 )
 
--- a/sidecar/service_test.go
+++ b/sidecar/service_test.go
@@ -7,12 +7,11 @@
 	"testing/synctest"
 	"time"
 
-	"hollyfork.example/hollyfork/clock/clocktest"
-
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
 
+	"hollyfork.example/hollyfork/clock/clocktest"
 	"hollyfork.example/wire/poolpb"
 )
 
--- a/store/settle.go
+++ b/store/settle.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"hollyfork.example/hollyfork/clock"
-
 	"hollyfork.example/hollyfork/backoff"
+	"hollyfork.example/hollyfork/clock"
 )
 
 // Bounds of the waits between the tries of Settle. A holder that waits out an outage has its
