Test clusters keep their ports until they are over

The 22nd port of the block, taken by the first cluster: after a lap through 400 ports it was free for 2 s, since its worker had crashed, and was handed out to the sixth cluster. Change: a port is its cluster's until that is over.

--- a/program/cluster/cluster.go
+++ b/program/cluster/cluster.go
@@ -4,15 +4,12 @@
 package cluster
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -189,30 +186,6 @@
 	return p
 }
 
-// freeAddress returns a loopback address that nobody listens on. Its port is below those
-// that the kernel gives to outgoing connections, and apart from those of other processes
-// that run tests.
-func (c *Cluster) freeAddress() string {
-	c.t.Helper()
-	const firstPort, blocks, block = 10000, 50, 400
-	config := net.ListenConfig{}
-	for range block {
-		number := int(nextPort.Add(1)) % block
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+os.Getpid()%blocks*block+number)
-		listener, err := config.Listen(context.Background(), "tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = listener.Close()
-		return address
-	}
-	c.t.Fatal("no port is free")
-	return ""
-}
-
-// nextPort counts the ports that were handed out.
-var nextPort atomic.Int64
-
 // JobPath is the path of the job with a number.
 func JobPath(id int) string {
 	return fmt.Sprintf("%s%016x", Prefix, id)
