Random histories with suspensions; a request's proof is looked at again before each call to the store

Cause: a gateway looked at its proof of the configuration once, before the body was read and the store called; a VM that was suspended in between wrote the job under a key that might be gone. Change: the proof is looked at before each try; a request whose proof has ended is refused with 503, and has not run. Before: TestRequestIsRefusedThatWasSuspendedOnItsWay fails (the store was written). After: passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -148,8 +148,19 @@
 	return AsError(err).Kind.String()
 }
 
+var errStale = errors.New("it is not known any more whether the configuration is the newest")
+
+// tryFresh runs a request to the store unless the configuration may be an old one.
+func (g *Gateway) tryFresh(ctx context.Context, try func(context.Context) error) error {
+	if !g.follower.Fresh(g.now()) {
+		return &store.Error{Op: "try", Kind: store.KindRefused, Err: errStale}
+	}
+	return try(ctx)
+}
+
 // retry runs a request to the store until it was answered or the caller's time runs out.
-// It says whether any try went unanswered.
+// It says whether any try went unanswered. The proof of the configuration is looked at before each: the
+// process may have been away since the caller's key was.
 func (g *Gateway) retry(ctx context.Context, call Call, try func(context.Context) error) (unsettled bool, err error) {
 	budget := tryFor
 	if call.Time > 0 {
@@ -159,7 +170,7 @@
 	defer cancel()
 	pause := backoff.New(firstRetry, lastRetry)
 	for {
-		err = try(ctx)
+		err = g.tryFresh(ctx, try)
 		switch store.KindOf(err) {
 		case store.KindUnsettled:
 			unsettled = true
--- a/gateway/suspended_test.go
+++ b/gateway/suspended_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,6 +12,7 @@
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/clock/clocktest"
+	"hollyfork.example/hollyfork/job"
 	"hollyfork.example/hollyfork/malformed"
 )
 
@@ -35,3 +37,23 @@
 	follower.take(vm.Now(), Update{})
 	is.True(g.Ready(vm.Now()))
 }
+
+// The VM was suspended between the look at the caller's key and the store's call, here while the request's
+// body was read.
+func TestRequestIsRefusedThatWasSuspendedOnItsWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		vm := clocktest.New()
+		logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+		bad := malformed.New(logger, metrics.NewSet())
+		follower := NewFollower(vm, nil, logger, bad)
+		follower.take(vm.Now(), Update{Catalog: testConfig(3, "k")})
+		g := New(unused{}, nil, follower, metrics.NewSet(), logger, bad)
+		decode := func() (job.Job, error) {
+			vm.Suspend(time.Minute)
+			return job.Job{Spec: "x", Steps: []job.Step{{Count: 1, Shape: job.Shape{CPUMillis: 1, MemoryMB: 1}}}}, nil
+		}
+		err := g.Submit(t.Context(), Call{Host: "h", Path: "/a/0000000000000001", Key: "k"}, decode)
+		is.Equal(AsError(err).Kind, KindUnavailable) // the store was not asked: it would have panicked
+	})
+}
--- /dev/null
+++ b/pool/suspended_test.go
@@ -0,0 +1,119 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// A holder that was suspended counts the time: what its agents' leases have outlasted is placed again, and what
+// it decides rests on what is known by then.
+func TestHolderThatWasSuspendedCountsTheTime(t *testing.T) {
+	is := is.New(t)
+	w := newHalls(t, 2, 2)
+	w.run(300 * time.Millisecond)
+	w.submit(gang(1, 1, 8, 10*time.Second))
+	w.until("it runs", func() bool { return w.starts == 1 })
+	w.suspend(6 * time.Second) // longer than the agents' leases
+	w.run(3 * time.Second)
+	w.submit(gang(2, 1, 8, 300*time.Millisecond))
+	w.evacuate("hall-0")
+	w.evacuate("hall-1")
+	w.run(2 * time.Second)
+	is.Equal(w.starts, 1) // nobody decides
+	w.run(3 * time.Second)
+	is.Equal(w.starts, 1) // it knows of the evacuations before anything else
+	is.Equal(w.count(EventLost), 1)
+	w.takeBack("hall-1")
+	w.takeBack("hall-0")
+	w.run(time.Second)
+	is.Equal(w.starts, 3)
+}
+
+// Rounds are due by the time of day, wherever the clock stands that ages count on.
+func TestRoundsFollowTheTimeOfDay(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1)
+	w.run(300 * time.Millisecond)
+	j := oneTask(1, 100*time.Millisecond)
+	j.Schedule.Repeats = 1
+	j.Schedule.First = w.now.Add(10 * time.Second)
+	w.submit(j)
+	w.jump(-3 * time.Second) // the clock goes before the time of day
+	w.run(11 * time.Second)
+	is.Equal(w.starts, 0)
+	w.run(3 * time.Second)
+	is.Equal(w.starts, 1)
+	is.Equal(w.state(j.ID), Done)
+	is.True(w.core.jobs[j.ID].rounds == nil || len(w.core.jobs[j.ID].rounds) == 0)
+}
+
+// Holders, agents and workers are suspended or frozen for any time at any moment, while holders change, data
+// centres are evacuated, rooms change, the time of day jumps and tasks crash their workers. At each start the
+// world checks that the task runs nowhere else and has not been done, that it is due and asked for, that its data
+// centre is not evacuated, that there is room, and that it has not crashed too many workers.
+func TestSuspensionsInHistories(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		w := newHalls(t, 6, 3)
+		w.random = newRandom(rapid.Uint64().Draw(r, "seed"))
+		w.loses = func() bool { return w.random.IntN(10) == 0 }
+		w.run(300 * time.Millisecond)
+		for i := range rapid.IntRange(5, 20).Draw(r, "steps") {
+			j := randomJob(w, i)
+			j.Terms.Advised = false
+			w.submit(j)
+			w.strike(r, i)
+			w.run(time.Duration(rapid.IntRange(0, 1500).Draw(r, "pause")) * time.Millisecond)
+		}
+		w.unproven = false
+		w.calm()
+		w.jump(0)
+		for i := range 3 {
+			w.takeBack(fmt.Sprintf("hall-%d", i))
+		}
+		for _, f := range w.workers {
+			f.capacity = wholeWorker
+		}
+		w.run(60 * time.Second)
+		for id, j := range w.core.jobs {
+			if !j.state.ended() {
+				r.Errorf("job %s has not ended: %v", id, j.state)
+			}
+		}
+		if t.Failed() {
+			r.Fatal("the world found a fault")
+		}
+	})
+}
+
+// strike does one kind of harm.
+func (w *world) strike(r *rapid.T, step int) {
+	const culprits = 1000 // apart from sound jobs
+	length := time.Duration(rapid.IntRange(100, 8000).Draw(r, "ms")) * time.Millisecond
+	f := w.workers[w.random.IntN(len(w.workers))]
+	hall := fmt.Sprintf("hall-%d", w.random.IntN(3))
+	switch rapid.IntRange(0, 9).Draw(r, "harm") {
+	case 0, 1:
+		w.suspend(length)
+	case 2:
+		f.silent = true
+		w.after(length, func() { f.silent = false })
+	case 3:
+		w.takeOver()
+	case 4:
+		w.evacuate(hall)
+	case 5:
+		w.takeBack(hall)
+	case 6:
+		w.changeRoom()
+	case 7:
+		w.jump(length/4 - time.Second)
+	case 8:
+		w.submitCulprit(oneTask(culprits+step, time.Second), 0, length/8)
+	case 9:
+		w.unproven = !w.unproven
+	}
+}
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -53,6 +53,11 @@
 	saved map[string]map[job.TaskID]bool
 	// stillSince is when a job was seen first with nothing running beside ample room.
 	stillSince map[job.ID]time.Time
+	// suspendedUntil is how long the holder's VM is suspended: it reads no answer and decides nothing.
+	suspendedUntil time.Time
+	// ahead is how far the time of day is ahead of the world's, aheadMost how far it was at most.
+	ahead     time.Duration
+	aheadMost time.Duration
 	// beatEvery is how far apart the heartbeats are in which workers say what room they have; 0 when each
 	// report tells.
 	beatEvery time.Duration
@@ -176,6 +181,7 @@
 // takeOver makes another holder of the pool, from its rows alone.
 func (w *world) takeOver() {
 	w.epoch++
+	w.suspendedUntil = time.Time{}
 	w.proven = catalog.Evacuations{}
 	core := New("pool", w.settings, func(e Event) { w.events = append(w.events, e) })
 	for _, f := range w.workers {
@@ -213,14 +219,35 @@
 	w.later = append(w.later, event{at: w.now.Add(d), do: do})
 }
 
-// ofHolder wraps what only concerns the present holder.
+// ofHolder wraps what only concerns the present holder, and waits while that is suspended.
 func (w *world) ofHolder(do func()) func() {
 	epoch := w.epoch
-	return func() {
-		if w.epoch == epoch {
+	var wrapped func()
+	wrapped = func() {
+		switch {
+		case w.epoch != epoch:
+		case w.suspended():
+			w.later = append(w.later, event{at: w.suspendedUntil, do: wrapped})
+		default:
 			do()
 		}
 	}
+	return wrapped
+}
+
+// suspend has the holder's VM be suspended for a time.
+func (w *world) suspend(length time.Duration) {
+	w.suspendedUntil = w.now.Add(length)
+}
+
+func (w *world) suspended() bool {
+	return w.now.Before(w.suspendedUntil)
+}
+
+// jump sets how far the time of day is ahead.
+func (w *world) jump(ahead time.Duration) {
+	w.ahead = ahead
+	w.aheadMost = max(w.aheadMost, ahead)
 }
 
 // submit accepts a job.
@@ -296,6 +323,10 @@
 
 // proceed does what the holder does after each message.
 func (w *world) proceed() {
+	if w.suspended() {
+		return
+	}
+	w.core.SetTimeOfDay(w.ahead)
 	if !w.unproven {
 		w.proven = w.evacuations.WithProof(w.now)
 	}
@@ -447,7 +478,7 @@
 			}
 		}
 	}
-	if from := w.jobs[s.Task.Job].From(s.Task.Round); w.now.Before(from) {
+	if from := w.jobs[s.Task.Job].From(s.Task.Round); w.now.Add(w.aheadMost).Before(from) {
 		w.t.Errorf("%s: %v starts before its time, %s", w.now, s.Task, from)
 	}
 	row, ok := w.rows[StateKey("pool", s.Task.Job)]
--- a/pool/world_worker_test.go
+++ b/pool/world_worker_test.go
@@ -67,7 +67,7 @@
 		}
 	}
 	noticed := f.down && w.now.Sub(f.noticedAt) >= 0 && w.now.Sub(f.noticedAt) < worldStep
-	if f.silent || !noticed && w.now.UnixMilli()%100 >= worldStep.Milliseconds() {
+	if f.silent || w.suspended() || !noticed && w.now.UnixMilli()%100 >= worldStep.Milliseconds() {
 		return
 	}
 	f.leaseUntil = w.now.Add(DefaultSettings().AgentLease)
