--- a/pool/suspended_test.go
+++ b/pool/suspended_test.go
@@ -48,7 +48,7 @@
 	w.run(3 * time.Second)
 	is.Equal(w.starts, 1)
 	is.Equal(w.state(j.ID), Done)
-	is.True(w.core.jobs[j.ID].rounds == nil || len(w.core.jobs[j.ID].rounds) == 0)
+	is.Equal(len(w.core.jobs[j.ID].rounds), 0)
 }
 
 // Holders, agents and workers are suspended or frozen for any time at any moment, while holders change, data
