--- a/pool/going_on_test.go
+++ b/pool/going_on_test.go
@@ -155,6 +155,40 @@
 	is.Equal(w.state(inOne.ID), Done)
 }
 
+// Each holder counted anew for how long a gang had been passed over: one that had lost a worker waited for its
+// rack again with each change of holder, 3.01 s through two of them in a random history, and without end through more.
+func TestGangThatLostAWorkerLeavesItsRackThroughChangesOfHolder(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 15) // in five racks
+	for id := 1; id <= 5; id++ {
+		j := oneTask(id, time.Minute)
+		j.Steps[0].DataRack = fmt.Sprintf("rack-%d", id-1)
+		j.Terms.Priority = 1
+		w.submit(j)
+	}
+	inOne := gang(30, 3, 8, 20*time.Second)
+	inOne.Steps[0].SameRack = true
+	inOne.Terms.Priority = 1
+	w.run(300 * time.Millisecond)
+	w.submit(inOne)
+	w.until("it runs", func() bool { return w.runs(inOne.ID) })
+	for _, f := range w.workers {
+		for key := range f.running {
+			if key.task.Job == inOne.ID {
+				f.restartWorker()
+				break
+			}
+		}
+	}
+	w.run(200 * time.Millisecond)
+	for range 4 {
+		w.goesOn(1200 * time.Millisecond)
+		w.takeOver()
+	}
+	w.goesOn(2 * time.Second)
+	is.True(w.runs(inOne.ID))
+}
+
 // Room that urgent work had left was kept for more of it, and each short urgent task kept it anew:
 // other work found nothing on workers that were busy for a tenth of the time.
 func TestWorkGoesOnBesideKeptRoomOfAnIdlePool(t *testing.T) {
