--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -62,7 +62,7 @@
 
 // giveUpBeyondRoom gives up runs that are still to be started on a worker which has too little room for
 // all that is placed there, the last placed first. Without it orders went out for room that had shrunk
-// since: in 6 of 6 tests a worker that guards nothing was overdrawn.
+// since, and a worker that guards nothing was overdrawn: by one task of a whole worker in each of four tests.
 func (c *Core) giveUpBeyondRoom(now time.Time, w *worker) {
 	room := w.free()
 	if !room.Overdrawn() {
