Test clusters look for free ports by dialling, not by listening there

Change: a port is free if nobody answers there; nothing of ours listens on it before its owner does.

--- a/program/cluster/ports.go
+++ b/program/cluster/ports.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"time"
 )
 
 const (
@@ -59,15 +60,16 @@
 	delete(b.taken, port)
 }
 
-// unused says whether nobody listens on a port.
+// unused says whether nobody listens on a port. It does not listen there itself: a process that is being started
+// would hold the port until it runs its program and has closed what it must not keep.
 func unused(port int) bool {
-	config := net.ListenConfig{}
-	listener, err := config.Listen(context.Background(), "tcp", addressOf(port))
+	dialer := net.Dialer{Timeout: time.Second}
+	conn, err := dialer.DialContext(context.Background(), "tcp", addressOf(port))
 	if err != nil {
-		return false
+		return true
 	}
-	_ = listener.Close()
-	return true
+	_ = conn.Close()
+	return false
 }
 
 func addressOf(port int) string {
--- a/program/cluster/ports_test.go
+++ b/program/cluster/ports_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"net"
 	"os"
 	"os/exec"
 	"sync"
@@ -9,8 +10,7 @@
 	"github.com/matryer/is"
 )
 
-// After a lap through the block a port was handed out again whose worker had crashed and was about to be back:
-// "listen tcp 127.0.0.1:26022: bind: address already in use", in a soak of ten seeds.
+// After a lap through the block a port would be handed out again whose worker has crashed and is about to be back.
 func TestPortsAreTakenUntilTheirClusterIsOver(t *testing.T) {
 	is := is.New(t)
 	b := portBlock{taken: map[int]bool{}}
@@ -53,14 +53,17 @@
 		})
 	}
 	b := portBlock{taken: map[int]bool{}}
+	config := net.ListenConfig{}
 	busy := 0
 	for range takes {
 		port, ok := b.take()
 		is.True(ok)
-		if !unused(port) {
+		listener, err := config.Listen(t.Context(), "tcp", addressOf(port))
+		if err != nil {
 			busy++
+			continue
 		}
-		b.giveBack(port)
+		defer func() { _ = listener.Close() }()
 	}
 	close(done)
 	starting.Wait()
