--- a/program/soak/soak_test.go
+++ b/program/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -35,14 +36,15 @@
 	first = flag.Uint64("first", 1, "first seed")
 )
 
-// Numbers of the kinds of harm: the first soaks had no workers that fail or leave starts
-// unanswered, later ones no workers that crash, then none whose room changes, and a seed draws the same harm only among as many
-// kinds.
+// Numbers of the kinds of harm. A seed draws the same harm only among as many kinds, so each soak keeps to those
+// that there were: the first had no workers that fail or leave starts unanswered, later ones no workers that
+// crash, then none whose room changes, then no connections that fall silent for good.
 const (
 	firstHarms = 10
 	crashHarms = 14
 	roomHarms  = 16
-	allHarms   = 17
+	quietHarms = 17
+	allHarms   = 18
 	// lostUnderFailed is how many workers have to be lost under a task before its job may be
 	// given up for that.
 	lostUnderFailed = 3
@@ -158,6 +160,8 @@
 		s.handInCulprit()
 	case roomHarms:
 		s.changeRoom(worker)
+	case quietHarms:
+		s.silence(either)
 	default:
 		s.writeElsewhere(worker)
 	}
@@ -169,6 +173,19 @@
 	s.last(func() { w.SetRoom(time.Now(), accelerators) })
 }
 
+// silence lets the open connections of a process fall silent for good, or those of all; new ones work.
+func (s *soak) silence(p *cluster.Program) {
+	silent := []*cluster.Program{p}
+	if s.variant.IntN(3) == 0 {
+		silent = slices.Concat(s.Gateways, s.Sidecars)
+	}
+	for _, each := range silent {
+		for _, link := range each.Links {
+			link.Silence()
+		}
+	}
+}
+
 // handInCulprit hands in a job of which a task crashes each worker that starts it.
 func (s *soak) handInCulprit() {
 	id := culpritID + len(s.accepted) + len(s.refused)
