--- /dev/null
+++ b/program/pooltest/away_test.go
@@ -0,0 +1,59 @@
+package pooltest
+
+import (
+	"encoding/json"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/program/cluster"
+)
+
+// absence is what a process says of a time in which it did nothing, in milliseconds.
+type absence struct {
+	For          float64 `json:"for"`
+	Suspended    float64 `json:"suspended"`
+	ConfigLapsed bool    `json:"config_lapsed"`
+	LeaseLeft    float64 `json:"lease_left"`
+	Message      string  `json:"message"`
+}
+
+// absenceIn returns what a process has said in its log; ok is false until it has.
+func absenceIn(p *cluster.Program) (a absence, ok bool) {
+	for line := range strings.Lines(p.Output()) {
+		a = absence{}
+		if json.Unmarshal([]byte(line), &a) == nil && strings.HasSuffix(a.Message, ": was away") {
+			return a, true
+		}
+	}
+	return absence{}, false
+}
+
+// A process that stood still says for how long, and what has ended meanwhile. Its VM was not suspended: nothing
+// here can do that.
+func TestProcessThatWasAwaySaysSo(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const frozen = 4 * time.Second // longer than the proof of the configuration holds
+	c := cluster.New(t, 1, 1)
+	var told [2]absence
+	for i, p := range []*cluster.Program{c.Gateways[0], c.Sidecars[0]} {
+		p.Signal(syscall.SIGSTOP)
+		time.Sleep(frozen)
+		p.Signal(syscall.SIGCONT)
+		cluster.Eventually(t, "it says that it was away", func() bool {
+			var ok bool
+			told[i], ok = absenceIn(p)
+			return ok
+		})
+		is.True(told[i].For > 3000)
+		is.True(told[i].Suspended < 100)
+	}
+	is.True(told[0].ConfigLapsed)
+	is.True(told[1].LeaseLeft < 1000) // of 4.5 s
+	c.Submit(1, cluster.Tasks(1, "100ms"))
+	c.Await(1, "done")
+}
--- a/program/pooltest/room_test.go
+++ b/program/pooltest/room_test.go
@@ -1,11 +1,14 @@
 package pooltest
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"hollyfork.example/hollyfork/program"
 	"hollyfork.example/hollyfork/program/cluster"
 )
 
@@ -24,6 +27,13 @@
 	c.Await(1, "done")
 	time.Sleep(time.Second)
 	is.True(!c.Runs.Ran("0000000000000002.0.0.0"))
+
+	var stdout, stderr bytes.Buffer
+	is.Equal(program.Ctl([]string{"-server", c.Gateways[0].Admin(), "pools"}, &stdout, &stderr), 0)
+	is.True(strings.Contains(stdout.String(), "workers have 8 accelerators fewer than they had"))
+	is.True(strings.Contains(stdout.String(), "shrunk"))
+	is.True(strings.Contains(c.Gateways[0].Output(), `"holder: worker room"`))
+
 	worker.SetRoom(time.Now(), 4)
 	c.Await(2, "done")
 	c.Submit(3, cluster.Gang(1, 8, "100ms"))
