An agent stops whatever goes on after its lease has ended, not only right after a suspension

Cause, found by reading: a suspension that is shorter than what is left of the grant was over when the grant ended, and the worker's clock, if it stood still as well, lagged behind: the worker went on for as long after the holder had taken its runs for lost. A holder's reading of its clock has one place.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,7 +26,10 @@
 	RetryAfter = 1 * time.Second
 )
 
-var errAway = errors.New("the store is away")
+var (
+	errAway  = errors.New("the store is away")
+	errStale = errors.New("it is not known any more whether the configuration is the newest")
+)
 
 type (
 	// Call is what all requests have.
@@ -148,8 +151,6 @@
 	return AsError(err).Kind.String()
 }
 
-var errStale = errors.New("it is not known any more whether the configuration is the newest")
-
 // tryFresh runs a request to the store unless the configuration may be an old one.
 func (g *Gateway) tryFresh(ctx context.Context, try func(context.Context) error) error {
 	if !g.follower.Fresh(g.now()) {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -110,7 +110,7 @@
 
 // Receive implements actor.Actor.
 func (h *Holder) Receive(c actor.Context) {
-	now := h.host.deps.Clock.Now()
+	now := h.now()
 	switch m := c.Message().(type) {
 	case *actor.Started:
 		h.start(c.Self())
@@ -144,6 +144,11 @@
 	h.proceed(now)
 }
 
+// now reads the clock. It is safe for concurrent use.
+func (h *Holder) now() time.Time {
+	return h.host.deps.Clock.Now()
+}
+
 func (h *Holder) start(self *actor.PID) {
 	h.self = self
 	for _, a := range h.pending {
--- a/holder/link.go
+++ b/holder/link.go
@@ -100,7 +100,7 @@
 		l.holder.host.deps.Logger.Warn().Str("agent", l.agent).Str("incarnation", reply.GetIncarnation()).Uint64("report", reply.GetReport()).Msg("holder: a late answer is passed over")
 		return
 	}
-	l.holder.send(synced{agent: l.agent, at: l.holder.host.deps.Clock.Now(), reply: reply})
+	l.holder.send(synced{agent: l.agent, at: l.holder.now(), reply: reply})
 }
 
 // newest says whether an answer is newer than all before it, and keeps it if so.
@@ -146,7 +146,7 @@
 		WaitMs:      int32(wait.Milliseconds()),
 	}
 	l.mu.Unlock()
-	if l.holder.inForce(l.holder.host.deps.Clock.Now()) {
+	if l.holder.inForce(l.holder.now()) {
 		request.LeaseMs = int32(l.holder.host.settings.AgentLease.Milliseconds())
 	}
 	return rpc.Call[poolpb.SyncReply](ctx, l.client, syncMethod, request)
@@ -155,7 +155,7 @@
 // order gives orders to the agent, unless the holder's lease has ended meanwhile. A call that fails
 // leaves them unsettled.
 func (l *link) order(ctx context.Context, epoch uint64, orders pool.Orders) *poolpb.OrderReply {
-	if !l.holder.inForce(l.holder.host.deps.Clock.Now()) {
+	if !l.holder.inForce(l.holder.now()) {
 		return &poolpb.OrderReply{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/pool/restore.go
+++ b/pool/restore.go
@@ -156,7 +156,7 @@
 
 // restoredSince is since when a group counts as passed over that an earlier holder knew: the row does not say, but
 // a change of holder takes longer than a group waits for workers that it prefers. Without this a gang that
-// had lost a worker waited for its rack anew with each change, through four of them for 5 s.
+// had lost a worker waited for its rack anew with each change: for 3 s, and 3 s again, through four of them.
 func (c *Core) restoredSince(now time.Time, row *poolpb.GroupState) time.Time {
 	if row.GetDone() || len(row.GetMembers()) > 0 {
 		return time.Time{}
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -145,8 +145,8 @@
 	return a.clock.Now()
 }
 
-// stopOverdue stops runs that have outlasted their lease while the VM was suspended. One whose stop goes
-// unanswered is stopped by the holder, which knows that it should not be there.
+// stopOverdue stops runs that have outlasted their lease. One whose stop goes unanswered is stopped with the next
+// listing, or by a holder, which knows that it should not be there.
 func (a *Agent) stopOverdue(ctx context.Context, hold Hold, runs []*poolpb.RunningTask) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -86,7 +86,7 @@
 	// silent says that the last question was not answered.
 	silent   bool
 	refusals int
-	// overdue are runs that go on although their lease has ended, to be stopped.
+	// overdue are runs that go on although their lease has ended, and are to be stopped.
 	overdue []*poolpb.RunningTask
 
 	committed uint64
@@ -348,10 +348,12 @@
 	return news
 }
 
-// outlasting returns the runs of a new listing that go on although their lease has ended: the VM was
-// suspended, and the worker's clock stood still with it, so its lease lasts longer than the holder counts.
+// outlasting returns the runs of a new listing that go on although their lease has ended. That is so when the
+// VM was suspended and the worker's clock stood still with it, or when the worker took an extension for longer
+// than it was meant: its lease lasts longer then than the holder counts. An agent that has had no lease yet
+// leaves what an earlier one started alone.
 func (c *Core) outlasting(now time.Time) []*poolpb.RunningTask {
-	if c.suspendedSinceHeld() == 0 || now.Before(c.leaseUntil.Add(overdueAfter)) {
+	if c.leaseUntil.IsZero() || now.Before(c.leaseUntil.Add(overdueAfter)) {
 		return nil
 	}
 	return c.listing.Running
--- a/sidecar/suspended_test.go
+++ b/sidecar/suspended_test.go
@@ -49,16 +49,18 @@
 	is.Equal(hold.Until, 102*time.Second)
 }
 
-func TestRunThatOutlastsItsLeaseInASuspensionIsStopped(t *testing.T) {
+// The first form of this looked only right after a suspension: one that was shorter than what was left of the grant
+// let the worker go on for as long after its end.
+func TestRunThatOutlastsItsLeaseIsStopped(t *testing.T) {
 	running := []*poolpb.RunningTask{{Task: "a.0.0.0", Run: 1}}
 	for name, test := range map[string]struct {
 		at, suspended time.Duration
 		overdue       int
 	}{
-		"the grant has ended":      {at: 5 * time.Second, suspended: 5 * time.Second, overdue: 1},
-		"the grant is in force":    {at: 3 * time.Second, suspended: 3 * time.Second},
-		"nothing was suspended":    {at: 5 * time.Second},
-		"it was a reading's error": {at: 5 * time.Second, suspended: 5 * time.Millisecond},
+		"the grant ended in a suspension":        {at: 5 * time.Second, suspended: 5 * time.Second, overdue: 1},
+		"the grant is in force":                  {at: 3 * time.Second, suspended: 3 * time.Second},
+		"the worker's clock may have been slow":  {at: 4200 * time.Millisecond},
+		"the worker took its lease to be longer": {at: 5 * time.Second, overdue: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -72,6 +74,33 @@
 	}
 }
 
+// A short suspension is over when the grant ends, and the worker's clock lags behind by then.
+func TestRunIsStoppedWhenAGrantEndsAfterASuspension(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	running := []*poolpb.RunningTask{{Task: "a.0.0.0", Run: 1}}
+	list(c, 0, Listing{Clock: 100 * time.Second, Running: running})
+	c.NextHold(start) // until 104 s of the worker's clock
+	c.NoteSuspended(2 * time.Second)
+	for _, at := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		list(c, at, Listing{Clock: 98*time.Second + at, Running: running})
+		is.Equal(len(c.TakeOverdue()), 0)
+	}
+	list(c, 4500*time.Millisecond, Listing{Clock: 102500 * time.Millisecond, Running: running})
+	is.Equal(len(c.TakeOverdue()), 1) // the holder has taken it for lost, and the worker would go on until 6 s
+}
+
+// An agent that is back adopts what runs, and stops nothing before it has had a lease itself.
+func TestAgentThatIsBackStopsNothing(t *testing.T) {
+	is := is.New(t)
+	c := NewCore(start, "another")
+	c.Heartbeat(Heartbeat{Instance: "first", Sequence: 1})
+	c.MeetEpoch(7)
+	list(c, time.Minute, Listing{Clock: 100 * time.Second, Running: []*poolpb.RunningTask{{Task: "a.0.0.0", Run: 1}}})
+	list(c, 2*time.Minute, Listing{Clock: 160 * time.Second, Running: []*poolpb.RunningTask{{Task: "a.0.0.0", Run: 1}}})
+	is.Equal(len(c.TakeOverdue()), 0)
+}
+
 // A worker that was suspended with its agent has its lease still before it.
 func TestSilentWorkerIsLeftItsLeaseAfterASuspension(t *testing.T) {
 	is := is.New(t)
