--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -236,6 +236,25 @@
 	w.submitCulprit(j, w.random.IntN(j.Steps[0].Count), after)
 }
 
+// The answer to a start was lost, the worker crashed, and the start was sent again: that the second one was refused,
+// since nothing listened there, took the crash back that was the doing of the first. Five crashes were
+// four, and the task was started a third time after three workers had crashed under it.
+func TestRefusalOfASecondStartTakesNoCrashBack(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 11)
+	for _, i := range []int{4, 5} {
+		w.workers[i].labels = []string{"late"} // their agents notice while the second start is on its way
+	}
+	w.run(10 * time.Second)
+	w.loses = func() bool { return true }
+	j := oneTask(1, 2*time.Second)
+	j.Steps[0].Label = "late"
+	w.submitCulprit(j, 0, 30*time.Millisecond)
+	w.run(40 * time.Second)
+	is.Equal(w.state(j.ID), Failed)
+	is.True(w.crashes[job.TaskID{Job: j.ID}] <= 5)
+}
+
 // What a caller is told is that the job failed; operators see why, also from a later holder.
 func TestCauseOfACrashedJobIsShown(t *testing.T) {
 	is := is.New(t)
--- a/pool/suspended_test.go
+++ b/pool/suspended_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"hollyfork.example/hollyfork/job"
 )
 
 // A holder that was suspended counts the time: what its agents' leases have outlasted is placed again, and what
@@ -33,6 +35,45 @@
 	is.Equal(w.starts, 3)
 }
 
+// A holder that woke took the runs for ones that had stood still for as long as it had been suspended, stopped
+// them, and set their workers aside.
+func TestRunsGoOnThroughASuspensionOfTheHolder(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2)
+	w.run(300 * time.Millisecond)
+	w.submit(gang(1, 2, 8, 10*time.Second))
+	w.run(time.Second)
+	is.Equal(w.starts, 2)
+	w.suspend(3550 * time.Millisecond) // it wakes between two answers of its agents
+	w.run(12 * time.Second)
+	is.Equal(w.count(EventStalled), 0)
+	is.Equal(w.count(EventAside), 0)
+	is.Equal(w.starts, 2)
+	is.Equal(w.state("0000000000000001"), Done)
+}
+
+// A run that had crashed its worker while the holder was suspended counted as one that had lasted for all that
+// time, which cleared its task of the crashes before.
+func TestNothingIsProvenWhileTheHolderIsSuspended(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 11)
+	w.run(10 * time.Second)
+	j := oneTask(1, 2*time.Second)
+	w.submitCulprit(j, 0, quick)
+	for range 12 {
+		before := w.starts
+		for end := w.now.Add(3 * time.Second); w.starts == before && w.now.Before(end); {
+			w.run(worldStep)
+		}
+		w.run(100 * time.Millisecond)      // it is known to run
+		w.suspend(4050 * time.Millisecond) // in which it crashes its worker
+		w.run(4100 * time.Millisecond)
+		is.Equal(w.core.jobs[j.ID].groups[0].survived, 0)
+	}
+	is.Equal(w.state(j.ID), Failed)
+	is.True(w.crashes[job.TaskID{Job: j.ID}] <= 5)
+}
+
 // Rounds are due by the time of day, wherever the clock stands that ages count on.
 func TestRoundsFollowTheTimeOfDay(t *testing.T) {
 	is := is.New(t)
