A refused second start takes no crash back; runs are judged by their agents' last word; an agent without a lease has none left

A refusal told that the present sending was not carried out, and the crash under an earlier one was dropped with it. Survival of crashes and standing still were measured up to the present, also while no agent could be heard. The time left of a grant that never was is the least duration, which the log library can't write: the agent ended. Change: a crash is dropped only if its start was sent once; runs are judged up to the last word of the agent that was silent for longest; 0 is left of no grant.

--- a/pool/crash.go
+++ b/pool/crash.go
@@ -37,8 +37,10 @@
 	// certain is false as long as the worker is only known to have been silent until its lease
 	// had ended.
 	certain bool
-	// started says that the run was known to be there.
-	started bool
+	// started says that the run was known to be there, sentOnce that its start was sent no more than
+	// once.
+	started  bool
+	sentOnce bool
 }
 
 var lapseNames = map[Lapse]string{
@@ -130,7 +132,7 @@
 		c.addCrash(now, m.group, crash{
 			index: m.index, run: m.group.run, agent: w.agent, instance: m.instance, after: m.ranFor(now),
 			inexact: m.restored, alone: w.runsOnly(m.group), certain: certain,
-			started: m.ran,
+			started: m.ran, sentOnce: m.sends == 1 && !m.restored,
 		})
 	}
 	for key, s := range w.strays {
@@ -169,7 +171,8 @@
 }
 
 // dropCrash takes back that a worker may have crashed under a start, when the answer comes that it was
-// not carried out.
+// not carried out. Of a start that was sent again the answer says nothing of the sendings before: without
+// that a task was started four times after three workers had crashed under it.
 func (c *Core) dropCrash(agent string, start Start) {
 	g := c.groupOf(start.Task)
 	if g == nil {
@@ -177,7 +180,7 @@
 	}
 	before := len(g.crashes)
 	g.crashes = slices.DeleteFunc(g.crashes, func(k crash) bool {
-		return k.agent == agent && k.run == start.Run && k.index == start.Task.Index && !k.started
+		return k.agent == agent && k.run == start.Run && k.index == start.Task.Index && !k.started && k.sentOnce
 	})
 	if len(g.crashes) == before {
 		return
--- a/pool/group.go
+++ b/pool/group.go
@@ -167,6 +167,18 @@
 	return slices.ContainsFunc(g.members, func(m *member) bool { return m.maybeSent })
 }
 
+// heardUntil is up to when it is known how the group's run goes: the last word of the agent that has been silent
+// for longest.
+func (g *group) heardUntil(now time.Time) time.Time {
+	until := now
+	for _, m := range g.members {
+		if m.worker.heard.Before(until) {
+			until = m.worker.heard
+		}
+	}
+	return until
+}
+
 // find returns the member for a task's index, or nil.
 func (g *group) find(index int) *member {
 	for _, m := range g.members {
--- a/pool/health.go
+++ b/pool/health.go
@@ -81,12 +81,13 @@
 	c.tell(Event{Kind: EventAside, Worker: w.agent, Detail: why})
 }
 
-// checkStall starts a group elsewhere whose progress stands still.
+// checkStall starts a group elsewhere whose progress stands still, as far as its agents have told. A holder that
+// was suspended for 3.5 s took all runs for such, stopped them and set their workers aside.
 func (c *Core) checkStall(now time.Time, g *group) {
 	if g.spec().LongRunning || g.progressAt.IsZero() {
 		return
 	}
-	if now.Sub(g.progressAt) < c.stallAfter(g) {
+	if g.heardUntil(now).Sub(g.progressAt) < c.stallAfter(g) {
 		return
 	}
 	c.tell(Event{Kind: EventStalled, Job: g.job.job.ID, Step: g.step, First: g.first, Run: g.run, Detail: fmt.Sprintf("at %d%% since %s", g.percent, now.Sub(g.progressAt))})
--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -58,7 +58,7 @@
 	if len(g.crashes) == 0 || g.runningSince.IsZero() {
 		return
 	}
-	ran := now.Sub(g.runningSince)
+	ran := g.heardUntil(now).Sub(g.runningSince)
 	if g.suspicion != suspectNone && ran > g.outlives() {
 		g.survived = len(g.crashes)
 		g.extraStarts = 0
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -235,7 +235,7 @@
 		Epoch:      a.core.epoch,
 		Instance:   a.core.beat.Instance,
 		Draining:   a.core.beat.Draining,
-		LeaseLeft:  a.core.leaseUntil.Sub(now),
+		LeaseLeft:  a.core.leaseLeft(now),
 		Running:    len(a.core.listing.Running),
 		Ended:      len(a.core.listing.Ended),
 		Committed:  a.core.committed,
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -359,6 +359,14 @@
 	return c.listing.Running
 }
 
+// leaseLeft is how much of the grant is left; below 0 when it has ended, 0 before the first.
+func (c *Core) leaseLeft(now time.Time) time.Duration {
+	if c.leaseUntil.IsZero() {
+		return 0
+	}
+	return c.leaseUntil.Sub(now)
+}
+
 // TakeOverdue returns the runs that are to be stopped since their lease has ended, each once.
 func (c *Core) TakeOverdue() []*poolpb.RunningTask {
 	overdue := c.overdue
