Failing test: a worker that was forgotten is not known again as long as its agent has no news

The holder had forgotten the worker with its lease (Core.tickWorker), kept the number of the agent's last report, and was told nothing, for nothing had changed. The line that forgets stands in too. Here, failing each time: holder TestForgottenWorkerIsAskedForAnew.

--- a/holder/link_test.go
+++ b/holder/link_test.go
@@ -81,6 +81,57 @@
 	is.Equal(next.GetWaitMs(), int32(0)) // it did not wait for the one that is held back
 }
 
+// unchangedAgent has told all it knows in its first report, and tells it again only to who has not seen it.
+type unchangedAgent struct {
+	asked chan uint64
+}
+
+func (a *unchangedAgent) Sync(request *poolpb.SyncRequest, reply *poolpb.SyncReply) error {
+	const report = 5
+	a.asked <- request.GetSeenReport()
+	reply.Incarnation = "agent"
+	reply.LeaseToken = request.GetLeaseToken() + 1
+	reply.Report = report
+	if request.GetSeenReport() != report {
+		reply.Worker = &poolpb.WorkerState{Instance: "first", Accelerators: 8, Listing: 1}
+	}
+	return nil
+}
+
+// An agent was silent until its worker's lease had ended, and the holder forgot the worker. When the agent answered
+// again it had no news, and the worker, on which nothing ran, was not known for as long as that went on:
+//
+//	holder: job waits, "for 26.068s, 1 tasks of 1 accelerators, …; workers: 1 not known yet"
+func TestForgottenWorkerIsAskedForAnew(t *testing.T) {
+	is := is.New(t)
+	agent := &unchangedAgent{asked: make(chan uint64, 100)}
+	h := newTestHolder(t, 0)
+	l := newLink(h, pool.AgentAddress{Agent: "a", Address: serveAgent(t, agent)})
+	h.links["a"] = l
+	now := h.now()
+	renew := func(at time.Time) {
+		reply, err := l.sync(context.Background(), 0)
+		is.NoErr(err)
+		is.True(l.newest(reply))
+		h.takeSync(synced{agent: "a", at: at, reply: reply})
+	}
+	renew(now)
+	renew(now)
+	is.Equal(h.core.Snapshot(now).Workers[0].Instance, "first")
+
+	now = now.Add(10 * time.Second)
+	h.core.Tick(now)
+	is.Equal(h.core.Snapshot(now).Workers[0].Instance, "")
+	renew(now) // it has no news
+	renew(now)
+	is.Equal(h.core.Snapshot(now).Workers[0].Instance, "first")
+	for range 4 {
+		is.True(<-agent.asked < 6)
+	}
+	renew(now) // and once is enough
+	is.Equal(<-agent.asked, uint64(5))
+}
+
 // countingAgent counts the orders that it is given.
 type countingAgent struct {
 	orders atomic.Int32
--- a/program/pooltest/away_test.go
+++ b/program/pooltest/away_test.go
@@ -57,3 +57,20 @@
 	c.Submit(1, cluster.Tasks(1, "100ms"))
 	c.Await(1, "done")
 }
+
+// A worker on which nothing ran was never known again after its agent had been silent until its lease had ended:
+// the holder had forgotten it, and the agent had no news. A job waited for as long as the test would let it:
+//
+//	holder: job waits, "for 26.068s, 1 tasks of 1 accelerators, …; workers: 1 not known yet"
+func TestIdleWorkerIsKnownAgainAfterASilence(t *testing.T) {
+	t.Parallel()
+	c := cluster.New(t, 1, 1)
+	c.Submit(1, cluster.Tasks(1, "100ms"))
+	c.Await(1, "done")
+	time.Sleep(time.Second) // its end is noted, and there is no more news
+	c.Sidecars[0].Signal(syscall.SIGSTOP)
+	time.Sleep(6 * time.Second) // longer than the lease
+	c.Sidecars[0].Signal(syscall.SIGCONT)
+	c.Submit(2, cluster.Tasks(1, "100ms"))
+	c.Await(2, "done")
+}
