--- a/holder/holder.go
+++ b/holder/holder.go
@@ -300,6 +300,10 @@
 	h.core.Heard(m.at, m.agent, grantFrom(m.reply))
 	if w := m.reply.GetWorker(); w != nil {
 		h.core.Report(m.at, m.agent, reportFrom(m.reply.GetIncarnation(), w))
+		return
+	}
+	if l, ok := h.links[m.agent]; ok && h.core.HasForgotten(m.agent) {
+		l.forgetReport()
 	}
 }
 
--- a/holder/link.go
+++ b/holder/link.go
@@ -33,6 +33,8 @@
 	// last is the newest of the agent's answers, former the agent's earlier incarnations.
 	last   *poolpb.SyncReply
 	former map[string]bool
+	// whole says that the agent is to tell all that it knows, also what it has told before.
+	whole bool
 }
 
 func newLink(h *Holder, a pool.AgentAddress) *link {
@@ -116,9 +118,27 @@
 		return false
 	}
 	l.last = reply
+	l.whole = l.whole && reply.GetWorker() == nil
 	return true
 }
 
+// forgetReport has the agent tell all that it knows with its next answer, though nothing has changed. A worker that
+// was forgotten when its agent had been silent for too long, and on which nothing ran, was not known again
+// otherwise: for 26 s until a test gave up.
+func (l *link) forgetReport() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.whole = true
+}
+
+// seenReport is the report of the agent's beyond which there is news. The lock must be held.
+func (l *link) seenReport() uint64 {
+	if l.whole {
+		return 0
+	}
+	return l.last.GetReport()
+}
+
 func (l *link) logTurn(up bool, err error) {
 	logger := l.holder.host.deps.Logger
 	if up {
@@ -142,7 +162,7 @@
 		Incarnation: l.last.GetIncarnation(),
 		Instance:    l.instance,
 		Committed:   l.committed,
-		SeenReport:  l.last.GetReport(),
+		SeenReport:  l.seenReport(),
 		WaitMs:      int32(wait.Milliseconds()),
 	}
 	l.mu.Unlock()
--- a/pool/report.go
+++ b/pool/report.go
@@ -10,6 +10,7 @@
 // Report takes over what an agent says of its worker.
 func (c *Core) Report(now time.Time, agent string, r Report) {
 	w := c.worker(now, agent)
+	w.forgotten = false
 	if r.Incarnation != w.incarnation {
 		c.agentRestarted(now, w, r.Incarnation)
 	}
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -12,8 +12,10 @@
 	worker struct {
 		agent       string
 		incarnation string
-		// instance is the worker's incarnation; empty when it is not known.
-		instance string
+		// instance is the worker's incarnation; empty when it is not known. forgotten says that it was, and
+		// that its agent is to tell it again.
+		instance  string
+		forgotten bool
 		// capacity is what it has for tasks at present, most what it had at most in this life.
 		capacity job.Shape
 		most     job.Shape
@@ -147,6 +149,13 @@
 	w.grant = grant
 }
 
+// HasForgotten says whether a worker was known and is not any more, since its agent had been silent until all that
+// ran there had lapsed.
+func (c *Core) HasForgotten(agent string) bool {
+	w, known := c.workers[agent]
+	return known && w.forgotten
+}
+
 // Committed returns up to which number the ends of a worker's incarnation are committed.
 func (c *Core) Committed(agent string) (instance string, number uint64) {
 	w, known := c.workers[agent]
@@ -237,6 +246,7 @@
 	if now.After(w.leaseEnd) && (w.instance != "" || len(w.members) > 0) {
 		c.noteCrash(now, w, false)
 		c.workerLost(now, w, "its agent is silent and its lease has lapsed")
+		w.forgotten = w.forgotten || w.instance != ""
 		w.instance = ""
 	}
 	c.lendRetained(now, w)
