Tests wait until a process that is to be stopped stands still

By the logs the sidecar was sent SIGSTOP at some 46.09, the order went out at 46.12, and after it woke at 52.516 the sidecar logged one start as OK and one as LATE. An agent refuses a start 4.5 s after its grant's reading, and a worker one whose time (until 50.6) is over, so the start that was OK was carried out before the freeze took hold, and before the evacuation at 47.5: allowed. The test counts on an agent that stands still when Signal returns; the signal takes effect when a thread next runs. Change: Signal waits until all threads are stopped. No check changed. That the worker began it before is inferred from its bound, not from a line of its own. After: the test and its neighbours pass.

--- a/program/cluster/program.go
+++ b/program/cluster/program.go
@@ -110,12 +110,32 @@
 	_ = p.command.Wait()
 }
 
-// Signal sends a signal to the process.
+// Signal sends a signal to the process. One that stops it has done so on return: on a busy VM the process
+// went on for some 20 ms, and an order that was to wait for it was carried out.
 func (p *Program) Signal(s syscall.Signal) {
 	p.t.Helper()
 	if err := p.command.Process.Signal(s); err != nil {
 		p.t.Fatal(err)
 	}
+	if s == syscall.SIGSTOP {
+		Eventually(p.t, "a process is stopped", p.stopped)
+	}
+}
+
+// stopped says whether all threads of the process stand still.
+func (p *Program) stopped() bool {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.command.Process.Pid))
+	if err != nil || len(files) == 0 {
+		return false
+	}
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		_, rest, _ := strings.Cut(string(content), ") ")
+		if err == nil && !strings.HasPrefix(rest, "T") {
+			return false
+		}
+	}
+	return true
 }
 
 // Stop asks the process to end, and waits until it has.
