Log of a passed-over heartbeat says what it said and what it was compared with

The line on a heartbeat that is taken for a late one gave its sequence alone, so it could not tell a notice of leaving that is lost from an old word that changes nothing. It has the notice, and the incarnation, sequence and notice that it was compared with. Nothing is decided by it.

--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -183,7 +183,10 @@
 		a.interrupt()
 		a.prompt()
 	case BeatOld:
-		a.logger.Warn().Str("instance", beat.Instance).Uint64("sequence", beat.Sequence).Msg("agent: a late heartbeat is passed over")
+		known := a.core.beat
+		a.logger.Warn().Str("instance", beat.Instance).Uint64("sequence", beat.Sequence).Bool("draining", beat.Draining).
+			Str("known_instance", known.Instance).Uint64("known_sequence", known.Sequence).Bool("known_draining", known.Draining).
+			Msg("agent: a late heartbeat is passed over")
 	}
 }
 
