--- a/program/cluster/cluster.go
+++ b/program/cluster/cluster.go
@@ -74,16 +74,22 @@
 // ready.
 func New(t testing.TB, gateways, workers int) *Cluster {
 	t.Helper()
-	return start(t, gateways, workers, nil)
+	return start(t, gateways, workers, nil, fakes.Lives{})
+}
+
+// NewLiving is New with workers of which the lives are told.
+func NewLiving(t testing.TB, gateways, workers int, lives fakes.Lives) *Cluster {
+	t.Helper()
+	return start(t, gateways, workers, nil, lives)
 }
 
 // NewAdvised is New for a queue whose policy lets only some workers run its steps.
 func NewAdvised(t testing.TB, gateways, workers int, allows func(worker string) bool) *Cluster {
 	t.Helper()
-	return start(t, gateways, workers, fakes.NewAdvice(allows))
+	return start(t, gateways, workers, fakes.NewAdvice(allows), fakes.Lives{})
 }
 
-func start(t testing.TB, gateways, workers int, advice *fakes.Advice) *Cluster {
+func start(t testing.TB, gateways, workers int, advice *fakes.Advice, lives fakes.Lives) *Cluster {
 	t.Helper()
 	c := &Cluster{t: t, Store: fakes.NewStore(time.Now()), Runs: fakes.NewRecorder(Attempts), Fleet: fakes.NewFleet(), Advice: advice}
 	if advice != nil {
@@ -96,7 +102,7 @@
 	c.storeAddress = strings.TrimPrefix(server.URL, "http://")
 	c.Configure(1, APIKey)
 	for i := range workers {
-		c.addWorker(i)
+		c.addWorker(i, lives)
 	}
 	for i := range gateways {
 		c.addGateway(i)
@@ -137,7 +143,7 @@
 	c.Store.Remove("op", "", "evacuate/"+dataCentre)
 }
 
-func (c *Cluster) addWorker(number int) {
+func (c *Cluster) addWorker(number int, lives fakes.Lives) {
 	c.t.Helper()
 	done := make(chan struct{})
 	c.t.Cleanup(func() { close(done) })
@@ -152,6 +158,7 @@
 	c.Fleet.Add(w, server)
 	w.SetAdvice(c.Advice)
 	w.SetZone(DataCentre(number))
+	w.SetLives(lives)
 	go w.Run(done)
 	c.Workers = append(c.Workers, w)
 
--- a/program/soak/crash_test.go
+++ b/program/soak/crash_test.go
@@ -54,9 +54,15 @@
 // workers, by turns a single task and a gang of four. It fails the test if such a task is started too
 // often or takes too many others along, or if a sound job fails, stands still or doesn't end.
 func keepSound(t *testing.T, seed uint64, killsHolders bool, after time.Duration) {
+	t.Helper()
+	keepSoundAmong(t, seed, fakes.Lives{}, killsHolders, after)
+}
+
+// keepSoundAmong is keepSound with workers of which the lives are told.
+func keepSoundAmong(t *testing.T, seed uint64, lives fakes.Lives, killsHolders bool, after time.Duration) {
 	t.Helper()
 	random := rand.New(rand.NewPCG(seed, seed))
-	w := &watch{Cluster: cluster.New(t, *gateways, watched)}
+	w := &watch{Cluster: cluster.NewLiving(t, *gateways, watched, lives)}
 	start := time.Now()
 	culprits := 0
 	for id := 1; id <= *watchedJobs; id++ {
