A worker is let forget ends in questions of their own, when no start may be under way

Cause: up to which number ends may be forgotten was told with each question, some two a second and one long one, all the time. A question names the worker alone; one that had started again in between took the number for its own and dropped ends that nobody had read, so a task counted as lost that had ended well and whose end was noted.

Change: the number is told once, in a question that is answered at once, when a listing has shown what became of all starts given before. Starts without an answer stay open until a listing shows them or the longest lease is over. A question of that kind without an answer may still come: an instance that follows within the longest lease gets no start until then.

Why it holds: the ends of an instance come from starts that its agent gave; while none is open since the last listing, an instance that nobody knows of has none. Left: a task that starts and ends within the few milliseconds in which the question is under way.

The test fails on the code before, and passes.

--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -125,7 +125,7 @@
 		return pauseAfterFailure
 	}
 	former := a.core.beat
-	if a.core.Listed(now, number, listing) {
+	if a.core.Listed(now, hold, number, listing) {
 		a.announce()
 	}
 	if living := a.core.beat.Instance; living != former.Instance {
@@ -139,6 +139,8 @@
 	switch {
 	case a.core.untold():
 		return pauseUncommitted
+	case hold.Committed > 0:
+		return 0
 	case hold.Wait == 0:
 		return pauseAfterFailure
 	default:
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -81,10 +81,18 @@
 	// overdue are runs that go on although their lease has ended, and are to be stopped.
 	overdue []*poolpb.RunningTask
 
-	committed uint64
-	report    uint64
+	// committed is the last end that the worker may forget, toldCommitted the last that it was told it may.
+	committed     uint64
+	toldCommitted uint64
+	report        uint64
 	// reportedAt is when the last news were noted.
 	reportedAt time.Time
+	// open are starts that may be under way to the worker.
+	open []openStart
+	// lateUntil is until when a question that let the worker forget ends and was not answered may still reach it,
+	// exposedUntil until when one may reach the living instance that was meant for the one before.
+	lateUntil    time.Time
+	exposedUntil time.Time
 	// tellAfter, unless 0, is the number of a listing; the next after it is news in any case.
 	tellAfter uint64
 }
@@ -175,8 +183,8 @@
 		return h, c.asked, true
 	}
 	h.Until = c.extend(now)
-	h.Committed = c.toForget()
-	if c.listed > 0 && !c.untold() && !c.silent && c.suspendedSinceHeld() == 0 {
+	h.Committed = c.toForget(now)
+	if c.listed > 0 && h.Committed == 0 && !c.untold() && !c.silent && c.suspendedSinceHeld() == 0 {
 		h.Wait = holdWait
 	}
 	return h, c.asked, true
@@ -201,9 +209,13 @@
 	return slices.ContainsFunc(c.unverified, func(u unverified) bool { return u.beat.Instance.SharesName(c.beat.Instance) })
 }
 
-// toForget returns the number of the last end that the worker may forget, or 0.
-func (c *Core) toForget() uint64 {
-	if c.listed == 0 {
+// toForget returns the number of the last end that the worker is to be told that it may forget, or 0. A question names the
+// worker alone, and its next instance, whose numbers begin anew, takes it for its own. So the number is told once, in
+// a question that is answered at once, and only when no start may be under way that could run, and end, in the
+// next instance. When it was told with each question, such an end was forgotten before it was listed, in each run of a
+// test with a worker that starts again between two questions.
+func (c *Core) toForget(now time.Time) uint64 {
+	if c.committed == c.toldCommitted || c.listed == 0 || c.silent || c.startsOpen(now) {
 		return 0
 	}
 	return c.committed
@@ -213,7 +225,7 @@
 // again and again.
 func (c *Core) untold() bool {
 	ended := c.listing.Ended
-	return len(ended) > 0 && ended[len(ended)-1].GetNumber() > c.committed
+	return len(ended) > 0 && ended[len(ended)-1].GetNumber() > c.toldCommitted
 }
 
 // NoteSuspended takes over for how long the VM has been suspended so far. It is to be called with each
@@ -245,7 +257,7 @@
 }
 
 // Listed takes over the answer to a question with a number. It says whether there is news in it.
-func (c *Core) Listed(now time.Time, number uint64, listing Listing) bool {
+func (c *Core) Listed(now time.Time, hold Hold, number uint64, listing Listing) bool {
 	if number <= c.answered {
 		return false
 	}
@@ -255,6 +267,8 @@
 		c.adopt(listing.Instance)
 	}
 	c.dropUnverified(c.beat.Instance, number)
+	c.settleStarts(now, number, listing)
+	c.toldCommitted = max(c.toldCommitted, hold.Committed)
 	first := c.listed == 0
 	progress := len(listing.Running) > 0 && now.Sub(c.reportedAt) >= progressEvery
 	due := c.tellAfter > 0 && number > c.tellAfter
@@ -327,6 +341,9 @@
 
 // HoldFailed notes that the worker did not answer a question with a number. It says whether that is news.
 func (c *Core) HoldFailed(now time.Time, hold Hold, number uint64, kind Kind) bool {
+	if hold.Committed > 0 && kind == KindUnanswered {
+		c.lateUntil = now.Add(longestLease)
+	}
 	if kind == KindOtherInstance {
 		c.dropUnverified(hold.Instance, number)
 	}
@@ -377,7 +394,7 @@
 		return 0, poolpb.OrderResult_OTHER_INSTANCE
 	case c.beat.Draining:
 		return 0, poolpb.OrderResult_DRAINING
-	case c.outdated(now, request):
+	case c.outdated(now, request) || now.Before(c.exposedUntil):
 		return 0, poolpb.OrderResult_LATE
 	case c.shrunk(request):
 		return 0, poolpb.OrderResult_ROOM
--- a/sidecar/lives.go
+++ b/sidecar/lives.go
@@ -150,7 +150,10 @@
 	c.listing = Listing{}
 	c.until = 0
 	c.committed = 0
+	c.toldCommitted = 0
 	c.leftAt = time.Time{}
+	c.open = nil
+	c.exposedUntil = c.lateUntil
 	c.report++
 }
 
--- a/sidecar/lives_test.go
+++ b/sidecar/lives_test.go
@@ -59,7 +59,9 @@
 
 // A worker was back under its name before its agent knew. It carried out a start that was meant for the
 // instance before, and its end was forgotten before anyone had read it, since the agent told with each question up to
-// which number ends may be forgotten, and the numbers had begun anew. The task counted as lost and ran again.
+// which number ends may be forgotten, and the numbers had begun anew. The task counted as lost and ran again. A question
+// names the worker alone, so nothing in it can be meant for one instance; before the mend the worker was let forget c.0.0.0,
+// its end 1, since 2 had been committed of the instance before.
 func TestEndsOfTheNextInstanceAreRead(t *testing.T) {
 	is := is.New(t)
 	worker := &rebornWorker{instance: named("first"), read: map[*poolpb.EndedTask]bool{}}
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -94,6 +94,9 @@
 func (a *Agent) start(ctx context.Context, request *poolpb.OrderRequest, order *poolpb.StartOrder) poolpb.OrderResult_Value {
 	a.mu.Lock()
 	until, verdict := a.core.StartUntil(a.now(), request)
+	if verdict == poolpb.OrderResult_OK {
+		a.core.StartGiven(a.now(), order)
+	}
 	a.mu.Unlock()
 	if verdict != poolpb.OrderResult_OK {
 		a.logOrder("start", order.GetTask(), order.GetRun(), verdict, nil)
@@ -105,6 +108,9 @@
 		Until:    until,
 		Order:    order,
 	})
+	a.mu.Lock()
+	a.core.StartAnswered(order, result)
+	a.mu.Unlock()
 	a.logOrder("start", order.GetTask(), order.GetRun(), result, err)
 	return result
 }
