Failing tests: a start for one instance is carried out by the next, and the task runs twice

A start names its worker alone, so the worker's next instance may carry it out, at once or, without an answer, late. The holder gives up all that was placed on the former instance. The world of the pool's tests plays that now: orders reach whichever instance is there, take a while if told to, and starts whose answer is lost come late if told to.

--- /dev/null
+++ b/pool/instance_test.go
@@ -0,0 +1,115 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/job"
+)
+
+// A worker ended and was back under its name between two looks, and a start that was meant for the instance before was
+// carried out by the next. The holder gave all up that had been placed on the former, so the task was started on another
+// worker while it ran on this one. Before the mend the world said:
+//
+//	0000000000000001.0.0.0 run 1 starts on worker-0 while run 2 is on worker-1
+func TestStartThatReachesTheNextInstanceRunsOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2)
+	w.run(time.Second)
+	w.orderTakes = 50 * time.Millisecond
+	w.submit(oneTask(1, 2*time.Second))
+	w.until("it is to be started", func() bool { return w.placedOn(1) != nil })
+	f := w.placedOn(1)
+	f.restartWorker() // it is back before its agent has looked
+	w.run(10 * time.Second)
+	is.Equal(w.state("0000000000000001"), Done)
+	is.Equal(w.starts, 1)
+}
+
+// The answer to a start was lost, its worker ended, and the start came to its next instance, late. The run
+// had been taken for lost, and another was under way.
+func TestStartThatComesLateToTheNextInstanceRunsOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2)
+	w.run(time.Second)
+	w.loses = func() bool { return true }
+	w.late = func() time.Duration { return 700 * time.Millisecond }
+	w.submit(oneTask(1, 2*time.Second))
+	w.until("it is to be started", func() bool { return w.placedOn(1) != nil })
+	f := w.placedOn(1)
+	w.run(50 * time.Millisecond) // the start was sent, once
+	w.loses = func() bool { return false }
+	w.late = nil
+	f.restartWorker()
+	w.run(10 * time.Second)
+	is.Equal(w.state("0000000000000001"), Done)
+}
+
+// The same with a holder that has just taken the pool over and knows only from the row where the task was placed.
+func TestStartThatComesLateAfterATakeoverRunsOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2)
+	w.run(time.Second)
+	w.loses = func() bool { return true }
+	w.late = func() time.Duration { return 700 * time.Millisecond }
+	w.submit(oneTask(1, 2*time.Second))
+	w.until("it is to be started", func() bool { return w.placedOn(1) != nil })
+	f := w.placedOn(1)
+	w.run(50 * time.Millisecond)
+	w.loses = func() bool { return false }
+	w.late = nil
+	f.restartWorker()
+	w.takeOver()
+	w.run(10 * time.Second)
+	is.Equal(w.state("0000000000000001"), Done)
+}
+
+// Workers end and come back at any time, are carried on under their name, and starts come late.
+func TestWorkersComeBackInHistories(t *testing.T) {
+	for seed := range uint64(40) {
+		w := newWorld(t, 6)
+		w.random = newRandom(seed)
+		w.policy = func(string) bool { return true }
+		w.ticketsHold = 3 * time.Second
+		w.loses = func() bool { return w.random.IntN(6) == 0 }
+		w.late = func() time.Duration { return time.Duration(w.random.IntN(3000)) * time.Millisecond }
+		for id := 1; id <= 40; id++ {
+			w.submit(randomJob(w, id))
+			w.run(time.Duration(w.random.IntN(500)) * time.Millisecond)
+			f := w.workers[w.random.IntN(len(w.workers))]
+			switch w.random.IntN(6) {
+			case 0, 1:
+				f.restartWorker()
+			case 2:
+				f.restartAgent()
+			case 3:
+				w.takeOver()
+			case 4:
+				if !f.down {
+					f.fall(w)
+				}
+			}
+		}
+		w.calm()
+		w.loses = func() bool { return false }
+		w.late = nil
+		w.run(time.Minute)
+		for id := range w.jobs {
+			if !w.state(id).ended() {
+				t.Errorf("seed %d: job %s has not ended: %s", seed, id, w.state(id))
+			}
+		}
+	}
+}
+
+// placedOn returns the worker on which the task of a job of one was committed to run, or nil.
+func (w *world) placedOn(id int) *fakeWorker {
+	g := w.core.jobs[job.ID(fmt.Sprintf("%016x", id))].groups[0]
+	if !g.placed() || g.members[0].phase == memberPlaced || !g.members[0].maybeSent {
+		return nil
+	}
+	return w.workerOf(g.members[0].worker.agent)
+}
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -41,6 +41,10 @@
 	later []event
 	// loses says whether an order's answer is lost.
 	loses func() bool
+	// late, unless nil, says after how long a start is carried out whose answer is lost.
+	late func() time.Duration
+	// orderTakes is how long orders are on their way.
+	orderTakes time.Duration
 	// storeDown makes every commit fail.
 	storeDown bool
 	epoch     int
@@ -387,14 +391,24 @@
 	return nil
 }
 
-// order lets a worker carry out orders. Answers may be lost.
+// order lets a worker carry out orders, whichever of its instances they are meant for: they name it alone. Answers
+// may be lost, and starts without an answer come late.
 func (w *world) order(orders Orders) {
+	if w.orderTakes == 0 {
+		w.carryOut(orders)
+		return
+	}
+	w.after(w.orderTakes, w.ofHolder(func() { w.carryOut(orders) }))
+}
+
+// carryOut is what becomes of orders that have come to a worker.
+func (w *world) carryOut(orders Orders) {
 	f := w.workerOf(orders.Agent)
 	if f.down && !f.silent {
 		w.after(20*time.Millisecond, w.ofHolder(func() { w.core.TakeResults(w.now, orders, refuseAll(orders)) }))
 		return
 	}
-	if f.silent || f.instance != orders.Instance {
+	if f.silent {
 		w.after(time.Second, w.ofHolder(func() { w.core.TakeResults(w.now, orders, Results{}) }))
 		return
 	}
@@ -402,10 +416,15 @@
 	for _, s := range orders.Stops {
 		results.Stops = append(results.Stops, w.stop(f, s))
 	}
+	lost := w.loses()
 	for _, s := range orders.Starts {
+		if lost && w.late != nil {
+			w.after(w.late(), func() { w.startLate(f, s) })
+			continue
+		}
 		results.Starts = append(results.Starts, w.start(f, s))
 	}
-	if w.loses() {
+	if lost {
 		results = Results{}
 	}
 	w.after(3*time.Millisecond, w.ofHolder(func() { w.core.TakeResults(w.now, orders, results) }))
@@ -452,6 +471,13 @@
 	return ResultOK
 }
 
+// startLate carries out a start whose answer was lost, unless its order has ended or nobody is there.
+func (w *world) startLate(f *fakeWorker, s Start) {
+	if !f.down && !f.silent {
+		w.start(f, s)
+	}
+}
+
 // save returns a new token of a run's progress.
 func (w *world) save(key runKey) string {
 	j := w.jobs[key.task.Job]
