Starts that were not answered are stopped on the worker's next instance

Callers would see a task run again that had ended well: a start whose answer was lost is sent again, done, and noted; the worker is restarted, and its next instance, which knows of no run and is meant by the same name, carries the first sending out.

The agent keeps the starts that it gave and that were not answered until they can't come any more (the longest lease), and has them stopped on the next instance at once, unless that lists them: what was stopped there before it came is refused. Left: a sending that comes before the stop, and what an agent gave that was restarted since.

--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -128,13 +128,17 @@
 	if a.core.Listed(now, hold, number, listing) {
 		a.announce()
 	}
-	if living := a.core.beat.Instance; living != former.Instance {
+	living := Hold{Instance: a.core.beat.Instance, Epoch: hold.Epoch}
+	if living.Instance != former.Instance {
 		a.metrics.GetOrCreateCounter("hollyfork_sidecar_instances_total").Inc()
-		a.logger.Info().Str("instance", living.String()).Time("born", living.Born()).Str("former", former.Instance.String()).
+		a.logger.Info().Str("instance", living.Instance.String()).Time("born", living.Instance.Born()).Str("former", former.Instance.String()).
 			Bool("former_draining", former.Draining).Int("running", len(listing.Running)).Int("ended", len(listing.Ended)).Msg("agent: another instance of the worker answers")
 	}
 	if overdue := a.core.TakeOverdue(); len(overdue) > 0 {
-		go a.stopOverdue(context.WithoutCancel(ctx), hold, overdue)
+		go a.stopAll(context.WithoutCancel(ctx), living, "stop a run whose lease has ended", overdue)
+	}
+	if recalled := a.core.TakeRecalled(); len(recalled) > 0 {
+		go a.stopAll(context.WithoutCancel(ctx), living, "stop a run that may be started late", recalled)
 	}
 	switch {
 	case a.core.untold():
@@ -154,17 +158,16 @@
 	return a.clock.Now()
 }
 
-// stopOverdue stops runs that have outlasted their lease. One whose stop goes unanswered is stopped with the next
-// listing, or by a holder, which knows that it should not be there.
-func (a *Agent) stopOverdue(ctx context.Context, hold Hold, runs []*poolpb.RunningTask) {
+// stopAll stops runs that are not to go on, or not to start, for a reason. One whose stop goes unanswered is stopped when it is listed, by
+// the agent if its lease has ended or by a holder, which knows that it should not be there.
+func (a *Agent) stopAll(ctx context.Context, living Hold, why string, runs []*poolpb.StopOrder) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	var work []func()
 	for _, run := range runs {
-		stop := StopTask{Instance: hold.Instance, Epoch: hold.Epoch, Order: &poolpb.StopOrder{Task: run.GetTask(), Run: run.GetRun()}}
 		work = append(work, func() {
-			result, err := a.worker.Stop(ctx, stop)
-			a.logOrder("stop a run whose lease has ended", run.GetTask(), run.GetRun(), result, err)
+			result, err := a.worker.Stop(ctx, StopTask{Instance: living.Instance, Epoch: living.Epoch, Order: run})
+			a.logOrder(why, run.GetTask(), run.GetRun(), result, err)
 		})
 	}
 	together(work)
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -79,7 +79,7 @@
 	silent   bool
 	refusals int
 	// overdue are runs that go on although their lease has ended, and are to be stopped.
-	overdue []*poolpb.RunningTask
+	overdue []*poolpb.StopOrder
 
 	// committed is the last end that the worker may forget, toldCommitted the last that it was told it may.
 	committed     uint64
@@ -87,8 +87,9 @@
 	report        uint64
 	// reportedAt is when the last news were noted.
 	reportedAt time.Time
-	// open are starts that may be under way to the worker.
-	open []openStart
+	// open are starts that may be under way to the worker, recalled stops of such as were meant for its former instance.
+	open     []openStart
+	recalled []*poolpb.StopOrder
 	// lateUntil is until when a question that let the worker forget ends and was not answered may still reach it,
 	// exposedUntil until when one may reach the living instance that was meant for the one before.
 	lateUntil    time.Time
@@ -265,9 +266,10 @@
 	before := c.report
 	if !isOf(listing.Instance, c.beat.Instance) {
 		c.adopt(listing.Instance)
+		c.recallStarts(now, listing)
 	}
 	c.dropUnverified(c.beat.Instance, number)
-	c.settleStarts(now, number, listing)
+	c.settleStarts(number, listing)
 	c.toldCommitted = max(c.toldCommitted, hold.Committed)
 	first := c.listed == 0
 	progress := len(listing.Running) > 0 && now.Sub(c.reportedAt) >= progressEvery
@@ -300,11 +302,15 @@
 // VM was suspended and the worker's clock stood still with it, or when the worker took an extension for longer
 // than it was meant: its lease lasts longer then than the holder counts. An agent that has had no lease yet
 // leaves what an earlier one started alone.
-func (c *Core) outlasting(now time.Time) []*poolpb.RunningTask {
+func (c *Core) outlasting(now time.Time) []*poolpb.StopOrder {
 	if c.leaseUntil.IsZero() || now.Before(c.leaseUntil.Add(overdueAfter)) {
 		return nil
 	}
-	return c.listing.Running
+	var runs []*poolpb.StopOrder
+	for _, r := range c.listing.Running {
+		runs = append(runs, &poolpb.StopOrder{Task: r.GetTask(), Run: r.GetRun()})
+	}
+	return runs
 }
 
 // leaseLeft is how much of the grant is left; below 0 when it has ended, 0 before the first.
@@ -316,7 +322,7 @@
 }
 
 // TakeOverdue returns the runs that are to be stopped since their lease has ended, each once.
-func (c *Core) TakeOverdue() []*poolpb.RunningTask {
+func (c *Core) TakeOverdue() []*poolpb.StopOrder {
 	overdue := c.overdue
 	c.overdue = nil
 	return overdue
--- a/sidecar/lives.go
+++ b/sidecar/lives.go
@@ -152,7 +152,6 @@
 	c.committed = 0
 	c.toldCommitted = 0
 	c.leftAt = time.Time{}
-	c.open = nil
 	c.exposedUntil = c.lateUntil
 	c.report++
 }
--- a/sidecar/starts.go
+++ b/sidecar/starts.go
@@ -7,8 +7,8 @@
 	"hollyfork.example/wire/poolpb"
 )
 
-// openStart is a start that was given to the worker and that no listing has shown yet. A call names the worker
-// alone, so it may be carried out by the next instance, and without an answer also later.
+// openStart is a start that was given to the worker. A call names the worker alone, so it may be carried out by the
+// next instance, and without an answer also later.
 type openStart struct {
 	task string
 	run  int32
@@ -18,6 +18,8 @@
 	// later one shows what came of it.
 	answered     bool
 	settledAfter uint64
+	// shown says that a listing has told of the run.
+	shown bool
 }
 
 // StartGiven notes that a start is given to the worker.
@@ -31,27 +33,46 @@
 		return
 	}
 	for i, s := range c.open {
-		if s.task == order.GetTask() && s.run == order.GetRun() {
+		if s.task == order.GetTask() && s.run == order.GetRun() && !s.answered {
 			c.open[i].answered = true
 			c.open[i].settledAfter = c.asked
+			return
 		}
 	}
 }
 
-// startsOpen says whether a start may be under way to the worker.
+// startsOpen says whether a start may be under way to the worker of which no listing has told.
 func (c *Core) startsOpen(now time.Time) bool {
 	c.open = slices.DeleteFunc(c.open, func(s openStart) bool { return now.After(s.until) })
-	return len(c.open) > 0
+	return slices.ContainsFunc(c.open, func(s openStart) bool { return !s.shown })
 }
 
-// settleStarts drops the starts of which a listing with a number tells.
-func (c *Core) settleStarts(now time.Time, number uint64, listing Listing) {
-	if !c.startsOpen(now) {
-		return
+// settleStarts notes of which starts a listing with a number tells. Those without an answer may come again to the next
+// instance, so they are kept until that can't be any more.
+func (c *Core) settleStarts(number uint64, listing Listing) {
+	c.open = slices.DeleteFunc(c.open, func(s openStart) bool { return s.answered && number > s.settledAfter })
+	for i, s := range c.open {
+		c.open[i].shown = s.shown || listing.shows(s.task, s.run)
+	}
+}
+
+// recallStarts has the starts that were given to the former instance and not answered stopped on the living one, unless it
+// lists them: what was stopped there before it came is refused. A start of which the answer was lost
+// was carried out again by the next instance otherwise, after the task had ended well.
+func (c *Core) recallStarts(now time.Time, listing Listing) {
+	for _, s := range c.open {
+		if !s.answered && now.Before(s.until) && !listing.shows(s.task, s.run) {
+			c.recalled = append(c.recalled, &poolpb.StopOrder{Task: s.task, Run: s.run})
+		}
 	}
-	c.open = slices.DeleteFunc(c.open, func(s openStart) bool {
-		return s.answered && number > s.settledAfter || listing.shows(s.task, s.run)
-	})
+	c.open = nil
+}
+
+// TakeRecalled returns the stops that the living instance is to be given, each once.
+func (c *Core) TakeRecalled() []*poolpb.StopOrder {
+	recalled := c.recalled
+	c.recalled = nil
+	return recalled
 }
 
 // shows says whether a run is on a listing, or its end is.
