Rows and messages of the release before: runs go on, crashes are settled by the worker's name

A crash that an old row tells of as uncertain names its worker alone. It was counted as certain when the worker answered, since its instance has a start now: the test with bytes that the release before wrote failed. It is settled by name now where no start is known. Runs of old rows go on; so does a run while agents of both releases take turns, and a holder of the release before is followed by the whole text of an instance, which it gives back as it got it. Stand-ins keep their name over their lives in all tests; the soak has workers that leave, that have two lives in a second and at once, and a time of day that steps back; starts that come late reach the next life. hollyforkctl shows a worker's instance and since when.

--- a/pool/core.go
+++ b/pool/core.go
@@ -37,7 +37,7 @@
 
 	dirty  []*jobState
 	flying *Batch
-	// committed are the agents whose worker's incarnation or committed ends have changed.
+	// committed are the agents whose worker's instance or committed ends have changed.
 	committed []string
 	// forgotten are the agents whose rows are to be deleted.
 	forgotten []string
--- a/pool/crash.go
+++ b/pool/crash.go
@@ -251,7 +251,7 @@
 		if k.agent == agent && !k.certain {
 			changed = true
 			k.certain = true
-			if k.instance == living {
+			if k.instance.Matches(living) {
 				continue
 			}
 		}
--- a/pool/world_crash_test.go
+++ b/pool/world_crash_test.go
@@ -37,7 +37,7 @@
 }
 
 // crash ends a worker's process under a task, and the rest of the gangs that ran there. The worker
-// is back later with another incarnation.
+// is back later as another instance.
 func (f *fakeWorker) crash(w *world, under job.TaskID) {
 	w.crashes[under]++
 	for key := range f.running {
--- a/program/cluster/cluster.go
+++ b/program/cluster/cluster.go
@@ -71,10 +71,10 @@
 }
 
 // New starts gateways, and workers with their sidecars, and waits until the gateways are
-// ready.
+// ready. Workers keep their name over their lives.
 func New(t testing.TB, gateways, workers int) *Cluster {
 	t.Helper()
-	return start(t, gateways, workers, nil, fakes.Lives{})
+	return start(t, gateways, workers, nil, fakes.Lives{KeepsID: true})
 }
 
 // NewLiving is New with workers of which the lives are told.
@@ -86,7 +86,7 @@
 // NewAdvised is New for a queue whose policy lets only some workers run its steps.
 func NewAdvised(t testing.TB, gateways, workers int, allows func(worker string) bool) *Cluster {
 	t.Helper()
-	return start(t, gateways, workers, fakes.NewAdvice(allows), fakes.Lives{})
+	return start(t, gateways, workers, fakes.NewAdvice(allows), fakes.Lives{KeepsID: true})
 }
 
 func start(t testing.TB, gateways, workers int, advice *fakes.Advice, lives fakes.Lives) *Cluster {
--- a/program/ctl_pools.go
+++ b/program/ctl_pools.go
@@ -147,13 +147,24 @@
 }
 
 func poolWorkerRows(workers []pool.WorkerSnapshot) []row {
-	rows := []row{{"WORKER", "STANDING", "RACK", "TASKS", "FREE", "HEARD"}}
+	rows := []row{{"WORKER", "STANDING", "RACK", "TASKS", "FREE", "HEARD", "INSTANCE", "BORN"}}
 	for _, w := range workers {
-		rows = append(rows, row{w.Agent, standing(w), w.Rack, fmt.Sprint(w.Tasks), w.Free, fmt.Sprintf("%d ms ago", w.HeardAgoMS)})
+		rows = append(rows, row{
+			w.Agent, standing(w), w.Rack, fmt.Sprint(w.Tasks), w.Free, fmt.Sprintf("%d ms ago", w.HeardAgoMS),
+			w.Instance, orUnknown(w.Born),
+		})
 	}
 	return rows
 }
 
+// orUnknown is a text, or what stands for one that is not known.
+func orUnknown(text string) string {
+	if text == "" {
+		return "unknown"
+	}
+	return text
+}
+
 // standing says in a word whether a worker gets work.
 func standing(w pool.WorkerSnapshot) string {
 	switch {
--- a/program/soak/soak_test.go
+++ b/program/soak/soak_test.go
@@ -38,13 +38,15 @@
 
 // Numbers of the kinds of harm. A seed draws the same harm only among as many kinds, so each soak keeps to those
 // that there were: the first had no workers that fail or leave starts unanswered, later ones no workers that
-// crash, then none whose room changes, then no connections that fall silent for good.
+// crash, then none whose room changes, then no connections that fall silent for good, then no workers that come back
+// under their name or leave.
 const (
 	firstHarms = 10
 	crashHarms = 14
 	roomHarms  = 16
 	quietHarms = 17
-	allHarms   = 18
+	nameHarms  = 18
+	allHarms   = 20
 	// lostUnderFailed is how many workers have to be lost under a task before its job may be
 	// given up for that.
 	lostUnderFailed = 3
@@ -53,7 +55,7 @@
 // regressions are the seeds that ever failed.
 var regressions = map[uint64]regression{
 	23:    {firstHarms, "a listing under way at an order was taken for the next, and a stopped run was waited for without end"},
-	19014: {allHarms, "stand-ins let a gang's tasks work before all were there, and the job was done without the one that crashes workers"},
+	19014: {nameHarms, "stand-ins let a gang's tasks work before all were there, and the job was done without the one that crashes workers"},
 }
 
 // regression is why a seed failed, and among how many kinds of harm.
@@ -112,7 +114,7 @@
 
 func play(t *testing.T, seed uint64, harms int) {
 	s := &soak{
-		Cluster: cluster.New(t, *gateways, *workers),
+		Cluster: cluster.NewLiving(t, *gateways, *workers, livesOf(seed, harms)),
 		t:       t,
 		random:  rand.New(rand.NewPCG(seed, seed)),
 		variant: rand.New(rand.NewPCG(seed, seed+1)),
@@ -131,6 +133,20 @@
 	s.check()
 }
 
+// livesOf says how the workers' lives differ: of one that ended the next is back at once or within 3 s, and in some
+// runs the time of day is set back in between.
+func livesOf(seed uint64, harms int) fakes.Lives {
+	if harms < allHarms {
+		return fakes.Lives{}
+	}
+	random := rand.New(rand.NewPCG(seed, seed+2))
+	lives := fakes.Lives{KeepsID: true, Back: time.Duration(20+random.IntN(3000)) * time.Millisecond}
+	if random.IntN(3) == 0 {
+		lives.ClockStep = time.Minute
+	}
+	return lives
+}
+
 // harm starts one kind of harm, or ends one that lasts.
 func (s *soak) harm() {
 	if len(s.standing) > 2 || len(s.standing) > 0 && s.random.IntN(2) == 0 {
@@ -169,6 +185,10 @@
 		s.changeRoom(worker)
 	case quietHarms:
 		s.silence(either)
+	case nameHarms:
+		worker.DrainAndLeave(time.Duration(s.variant.IntN(3000)) * time.Millisecond)
+	case nameHarms + 1:
+		s.restartTwice(worker)
 	default:
 		s.writeElsewhere(worker)
 	}
@@ -180,6 +200,16 @@
 	s.last(func() { w.SetRoom(time.Now(), accelerators) })
 }
 
+// restartTwice lets a worker have two more lives within a second. The last may say at once that it leaves.
+func (s *soak) restartTwice(w *fakes.Worker) {
+	w.Restart()
+	time.Sleep(time.Duration(s.variant.IntN(500)) * time.Millisecond)
+	w.Restart()
+	if s.variant.IntN(2) == 0 {
+		w.DrainAndLeave(time.Second)
+	}
+}
+
 // silence lets the open connections of a process fall silent for good, or those of all; new ones work.
 func (s *soak) silence(p *cluster.Program) {
 	silent := []*cluster.Program{p}
--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -230,3 +230,35 @@
 	hold, _, _ = c.NextHold(start)
 	is.Equal(hold.Committed, uint64(0)) // the same name is not enough
 }
+
+// A holder of the release before takes an instance's text for an opaque name, and gives it back as it is. One that knew the worker by
+// its name alone, from an earlier agent, is not followed: the instance may be another by now.
+func TestHolderOfTheReleaseBeforeIsFollowedByTheWholeName(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	list(c, 0, Listing{Clock: time.Second})
+	order := orderAt(c, named("first"), 0)
+	order.Instance = c.worker().GetInstance()
+	_, verdict := c.StartUntil(start, order)
+	is.Equal(verdict, poolpb.OrderResult_OK)
+	order.Instance = "first"
+	_, verdict = c.StartUntil(start, order)
+	is.Equal(verdict, poolpb.OrderResult_OTHER_INSTANCE)
+	c.Sync(&poolpb.SyncRequest{Epoch: 7, Instance: "first", Committed: 9})
+	is.Equal(c.committed, uint64(0))
+}
+
+// A worker that doesn't say when it started has another name with each start, and is known by that.
+func TestWorkerWithoutAStartIsKnownByItsName(t *testing.T) {
+	is := is.New(t)
+	c := NewCore(start, "agent")
+	c.Sync(lease(c, 0))
+	c.Heartbeat(Heartbeat{Instance: instance.Parse("old"), Sequence: 3})
+	list(c, 0, Listing{Clock: time.Second})
+	is.Equal(c.worker().GetInstance(), "old")
+	is.Equal(c.Heartbeat(Heartbeat{Instance: instance.Parse("old"), Sequence: 4, Draining: true}), BeatNews)
+	_, verdict := c.StartUntil(start, orderAt(c, instance.Parse("old"), 0))
+	is.Equal(verdict, poolpb.OrderResult_DRAINING)
+	c.Leave(start, instance.Parse("old"))
+	is.Equal(c.worker().GetLapse(), poolpb.Lapse_LEFT)
+}
