Failing tests: a restarted agent starts on the word of a heartbeat from before a notice

The directed test fails each time. Heartbeats get the field that will tell, the worker's clock; it is not read yet.

--- a/sidecar/lives_test.go
+++ b/sidecar/lives_test.go
@@ -261,3 +261,20 @@
 	is.True(len(c.former) <= maxFormer)
 	is.True(len(c.unverified) <= maxUnverified)
 }
+
+// An agent was restarted after it had acknowledged that its worker leaves. The first word that the new one heard was a
+// heartbeat from before the notice, held up on its way; it gave the worker starts until the next one came.
+func TestHeartbeatFromBeforeTheAgentStartsNothing(t *testing.T) {
+	is := is.New(t)
+	c := NewCore(start, "agent")
+	c.Sync(lease(c, 0))
+	c.Heartbeat(Heartbeat{Instance: named("first"), Sequence: 3, Clock: 98 * time.Second})
+	verdictAt := func(at time.Duration) poolpb.OrderResult_Value {
+		list(c, at, Listing{Clock: 100*time.Second + at})
+		_, verdict := c.StartUntil(start.Add(at), orderAt(c, named("first"), 0))
+		return verdict
+	}
+	is.Equal(verdictAt(time.Second), poolpb.OrderResult_OTHER_INSTANCE) // it was sent 2 s before the agent began
+	c.Heartbeat(Heartbeat{Instance: named("first"), Sequence: 5, Clock: 101 * time.Second})
+	is.Equal(verdictAt(time.Second), poolpb.OrderResult_OK)
+}
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -84,7 +84,9 @@
 	Heartbeat struct {
 		Instance instance.ID
 		// Sequence rises with each heartbeat of an instance.
-		Sequence  uint64
+		Sequence uint64
+		// Clock is the reading of the worker's steady clock when it was sent; 0 from a worker that does not say.
+		Clock     time.Duration
 		Draining  bool
 		Remaining time.Duration
 		Capacity  job.Shape
