Starts that were stopped on the next instance stay open until they can't come any more

Found by the model of a worker's lives: a start without an answer was stopped on the worker's next instance and taken for settled. The instance after that knows of no stop; the start reached it, its task ended, and the end was forgotten unread, since nothing seemed to be under way any more. It stays open for the longest lease, and is stopped on each instance anew. The directed test fails before: ends were let be forgotten at once.

--- a/sidecar/lives_test.go
+++ b/sidecar/lives_test.go
@@ -263,7 +263,8 @@
 }
 
 // An agent was restarted after it had acknowledged that its worker leaves. The first word that the new one heard was a
-// heartbeat from before the notice, held up on its way; it gave the worker starts until the next one came.
+// heartbeat from before the notice, held up on its way; it gave the worker starts until the next one came. Sequences
+// tell nothing to who has heard none; the worker's clock, which lists have as well, tells that it was sent before.
 func TestHeartbeatFromBeforeTheAgentStartsNothing(t *testing.T) {
 	is := is.New(t)
 	c := NewCore(start, "agent")
@@ -278,3 +279,23 @@
 	c.Heartbeat(Heartbeat{Instance: named("first"), Sequence: 5, Clock: 101 * time.Second})
 	is.Equal(verdictAt(time.Second), poolpb.OrderResult_OK)
 }
+
+// A start went unanswered, and was stopped on the worker's next instance. It was taken for settled then, and reached the
+// instance after that, whose end was forgotten unread. The model found it, after some 13,000 histories:
+//
+//	the end of 2.0.0.0, 1 of worker@3, is forgotten unread
+func TestRecalledStartsStayOpen(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	list(c, 0, Listing{Clock: time.Second})
+	c.StartGiven(start, &poolpb.StartOrder{Task: "a.0.0.0", Run: 1})
+	next := instance.New("first", 2)
+	hold, number, _ := c.NextHold(start)
+	c.Listed(start, hold, number, Listing{Instance: next, Ended: []*poolpb.EndedTask{{Number: 1}}})
+	is.Equal(len(c.TakeRecalled()), 1)
+	c.Sync(&poolpb.SyncRequest{Epoch: 7, Instance: next.String(), Committed: 1})
+	hold, _, _ = c.NextHold(start)
+	is.Equal(hold.Committed, uint64(0))
+	hold, _, _ = c.NextHold(start.Add(longestLease + time.Millisecond))
+	is.Equal(hold.Committed, uint64(1))
+}
--- a/sidecar/starts.go
+++ b/sidecar/starts.go
@@ -58,14 +58,15 @@
 
 // recallStarts has the starts that were given to the former instance and not answered stopped on the living one, unless it
 // lists them: what was stopped there before it came is refused. A start of which the answer was lost
-// was carried out again by the next instance otherwise, after the task had ended well.
+// was carried out again by the next instance otherwise, after the task had ended well. They stay open: the instance after
+// that knows of no stop.
 func (c *Core) recallStarts(now time.Time, listing Listing) {
 	for _, s := range c.open {
 		if !s.answered && now.Before(s.until) && !listing.shows(s.task, s.run) {
 			c.recalled = append(c.recalled, &poolpb.StopOrder{Task: s.task, Run: s.run})
 		}
 	}
-	c.open = nil
+	c.open = slices.DeleteFunc(c.open, func(s openStart) bool { return s.answered })
 }
 
 // TakeRecalled returns the stops that the living instance is to be given, each once.
