A restarted agent starts nothing on the word of a heartbeat from before it

Cause: a notice of leaving that an earlier agent had acknowledged is not known to the next one. If the first word that it hears is a heartbeat from before the notice, held up on its way, it gave the worker starts until the next heartbeat, up to 1.5 s.

Each list bounds what that read when the agent started; a heartbeat with an earlier reading lets nothing be started. Why it holds: what is sent after the agent started goes to it. Ruled out: to order by sequence, which tells nothing to who has heard none. A worker that says no clock is taken as before.

--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -67,6 +67,10 @@
 	answered uint64
 	listed   uint64
 	listing  Listing
+	// askedAt is when the last question was asked, clockAtStart what the worker's clock read at the most when
+	// the agent started.
+	askedAt      time.Time
+	clockAtStart time.Duration
 	// heldAt is when the last listing came, by the agent's clock.
 	heldAt time.Time
 	// until is the latest end of the lease that the worker may have been given.
@@ -175,6 +179,7 @@
 		return Hold{}, 0, false
 	}
 	c.asked++
+	c.askedAt = now
 	if other, asks := c.toVerify(); asks {
 		return Hold{Instance: other, Epoch: c.epoch}, c.asked, true
 	}
@@ -271,6 +276,7 @@
 	c.dropUnverified(c.beat.Instance, number)
 	c.settleStarts(number, listing)
 	c.toldCommitted = max(c.toldCommitted, hold.Committed)
+	c.noteClock(listing.Clock)
 	first := c.listed == 0
 	progress := len(listing.Running) > 0 && now.Sub(c.reportedAt) >= progressEvery
 	due := c.tellAfter > 0 && number > c.tellAfter
@@ -396,7 +402,7 @@
 // StartUntil returns the end of the lease for a start, or why there is to be none.
 func (c *Core) StartUntil(now time.Time, request *poolpb.OrderRequest) (time.Duration, poolpb.OrderResult_Value) {
 	switch {
-	case instance.Parse(request.GetInstance()) != c.beat.Instance || c.gone || !c.told || len(c.unverified) > 0:
+	case instance.Parse(request.GetInstance()) != c.beat.Instance || c.gone || !c.sure():
 		return 0, poolpb.OrderResult_OTHER_INSTANCE
 	case c.beat.Draining:
 		return 0, poolpb.OrderResult_DRAINING
--- a/sidecar/lives.go
+++ b/sidecar/lives.go
@@ -156,6 +156,27 @@
 	c.report++
 }
 
+// sure says whether it is known who lives and what that has last said of itself.
+func (c *Core) sure() bool {
+	return c.told && len(c.unverified) == 0 && !c.fromBefore()
+}
+
+// fromBefore says whether the last heartbeat may have been sent before the agent started, by the worker's clock. A later
+// one may have said to an earlier agent that the worker leaves, and was acknowledged: so nothing is started until one comes
+// that this agent was the first to hear. In a model with agents that restart a start followed such a notice.
+func (c *Core) fromBefore() bool {
+	return c.beat.Clock > 0 && c.listed > 0 && c.beat.Clock < c.clockAtStart
+}
+
+// noteClock takes over what a listing tells of what the worker's clock read at the most when the agent started: it was read
+// after the question was asked, and the clock may run slow.
+func (c *Core) noteClock(reading time.Duration) {
+	least := time.Duration(float64(c.askedAt.Sub(c.began)) * (1 - clockDrift))
+	if c.listed == 0 || reading-least < c.clockAtStart {
+		c.clockAtStart = reading - least
+	}
+}
+
 // Leave notes that the worker says that it has ended. The word may come late, and names no start: it ends an instance
 // whose name is its own, and has any other asked at once.
 func (c *Core) Leave(now time.Time, id instance.ID) {
