A number that another instance heard does not count as told

Found by reading: a question that let the worker forget ends and was answered by its next instance counted as told to that one. Its own ends up to that number were never let be forgotten, and it was asked again and again without a pause, since it listed ends. The test fails before.

--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -275,7 +275,9 @@
 	}
 	c.dropUnverified(c.beat.Instance, number)
 	c.settleStarts(number, listing)
-	c.toldCommitted = max(c.toldCommitted, hold.Committed)
+	if isOf(listing.Instance, hold.Instance) {
+		c.toldCommitted = max(c.toldCommitted, hold.Committed)
+	}
 	c.noteClock(listing.Clock)
 	first := c.listed == 0
 	progress := len(listing.Running) > 0 && now.Sub(c.reportedAt) >= progressEvery
--- a/sidecar/lives_test.go
+++ b/sidecar/lives_test.go
@@ -299,3 +299,19 @@
 	hold, _, _ = c.NextHold(start.Add(longestLease + time.Millisecond))
 	is.Equal(hold.Committed, uint64(1))
 }
+
+// A question that let the worker forget ends was answered by its next instance. The number counted as told to that one, which
+// was never let forget its own ends, and was asked again and again without a pause.
+func TestNumberThatAnotherInstanceHeardIsNotTold(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	list(c, 0, Listing{Ended: []*poolpb.EndedTask{{Number: 1}}})
+	c.Sync(&poolpb.SyncRequest{Epoch: 7, Instance: named("first").String(), Committed: 1})
+	hold, number, _ := c.NextHold(start)
+	is.Equal(hold.Committed, uint64(1))
+	next := instance.New("first", 2)
+	c.Listed(start, hold, number, Listing{Instance: next, Ended: []*poolpb.EndedTask{{Number: 1}}})
+	c.Sync(&poolpb.SyncRequest{Epoch: 7, Instance: next.String(), Committed: 1})
+	hold, _, _ = c.NextHold(start)
+	is.Equal(hold.Committed, uint64(1))
+}
