A stop that the former instance confirmed does not count for the next

Found by reading: the answer to a stop that was on its way when the worker was restarted came after the run had been recalled, and counted as the next instance's word, which knows of no stop. The test fails before.

--- a/pool/instance_test.go
+++ b/pool/instance_test.go
@@ -153,3 +153,24 @@
 	w.run(7 * time.Second)
 	is.Equal(w.state("0000000000000001"), Done)
 }
+
+// A stop that the worker's former instance had confirmed counted for the next one, which may start the run.
+func TestStopOfTheFormerInstanceCountsForNoOther(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2)
+	w.run(time.Second)
+	w.loses = func() bool { return true }
+	w.late = func() time.Duration { return time.Hour }
+	w.submit(oneTask(1, 2*time.Second))
+	w.until("it is to be started", func() bool { return w.placedOn(1) != nil })
+	f := w.placedOn(1)
+	w.core.CancelJob(w.now, "0000000000000001")
+	stop := Orders{Agent: f.name, Instance: f.instance, Stops: []Stop{{Task: job.TaskID{Job: "0000000000000001"}, Run: 1}}}
+	w.orderTakes = time.Hour
+	f.restartWorker()
+	w.run(200 * time.Millisecond) // the holder knows the next instance
+	m := w.core.jobs["0000000000000001"].groups[0].members[0]
+	is.Equal(m.instance, f.instance)
+	w.core.TakeResults(w.now, stop, Results{Listing: f.listing, Stops: []Result{ResultOK}})
+	is.True(!m.stopped)
+}
--- a/pool/order.go
+++ b/pool/order.go
@@ -98,7 +98,8 @@
 		}
 		m.inFlight = false
 		m.sendAt = now.Add(c.settings.ResendAfter)
-		if m.phase == memberStopping && resultAt(results.Stops, i) == ResultOK {
+		// What the former instance has confirmed the next one does not know of.
+		if m.phase == memberStopping && orders.Instance == m.instance && resultAt(results.Stops, i) == ResultOK {
 			m.stopped = true
 			m.setFloor(results.Listing)
 		}
