--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -124,22 +124,33 @@
 		}
 		return pauseAfterFailure
 	}
+	a.takeListing(ctx, now, hold, number, listing)
+	return a.pauseAfter(hold)
+}
+
+// takeListing takes over the answer to a question, and stops what is not to run. The lock must be held.
+func (a *Agent) takeListing(ctx context.Context, now time.Time, hold Hold, number uint64, listing Listing) {
 	former := a.core.beat
 	if a.core.Listed(now, hold, number, listing) {
 		a.announce()
 	}
-	living := Hold{Instance: a.core.beat.Instance, Epoch: hold.Epoch}
-	if living.Instance != former.Instance {
+	living := a.core.beat.Instance
+	if living != former.Instance {
 		a.metrics.GetOrCreateCounter("hollyfork_sidecar_instances_total").Inc()
-		a.logger.Info().Str("instance", living.Instance.String()).Time("born", living.Instance.Born()).Str("former", former.Instance.String()).
+		a.logger.Info().Str("instance", living.String()).Time("born", living.Born()).Str("former", former.Instance.String()).
 			Bool("former_draining", former.Draining).Int("running", len(listing.Running)).Int("ended", len(listing.Ended)).Msg("agent: another instance of the worker answers")
 	}
+	ctx = context.WithoutCancel(ctx)
 	if overdue := a.core.TakeOverdue(); len(overdue) > 0 {
-		go a.stopAll(context.WithoutCancel(ctx), living, "stop a run whose lease has ended", overdue)
+		go a.stopAll(ctx, living, hold.Epoch, "stop a run whose lease has ended", overdue)
 	}
 	if recalled := a.core.TakeRecalled(); len(recalled) > 0 {
-		go a.stopAll(context.WithoutCancel(ctx), living, "stop a run that may be started late", recalled)
+		go a.stopAll(ctx, living, hold.Epoch, "stop a run that may be started late", recalled)
 	}
+}
+
+// pauseAfter returns how long to wait after a question that was answered. The lock must be held.
+func (a *Agent) pauseAfter(hold Hold) time.Duration {
 	switch {
 	case a.core.untold():
 		return pauseUncommitted
@@ -158,15 +169,15 @@
 	return a.clock.Now()
 }
 
-// stopAll stops runs that are not to go on, or not to start, for a reason. One whose stop goes unanswered is stopped when it is listed, by
-// the agent if its lease has ended or by a holder, which knows that it should not be there.
-func (a *Agent) stopAll(ctx context.Context, living Hold, why string, runs []*poolpb.StopOrder) {
+// stopAll stops runs that are not to go on, or not to start, for a reason. One whose stop goes unanswered is stopped when
+// it is listed: by the agent if its lease has ended, or by a holder, which knows that it should not be there.
+func (a *Agent) stopAll(ctx context.Context, living instance.ID, epoch uint64, why string, runs []*poolpb.StopOrder) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	var work []func()
 	for _, run := range runs {
 		work = append(work, func() {
-			result, err := a.worker.Stop(ctx, StopTask{Instance: living.Instance, Epoch: living.Epoch, Order: run})
+			result, err := a.worker.Stop(ctx, StopTask{Instance: living, Epoch: epoch, Order: run})
 			a.logOrder(why, run.GetTask(), run.GetRun(), result, err)
 		})
 	}
