--- a/pool/instance_test.go
+++ b/pool/instance_test.go
@@ -34,13 +34,7 @@
 // had been taken for lost, and another was under way.
 func TestStartThatComesLateToTheNextInstanceRunsOnce(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 2)
-	w.run(time.Second)
-	w.loses = func() bool { return true }
-	w.late = func() time.Duration { return 700 * time.Millisecond }
-	w.submit(oneTask(1, 2*time.Second))
-	w.until("it is to be started", func() bool { return w.placedOn(1) != nil })
-	f := w.placedOn(1)
+	w, f := leaveUnanswered(t, 700 * time.Millisecond, 2*time.Second)
 	w.run(50 * time.Millisecond) // the start was sent, once
 	w.loses = func() bool { return false }
 	w.late = nil
@@ -53,13 +47,7 @@
 // The same with a holder that has just taken the pool over and knows only from the row where the task was placed.
 func TestStartThatComesLateAfterATakeoverRunsOnce(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 2)
-	w.run(time.Second)
-	w.loses = func() bool { return true }
-	w.late = func() time.Duration { return 700 * time.Millisecond }
-	w.submit(oneTask(1, 2*time.Second))
-	w.until("it is to be started", func() bool { return w.placedOn(1) != nil })
-	f := w.placedOn(1)
+	w, f := leaveUnanswered(t, 700 * time.Millisecond, 2*time.Second)
 	w.run(50 * time.Millisecond)
 	w.loses = func() bool { return false }
 	w.late = nil
@@ -108,6 +96,19 @@
 	}
 }
 
+// leaveUnanswered returns a world of two workers and the one to which the first job's only task was given by a start whose
+// answer was lost. It is carried out late.
+func leaveUnanswered(t *testing.T, late, work time.Duration) (*world, *fakeWorker) {
+	t.Helper()
+	w := newWorld(t, 2)
+	w.run(time.Second)
+	w.loses = func() bool { return true }
+	w.late = func() time.Duration { return late }
+	w.submit(oneTask(1, work))
+	w.until("it is to be started", func() bool { return w.placedOn(1) != nil })
+	return w, w.placedOn(1)
+}
+
 // placedOn returns the worker on which the task of a job of one was committed to run, or nil.
 func (w *world) placedOn(id int) *fakeWorker {
 	g := w.core.jobs[job.ID(fmt.Sprintf("%016x", id))].groups[0]
@@ -121,13 +122,7 @@
 // the start came to the next instance.
 func TestStartThatWaitsForTheNextInstanceRunsOnce(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 2)
-	w.run(time.Second)
-	w.loses = func() bool { return true }
-	w.late = func() time.Duration { return backAfter + 150*time.Millisecond }
-	w.submit(oneTask(1, 4*time.Second))
-	w.until("it is to be started", func() bool { return w.placedOn(1) != nil })
-	f := w.placedOn(1)
+	w, f := leaveUnanswered(t, backAfter + 150*time.Millisecond, 4*time.Second)
 	w.run(10 * time.Millisecond)
 	w.loses = func() bool { return false }
 	w.late = nil
@@ -140,13 +135,7 @@
 // A worker that doesn't come back keeps such a task until its order has ended, and no longer.
 func TestStartThatNobodyCarriesOutIsGivenUp(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 2)
-	w.run(time.Second)
-	w.loses = func() bool { return true }
-	w.late = func() time.Duration { return time.Hour }
-	w.submit(oneTask(1, time.Second))
-	w.until("it is to be started", func() bool { return w.placedOn(1) != nil })
-	f := w.placedOn(1)
+	w, f := leaveUnanswered(t, time.Hour, time.Second)
 	w.loses = func() bool { return false }
 	w.late = nil
 	f.down, f.noticedAt = true, w.now // for good
@@ -157,13 +146,7 @@
 // A stop that the worker's former instance had confirmed counted for the next one, which may start the run.
 func TestStopOfTheFormerInstanceCountsForNoOther(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 2)
-	w.run(time.Second)
-	w.loses = func() bool { return true }
-	w.late = func() time.Duration { return time.Hour }
-	w.submit(oneTask(1, 2*time.Second))
-	w.until("it is to be started", func() bool { return w.placedOn(1) != nil })
-	f := w.placedOn(1)
+	w, f := leaveUnanswered(t, time.Hour, 2*time.Second)
 	w.core.CancelJob(w.now, "0000000000000001")
 	stop := Orders{Agent: f.name, Instance: f.instance, Stops: []Stop{{Task: job.TaskID{Job: "0000000000000001"}, Run: 1}}}
 	w.orderTakes = time.Hour
