--- a/pool/instance_test.go
+++ b/pool/instance_test.go
@@ -34,7 +34,7 @@
 // had been taken for lost, and another was under way.
 func TestStartThatComesLateToTheNextInstanceRunsOnce(t *testing.T) {
 	is := is.New(t)
-	w, f := leaveUnanswered(t, 700 * time.Millisecond, 2*time.Second)
+	w, f := leaveUnanswered(t, 700*time.Millisecond, 2*time.Second)
 	w.run(50 * time.Millisecond) // the start was sent, once
 	w.loses = func() bool { return false }
 	w.late = nil
@@ -47,7 +47,7 @@
 // The same with a holder that has just taken the pool over and knows only from the row where the task was placed.
 func TestStartThatComesLateAfterATakeoverRunsOnce(t *testing.T) {
 	is := is.New(t)
-	w, f := leaveUnanswered(t, 700 * time.Millisecond, 2*time.Second)
+	w, f := leaveUnanswered(t, 700*time.Millisecond, 2*time.Second)
 	w.run(50 * time.Millisecond)
 	w.loses = func() bool { return false }
 	w.late = nil
@@ -122,7 +122,7 @@
 // the start came to the next instance.
 func TestStartThatWaitsForTheNextInstanceRunsOnce(t *testing.T) {
 	is := is.New(t)
-	w, f := leaveUnanswered(t, backAfter + 150*time.Millisecond, 4*time.Second)
+	w, f := leaveUnanswered(t, backAfter+150*time.Millisecond, 4*time.Second)
 	w.run(10 * time.Millisecond)
 	w.loses = func() bool { return false }
 	w.late = nil
