--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -152,10 +152,10 @@
 // pauseAfter returns how long to wait after a question that was answered. The lock must be held.
 func (a *Agent) pauseAfter(hold Hold) time.Duration {
 	switch {
+	case hold.Committed > 0 || a.core.toForget(a.now()) > 0:
+		return 0
 	case a.core.untold():
 		return pauseUncommitted
-	case hold.Committed > 0:
-		return 0
 	case hold.Wait == 0:
 		return pauseAfterFailure
 	default:
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -220,7 +220,7 @@
 	first := c.listed == 0
 	progress := len(listing.Running) > 0 && now.Sub(c.reportedAt) >= progressEvery
 	due := c.tellAfter > 0 && number > c.tellAfter
-	news := c.report != before || first || c.gone || c.silent || due || progress || differs(c.listing, listing)
+	news := c.report != before || first || c.gone || c.silent || due || progress || differs(c.listing.from(c.toldCommitted), listing)
 	c.listed = number
 	c.listing = listing
 	c.overdue = c.outlasting(now)
@@ -281,6 +281,17 @@
 	c.tellAfter = c.asked
 }
 
+// from returns a listing without the ends up to a number. What the worker was let forget is no news when it is gone: the
+// holder has committed it. When it was, the busiest gateway sent 195 KB a second instead of 161 at 299 VMs.
+func (l Listing) from(number uint64) Listing {
+	i := slices.IndexFunc(l.Ended, func(e *poolpb.EndedTask) bool { return e.GetNumber() > number })
+	if i < 0 {
+		i = len(l.Ended)
+	}
+	l.Ended = l.Ended[i:]
+	return l
+}
+
 // differs says whether two listings have other runs or ends. Progress alone does not
 // count.
 func differs(a, b Listing) bool {
--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -262,3 +262,13 @@
 	c.Leave(start, instance.Parse("old"))
 	is.Equal(c.worker().GetLapse(), poolpb.Lapse_LEFT)
 }
+
+// An end that the worker was let forget is no news once it is gone.
+func TestForgottenEndsAreNoNews(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	is.True(list(c, 0, Listing{Ended: []*poolpb.EndedTask{{Number: 1}, {Number: 2}}}))
+	c.Sync(&poolpb.SyncRequest{Epoch: 7, Instance: named("first").String(), Committed: 1})
+	is.True(!list(c, 0, Listing{Ended: []*poolpb.EndedTask{{Number: 2}}}))
+	is.True(list(c, 0, Listing{Ended: []*poolpb.EndedTask{{Number: 2}, {Number: 3}}}))
+}
