What may yet start is waited for under one name alone

Cause: a start for a worker's former instance is refused by the next if that has another name.

A worker that does not say when it started has another name each time, so nothing of it is waited for; one that does may be back under its name. The agent keeps starts open, and holds back what may be forgotten, likewise. The test fails with its line cut out: the task stands still until the worker is back. Left: the same cost where workers come back under their name and starts went unanswered; it is the price of not running a task twice.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -52,6 +52,12 @@
 	return id.name == other.name
 }
 
+// MayReturn says whether a later instance may have the name as well. A worker that does not say when it started has another
+// name each time, so a call for it reaches no other instance.
+func (id ID) MayReturn() bool {
+	return id.born != 0
+}
+
 // Born returns when the instance started, by its VM's time of day; the zero time when that is not known.
 func (id ID) Born() time.Time {
 	if id.born == 0 {
--- a/pool/instance.go
+++ b/pool/instance.go
@@ -28,7 +28,7 @@
 	for _, m := range slices.Clone(w.members) {
 		switch {
 		case m.instance == r.Instance:
-		case m.mayStillStart(r.Listing):
+		case r.Instance.SharesName(m.instance) && m.mayStillStart(r.Listing):
 			c.recall(now, m, r.Instance)
 		default:
 			c.memberLost(now, m, "the worker was restarted")
@@ -89,13 +89,13 @@
 	}
 }
 
-// workerEnded gives up what ran on a worker whose process has ended. What may yet start on its next instance waits for
-// that, or for the end of its order.
+// workerEnded gives up what ran on a worker whose process has ended. What may yet start on an instance that comes under
+// the same name waits for that, or for the end of its order.
 func (c *Core) workerEnded(now time.Time, w *worker, why string) {
 	for _, m := range slices.Clone(w.members) {
 		switch {
 		case m.recalled:
-		case m.mayStillStart(w.listing):
+		case m.instance.MayReturn() && m.mayStillStart(w.listing):
 			c.recall(now, m, m.instance)
 		default:
 			c.memberLost(now, m, why)
--- a/pool/instance_test.go
+++ b/pool/instance_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"hollyfork.example/hollyfork/instance"
 	"hollyfork.example/hollyfork/job"
 )
 
@@ -157,3 +158,18 @@
 	w.core.TakeResults(w.now, stop, Results{Listing: f.listing, Stops: []Result{ResultOK}})
 	is.True(!m.stopped)
 }
+
+// A worker that does not say when it started has another name each time, so a start for the former instance is refused by the
+// next: the task is placed again at once. Where it waited for the worker to come back, as it has to under one name, it
+// stood still for 2.2 s.
+func TestStartForAnotherNameIsNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	w, f := leaveUnanswered(t, time.Hour, time.Second)
+	w.loses = func() bool { return false }
+	w.late = nil
+	m := w.core.jobs["0000000000000001"].groups[0].members[0]
+	m.instance, f.instance = instance.Parse("i-old"), instance.Parse("i-old")
+	f.down, f.noticedAt = true, w.now
+	w.run(2 * time.Second)
+	is.Equal(w.state("0000000000000001"), Done)
+}
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -207,9 +207,9 @@
 	}
 	c.answered = number
 	before := c.report
-	if !isOf(listing.Instance, c.beat.Instance) {
+	if former := c.beat.Instance; !isOf(listing.Instance, former) {
 		c.adopt(listing.Instance)
-		c.recallStarts(now, listing)
+		c.recallStarts(now, former, listing)
 	}
 	c.dropUnverified(c.beat.Instance, number)
 	c.settleStarts(number, listing)
--- a/sidecar/question.go
+++ b/sidecar/question.go
@@ -56,7 +56,7 @@
 // next instance. When it was told with each question, such an end was forgotten before it was listed, in each run of a
 // test with a worker that starts again between two questions.
 func (c *Core) toForget(now time.Time) uint64 {
-	if c.committed == c.toldCommitted || c.listed == 0 || c.silent || c.startsOpen(now) {
+	if c.committed == c.toldCommitted || c.listed == 0 || c.silent || c.beat.Instance.MayReturn() && c.startsOpen(now) {
 		return 0
 	}
 	return c.committed
--- a/sidecar/starts.go
+++ b/sidecar/starts.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"hollyfork.example/hollyfork/instance"
 	"hollyfork.example/wire/poolpb"
 )
 
@@ -56,11 +57,16 @@
 	}
 }
 
-// recallStarts has the starts that were given to the former instance and not answered stopped on the living one, unless it
-// lists them: what was stopped there before it came is refused. A start of which the answer was lost
+// recallStarts has the starts that were given to the former instance and not answered stopped on the living one, if that has
+// its name and does not list them: what was stopped there before it came is refused. A start of which the answer was lost
 // was carried out again by the next instance otherwise, after the task had ended well. They stay open: the instance after
 // that knows of no stop.
-func (c *Core) recallStarts(now time.Time, listing Listing) {
+func (c *Core) recallStarts(now time.Time, former instance.ID, listing Listing) {
+	if !former.SharesName(listing.Instance) {
+		c.open = nil
+		c.exposedUntil = time.Time{}
+		return
+	}
 	for _, s := range c.open {
 		if !s.answered && now.Before(s.until) && !listing.shows(s.task, s.run) {
 			c.recalled = append(c.recalled, &poolpb.StopOrder{Task: s.task, Run: s.run})
