--- a/pool/instance_test.go
+++ b/pool/instance_test.go
@@ -62,37 +62,46 @@
 // Workers end and come back at any time, are carried on under their name, and starts come late.
 func TestWorkersComeBackInHistories(t *testing.T) {
 	for seed := range uint64(40) {
-		w := newWorld(t, 6)
-		w.random = newRandom(seed)
-		w.policy = func(string) bool { return true }
-		w.ticketsHold = 3 * time.Second
-		w.loses = func() bool { return w.random.IntN(6) == 0 }
-		w.late = func() time.Duration { return time.Duration(w.random.IntN(3000)) * time.Millisecond }
-		for id := 1; id <= 40; id++ {
-			w.submit(randomJob(w, id))
-			w.run(time.Duration(w.random.IntN(500)) * time.Millisecond)
-			f := w.workers[w.random.IntN(len(w.workers))]
-			switch w.random.IntN(6) {
-			case 0, 1:
-				f.restartWorker()
-			case 2:
-				f.restartAgent()
-			case 3:
-				w.takeOver()
-			case 4:
-				if !f.down {
-					f.fall(w)
-				}
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playComingBack(t, seed)
+		})
+	}
+}
+
+// playComingBack plays one history, and fails the test if a job of it has not ended a minute after the last.
+func playComingBack(t *testing.T, seed uint64) {
+	t.Helper()
+	w := newWorld(t, 6)
+	w.random = newRandom(seed)
+	w.policy = func(string) bool { return true }
+	w.ticketsHold = 3 * time.Second
+	w.loses = func() bool { return w.random.IntN(6) == 0 }
+	w.late = func() time.Duration { return time.Duration(w.random.IntN(3000)) * time.Millisecond }
+	for id := 1; id <= 40; id++ {
+		w.submit(randomJob(w, id))
+		w.run(time.Duration(w.random.IntN(500)) * time.Millisecond)
+		f := w.workers[w.random.IntN(len(w.workers))]
+		switch w.random.IntN(6) {
+		case 0, 1:
+			f.restartWorker()
+		case 2:
+			f.restartAgent()
+		case 3:
+			w.takeOver()
+		case 4:
+			if !f.down {
+				f.fall(w)
 			}
 		}
-		w.calm()
-		w.loses = func() bool { return false }
-		w.late = nil
-		w.run(time.Minute)
-		for id := range w.jobs {
-			if !w.state(id).ended() {
-				t.Errorf("seed %d: job %s has not ended: %s", seed, id, w.state(id))
-			}
+	}
+	w.calm()
+	w.loses = func() bool { return false }
+	w.late = nil
+	w.run(time.Minute)
+	for id := range w.jobs {
+		if !w.state(id).ended() {
+			t.Errorf("job %s has not ended: %s", id, w.state(id))
 		}
 	}
 }
--- a/sidecar/lives_test.go
+++ b/sidecar/lives_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,8 +27,9 @@
 	// read are the ends that it has listed, unread those that it was let forget before.
 	read   map[*poolpb.EndedTask]bool
 	unread []string
-	// mute lets starts go unanswered, stopped are the runs that were stopped.
+	// mute lets starts go unanswered, stopped are the runs that were stopped, several at once.
 	mute    bool
+	mu      sync.Mutex
 	stopped []string
 }
 
@@ -63,6 +65,8 @@
 }
 
 func (w *rebornWorker) Stop(_ context.Context, s StopTask) (poolpb.OrderResult_Value, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.stopped = append(w.stopped, s.Order.GetTask())
 	return poolpb.OrderResult_OK, nil
 }
