Failing test: test processes take the same ports

Ports are chosen by the rest of a division of the process id by 50, so that two test processes at a time may have one block.

--- /dev/null
+++ b/program/cluster/processes_test.go
@@ -0,0 +1,74 @@
+package cluster
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// portVariable makes a process of this test take a port and keep it until its input ends.
+	portVariable = "HOLLYFORK_TEST_PORT"
+	// processes is one more than the blocks of ports that there were when processes shared them.
+	processes = 51
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(portVariable) == "" {
+		os.Exit(m.Run())
+	}
+	b := portBlock{taken: map[int]bool{}}
+	port, ok := b.take()
+	fmt.Println(port, ok)
+	_, err := io.Copy(io.Discard, os.Stdin)
+	if err != nil {
+		os.Exit(1)
+	}
+}
+
+// A gateway of one test could not listen where a program of another test did, which ran at the same time:
+//
+//	listen tcp 127.0.0.1:20529: bind: address already in use
+//
+// Ports that two test processes may both take end in that whenever one program is started between the other's
+// look and its own listening.
+func TestProcessesTakeDifferentPorts(t *testing.T) {
+	is := is.New(t)
+	seen := map[string]bool{}
+	for range processes {
+		line := portOfProcess(t)
+		port, found := strings.CutSuffix(line, " true\n")
+		is.True(found)
+		if seen[port] {
+			t.Errorf("two processes took port %s", port)
+		}
+		seen[port] = true
+	}
+}
+
+// portOfProcess returns what a process says of the port that it keeps until the test is over.
+func portOfProcess(t *testing.T) string {
+	t.Helper()
+	is := is.New(t)
+	command := exec.CommandContext(context.WithoutCancel(t.Context()), os.Args[0])
+	command.Env = append(os.Environ(), portVariable+"=1")
+	input, err := command.StdinPipe()
+	is.NoErr(err)
+	output, err := command.StdoutPipe()
+	is.NoErr(err)
+	is.NoErr(command.Start())
+	t.Cleanup(func() {
+		_ = input.Close()
+		is.NoErr(command.Wait())
+	})
+	line, err := bufio.NewReader(output).ReadString('\n')
+	is.NoErr(err)
+	return line
+}
