Test processes claim the ports that they hand out

Cause: a process's ports were chosen by the rest of its id divided by 50, and between the look whether one is unused and the listening of the program that gets it, another process could take it.

Why it holds: a process listens on the first port of each block whose ports it hands out, which the kernel grants to one. A process that needs more than a block claims others, so large clusters are not bound to 400 ports either.

--- a/program/cluster/ports.go
+++ b/program/cluster/ports.go
@@ -10,17 +10,21 @@
 )
 
 const (
-	// firstPort, blocks and block divide ports into one block for each process that runs tests. They are below
-	// those that the kernel gives to outgoing connections.
-	firstPort = 10000
-	blocks    = 50
-	block     = 400
+	// firstPort, blocks and block divide ports into blocks of which a process that runs tests claims as many as it
+	// needs, mostBlocks at most. They are below those that the kernel gives to outgoing connections.
+	firstPort  = 10000
+	blocks     = 200
+	block      = 100
+	mostBlocks = 8
 )
 
 // portBlock is the ports of this process.
 type portBlock struct {
-	mu   sync.Mutex
-	next int
+	mu sync.Mutex
+	// claims listen on the first port of each block that is this process's; ports are the others of those blocks.
+	claims []net.Listener
+	ports  []int
+	next   int
 	// taken are those of clusters that are not over. Nobody may listen on one for a while: its worker has crashed
 	// and will be back.
 	taken map[int]bool
@@ -39,13 +43,26 @@
 	return addressOf(port)
 }
 
-// take returns a port that no other cluster has and nobody listens on; ok is false if there is none.
+// take returns a port that no other cluster has, of this process or of another, and nobody listens on; ok is false
+// if there is none.
 func (b *portBlock) take() (port int, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for range block {
-		b.next = (b.next + 1) % block
-		port = firstPort + os.Getpid()%blocks*block + b.next
+	for {
+		if port, ok = b.takeClaimed(); ok {
+			return port, true
+		}
+		if !b.claim() {
+			return 0, false
+		}
+	}
+}
+
+// takeClaimed returns a port of the blocks that are this process's.
+func (b *portBlock) takeClaimed() (port int, ok bool) {
+	for range b.ports {
+		port = b.ports[b.next%len(b.ports)]
+		b.next++
 		if !b.taken[port] && unused(port) {
 			b.taken[port] = true
 			return port, true
@@ -54,6 +71,30 @@
 	return 0, false
 }
 
+// claim makes one more block this process's and says whether there was one. Whether a port is unused is not enough
+// for two processes, since one may take it between the other's look and its own listening: a block belongs to who
+// listens on its first port, which the kernel grants once.
+func (b *portBlock) claim() bool {
+	if len(b.claims) == mostBlocks {
+		return false
+	}
+	for i := range blocks {
+		first := firstPort + (os.Getpid()+i)%blocks*block
+		config := net.ListenConfig{}
+		listener, err := config.Listen(context.Background(), "tcp", addressOf(first))
+		if err != nil {
+			continue // another process's, or this one's
+		}
+		b.claims = append(b.claims, listener)
+		b.next = len(b.ports)
+		for port := first + 1; port < first+block; port++ {
+			b.ports = append(b.ports, port)
+		}
+		return true
+	}
+	return false
+}
+
 func (b *portBlock) giveBack(port int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/program/cluster/ports_test.go
+++ b/program/cluster/ports_test.go
@@ -10,17 +10,17 @@
 	"github.com/matryer/is"
 )
 
-// After a lap through the block a port would be handed out again whose worker has crashed and is about to be back.
+// After a lap through its blocks a port would be handed out again whose worker has crashed and is about to be back.
 func TestPortsAreTakenUntilTheirClusterIsOver(t *testing.T) {
 	is := is.New(t)
-	b := portBlock{taken: map[int]bool{}}
+	b := newPorts(t)
 	first, ok := b.take()
 	is.True(ok)
 	seen := map[int]bool{first: true}
-	for range block - 1 {
+	for range mostBlocks * block {
 		port, ok := b.take()
 		if !ok {
-			break // others listen there
+			break // the blocks are used up
 		}
 		is.True(!seen[port])
 		seen[port] = true
@@ -52,7 +52,7 @@
 			}
 		})
 	}
-	b := portBlock{taken: map[int]bool{}}
+	b := newPorts(t)
 	config := net.ListenConfig{}
 	busy := 0
 	for range takes {
@@ -69,3 +69,15 @@
 	starting.Wait()
 	is.Equal(busy, 0)
 }
+
+// newPorts returns the ports of a process of its own, whose blocks are free again when the test is over.
+func newPorts(t *testing.T) *portBlock {
+	t.Helper()
+	b := &portBlock{taken: map[int]bool{}}
+	t.Cleanup(func() {
+		for _, claim := range b.claims {
+			_ = claim.Close()
+		}
+	})
+	return b
+}
--- a/program/cluster/processes_test.go
+++ b/program/cluster/processes_test.go
@@ -16,7 +16,7 @@
 const (
 	// portVariable makes a process of this test take a port and keep it until its input ends.
 	portVariable = "HOLLYFORK_TEST_PORT"
-	// processes is one more than the blocks of ports that there were when processes shared them.
+	// processes is one more than the 50 blocks that processes shared by their ids.
 	processes = 51
 )
 
@@ -37,13 +37,19 @@
 //
 //	listen tcp 127.0.0.1:20529: bind: address already in use
 //
-// Ports that two test processes may both take end in that whenever one program is started between the other's
-// look and its own listening.
+// Whether a port is unused was looked at before the program was started, and a block of ports belonged to each
+// process whose id leaves one rest when divided by 50: of 51 processes 17 took a port that another had.
 func TestProcessesTakeDifferentPorts(t *testing.T) {
 	is := is.New(t)
+	var inputs []io.Closer
+	defer func() {
+		for _, input := range inputs {
+			is.NoErr(input.Close())
+		}
+	}()
 	seen := map[string]bool{}
 	for range processes {
-		line := portOfProcess(t)
+		line := portOfProcess(t, &inputs)
 		port, found := strings.CutSuffix(line, " true\n")
 		is.True(found)
 		if seen[port] {
@@ -53,8 +59,9 @@
 	}
 }
 
-// portOfProcess returns what a process says of the port that it keeps until the test is over.
-func portOfProcess(t *testing.T) string {
+// portOfProcess returns what a process says of the port that it keeps until its input, which is added to inputs,
+// is closed.
+func portOfProcess(t *testing.T, inputs *[]io.Closer) string {
 	t.Helper()
 	is := is.New(t)
 	command := exec.CommandContext(context.WithoutCancel(t.Context()), os.Args[0])
@@ -64,10 +71,8 @@
 	output, err := command.StdoutPipe()
 	is.NoErr(err)
 	is.NoErr(command.Start())
-	t.Cleanup(func() {
-		_ = input.Close()
-		is.NoErr(command.Wait())
-	})
+	t.Cleanup(func() { is.NoErr(command.Wait()) })
+	*inputs = append(*inputs, input)
 	line, err := bufio.NewReader(output).ReadString('\n')
 	is.NoErr(err)
 	return line
