--- a/program/cluster_test.go
+++ b/program/cluster_test.go
@@ -46,7 +46,9 @@
 }
 
 func TestMain(m *testing.M) {
-	if run, ok := programs()[os.Getenv(programVariable)]; ok {
+	testPrograms := programs()
+	testPrograms["print-addresses"] = printAddresses
+	if run, ok := testPrograms[os.Getenv(programVariable)]; ok {
 		os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 	}
 	commands := map[string]func(){}
@@ -99,6 +101,15 @@
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress(t testing.TB) string {
 	t.Helper()
+	address, ok := takeAddress()
+	if !ok {
+		t.Fatal("no port is free")
+	}
+	return address
+}
+
+// takeAddress returns a loopback address on which nothing listens; ok is false if there is none.
+func takeAddress() (address string, ok bool) {
 	nextPort.CompareAndSwap(0, rand.Int32N(ports))
 	for range ports {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
@@ -107,10 +118,9 @@
 			continue
 		}
 		_ = listener.Close()
-		return address
+		return address, true
 	}
-	t.Fatal("no port is free")
-	return ""
+	return "", false
 }
 
 // newCluster starts a stand-in platform, an agent for each worker and an entry.
