Failing tests: a holder does not know which agents carry out no starts

The agent refuses until the next heartbeat, up to 1.5 s, and its state does not say so; the holder places the task there again at once.

The schema gets the field that will say it, not_ready, unused as yet.

--- a/pool/instance_test.go
+++ b/pool/instance_test.go
@@ -182,3 +182,23 @@
 	w.run(2 * time.Second)
 	is.Equal(w.state("0000000000000001"), Done)
 }
+
+// Agents that are not sure which instance lives carry out no start. Their workers were ordered the same starts again and
+// again.
+func TestWorkerThatIsNotReadyGetsNoStarts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1)
+	f := w.workers[0]
+	w.submit(oneTask(1, 2*time.Second))
+	w.until("a task runs", func() bool { return len(f.running) == 1 })
+	f.notReady = true
+	w.run(200 * time.Millisecond)
+	w.submit(oneTask(2, time.Second))
+	w.run(time.Second)
+	is.Equal(w.count(EventRejected), 0)
+	is.Equal(len(f.running), 1) // what runs there goes on
+	f.notReady = false
+	w.run(3 * time.Second)
+	is.Equal(w.state("0000000000000001"), Done)
+	is.Equal(w.state("0000000000000002"), Done)
+}
--- a/pool/message.go
+++ b/pool/message.go
@@ -97,6 +97,9 @@
 		// Instance is the worker's; zero when it is not known.
 		Instance instance.ID
 		Draining bool
+		// NotReady says that the agent carries out no starts at present, since it is not sure which instance lives or
+		// what that has said last.
+		NotReady bool
 		Capacity job.Shape
 		Labels   []string
 		Rack     string
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -120,6 +120,8 @@
 	// silent workers and agents answer nothing, but run on until their lease ends.
 	silent   bool
 	draining bool
+	// notReady makes its agent carry out no start, and say so.
+	notReady bool
 	// fails makes every task fail.
 	fails bool
 	hangs bool
@@ -457,6 +459,9 @@
 	if w.now.After(f.leaseUntil) {
 		return ResultLate
 	}
+	if f.notReady {
+		return ResultOtherInstance
+	}
 	shape := w.jobs[s.Task.Job].Steps[s.Task.Step].Takes()
 	if f.freeOf(w, f.told).Holds(shape) < 1 {
 		w.t.Errorf("%s: %v is ordered to %s, which has no room for it", w.now, s.Task, f.name)
--- a/pool/world_worker_test.go
+++ b/pool/world_worker_test.go
@@ -137,6 +137,7 @@
 		DataCentre:  f.dataCentre,
 		Labels:      f.labels,
 		Draining:    f.draining,
+		NotReady:    f.notReady,
 		Listing:     f.listing,
 		Ended:       slices.Clone(f.ended),
 	}
--- a/sidecar/lives_test.go
+++ b/sidecar/lives_test.go
@@ -319,3 +319,25 @@
 	hold, _, _ = c.NextHold(start)
 	is.Equal(hold.Committed, uint64(1))
 }
+
+// A restarted agent waits for a heartbeat that it is the first to hear, up to 1.5 s, and carries out no start until then.
+// The holder was not told so and ordered the same starts again within 10 ms each time: 666 were refused on 55 workers
+// after their data centre had lost power, and the holder sent 13% more bytes on 300 VMs.
+func TestAgentSaysWhetherItIsReady(t *testing.T) {
+	is := is.New(t)
+	c := NewCore(start, "agent")
+	c.Sync(lease(c, 0))
+	is.True(c.worker().GetNotReady())
+	is.Equal(c.Heartbeat(Heartbeat{Instance: named("first"), Sequence: 3, Clock: 98 * time.Second}), BeatUnverified)
+	is.True(list(c, time.Second, Listing{Instance: named("first"), Clock: 101 * time.Second}))
+	is.True(c.worker().GetNotReady()) // the heartbeat was sent 2 s before the agent began
+	is.Equal(c.Heartbeat(Heartbeat{Instance: named("first"), Sequence: 5, Clock: 101 * time.Second}), BeatNews)
+	is.True(!c.worker().GetNotReady())
+	before := c.report
+	is.Equal(c.Heartbeat(Heartbeat{Instance: instance.New("first", 2), Sequence: 1}), BeatUnverified)
+	is.True(c.worker().GetNotReady()) // one of the two is over
+	is.True(c.report > before)
+	hold, number, _ := c.NextHold(start.Add(time.Second))
+	is.True(c.Listed(start.Add(time.Second), hold, number, Listing{Instance: named("first"), Clock: 102 * time.Second}))
+	is.True(!c.worker().GetNotReady())
+}
