A model of pools in virtual time, and hollyfork-lab to compare settings on it

Package model plays the decision code as it is, unchanged, around simulated workers (racks, speeds, starts, stops, saves, failures), a store (slow, silent) and callers; workloads are INI files, or drawn from wide ranges. The same seed gives the same outcome. Bound says what no decisions can exceed, by a flow of work through time with hindsight; where jobs have long to wait it is near 1 and says little. hollyfork-lab plays files beside that bound, tells accelerators that were free by the rule that kept them, and compares settings on the same seeds with standard errors.

--- /dev/null
+++ b/cmd/hollyfork-lab/main.go
@@ -0,0 +1,12 @@
+// Command hollyfork-lab plays workloads in virtual time under the decisions of hollyfork's pools, and compares settings.
+package main
+
+import (
+	"os"
+
+	"hollyfork.example/hollyfork/program/lab"
+)
+
+func main() {
+	os.Exit(lab.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/model/compare.go
@@ -0,0 +1,89 @@
+package model
+
+import (
+	"context"
+	"math"
+	"runtime"
+
+	"golang.org/x/sync/errgroup"
+
+	"hollyfork.example/hollyfork/pool"
+)
+
+type (
+	// Case is a workload with the seed that it is played with.
+	Case struct {
+		Load Workload
+		Seed uint64
+	}
+
+	// Pair is one case played under two settings.
+	Pair struct {
+		Before, After *Outcome
+	}
+
+	// Difference is the mean of what pairs differ by, with its standard error.
+	Difference struct {
+		Mean, Error float64
+		Pairs       int
+	}
+)
+
+// PlayAll plays cases under settings, as many at a time as there are processors, and tells when each is done.
+func PlayAll(ctx context.Context, cases []Case, settings pool.Settings, done func()) ([]*Outcome, error) {
+	outcomes := make([]*Outcome, len(cases))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(runtime.GOMAXPROCS(0))
+	for i, c := range cases {
+		group.Go(func() error {
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			o, err := Play(c.Load, settings, c.Seed)
+			if err != nil {
+				return err
+			}
+			outcomes[i] = o
+			done()
+			return nil
+		})
+	}
+	return outcomes, group.Wait()
+}
+
+// Compare plays each case under two settings, and tells when each play is done.
+func Compare(ctx context.Context, cases []Case, before, after pool.Settings, done func()) ([]Pair, error) {
+	first, err := PlayAll(ctx, cases, before, done)
+	if err != nil {
+		return nil, err
+	}
+	second, err := PlayAll(ctx, cases, after, done)
+	if err != nil {
+		return nil, err
+	}
+	pairs := make([]Pair, len(cases))
+	for i := range pairs {
+		pairs[i] = Pair{Before: first[i], After: second[i]}
+	}
+	return pairs, nil
+}
+
+// DifferenceOf returns what pairs differ by in a figure.
+func DifferenceOf(pairs []Pair, figure func(*Outcome) float64) Difference {
+	d := Difference{Pairs: len(pairs)}
+	if len(pairs) == 0 {
+		return d
+	}
+	sum, squares := 0.0, 0.0
+	for _, p := range pairs {
+		by := figure(p.After) - figure(p.Before)
+		sum += by
+		squares += by * by
+	}
+	n := float64(len(pairs))
+	d.Mean = sum / n
+	if n > 1 {
+		d.Error = math.Sqrt(max(0, squares/n-d.Mean*d.Mean) / (n - 1))
+	}
+	return d
+}
--- /dev/null
+++ b/model/model_test.go
@@ -0,0 +1,241 @@
+package model
+
+import (
+	"errors"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/job"
+	"hollyfork.example/hollyfork/pool"
+)
+
+const (
+	// randomPlays is the number of workloads that are drawn and played in each test of random ones, randomLength for
+	// how long jobs arrive in them.
+	randomPlays  = 10
+	randomLength = 6 * time.Second
+)
+
+// shortRandom draws a workload that is played within a second.
+func shortRandom(seed uint64) Workload {
+	w := Random(seed)
+	w.Length = randomLength
+	for i := range w.Kinds {
+		w.Kinds[i].Rate = min(w.Kinds[i].Rate, 5)
+	}
+	return w
+}
+
+// quiet is a workload with room for all.
+func quiet() Workload {
+	return Workload{
+		Length: 10 * time.Second,
+		Pool: Pool{
+			Workers:    8,
+			Racks:      4,
+			Room:       job.Shape{CPUMillis: 64_000, MemoryMB: 64_000, Accelerators: 8},
+			Speeds:     []float64{1},
+			StartTakes: 100 * time.Millisecond,
+			StopTakes:  200 * time.Millisecond,
+			SaveEvery:  500 * time.Millisecond,
+			StoreTakes: 4 * time.Millisecond,
+		},
+		Kinds: []JobKind{{
+			Name: "gangs", Rate: 1, Attempts: 3, Tasks: 2, TasksMost: 4, Accelerators: []int{1, 2}, Shape: job.Shape{CPUMillis: 1000, MemoryMB: 1000},
+			Work: time.Second, WorkMost: 2 * time.Second, WorkSpread: 0.2, Gangs: 1, Stretch: 2, Goal: time.Second, Value: 1,
+		}},
+	}
+}
+
+// playOf plays a workload with the default settings.
+func playOf(t *testing.T, w Workload, seed uint64) *Outcome {
+	t.Helper()
+	o, err := Play(w, pool.DefaultSettings(), seed)
+	is.New(t).NoErr(err)
+	return o
+}
+
+func TestAllIsServedWhereThereIsRoom(t *testing.T) {
+	is := is.New(t)
+	o := playOf(t, quiet(), 1)
+	is.Equal(o.Kinds[0].InTime, o.Kinds[0].Jobs)
+	is.True(o.Kinds[0].Jobs > 0)
+	is.Equal(o.Worth(), 1.0)
+	is.Equal(o.Wasted, 0.0)
+	is.True(o.Kinds[0].Wait(0.9) < 50*time.Millisecond)
+}
+
+func TestSameSeedGivesTheSameOutcome(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(randomPlays) {
+		w := shortRandom(seed)
+		first := playOf(t, w, seed)
+		second := playOf(t, shortRandom(seed), seed)
+		is.Equal(first.Kinds, second.Kinds)
+		is.Equal(first.Used, second.Used)
+		is.Equal(first.Free, second.Free)
+	}
+}
+
+// Each trouble costs something on a workload that is served whole without it, and what is served after it is over is
+// served again.
+func TestTroublesCost(t *testing.T) {
+	span := Span{At: 2 * time.Second, For: 4 * time.Second}
+	for _, trouble := range []Trouble{
+		SlowWorkers{Span: span, Share: 1, Factor: 6},
+		FailingWorkers{Span: span, Share: 1},
+		CrashingWorkers{Span: span, Share: 1},
+		SilentStore{Span: span},
+		SlowStore{Span: span, Factor: 100},
+		HolderKilled{Span: span},
+	} {
+		t.Run(reflect.TypeOf(trouble).Name(), func(t *testing.T) {
+			is := is.New(t)
+			w := quiet()
+			w.Kinds[0].Goal = 100 * time.Millisecond
+			w.Kinds[0].Stretch = 1.3
+			whole := playOf(t, w, 3)
+			w.Troubles = []Trouble{trouble}
+			hit := playOf(t, w, 3)
+			is.True(hit.Worth() < whole.Worth())
+			is.True(hit.Worth() > 0)
+			is.Equal(hit.Kinds[0].Never, 0)
+		})
+	}
+}
+
+func TestBurstBringsMoreJobs(t *testing.T) {
+	is := is.New(t)
+	w := quiet()
+	before := len(w.Draw(1))
+	w.Troubles = []Trouble{Burst{Span: Span{At: 0, For: w.Length}, Of: "gangs", Factor: 3}}
+	is.True(len(w.Draw(1)) > 2*before)
+}
+
+// No outcome is above the bound, and it is below 1 where jobs ask for more than there is.
+func TestNothingIsAboveTheBound(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(randomPlays) {
+		w := shortRandom(seed)
+		is.True(playOf(t, w, seed).Worth() <= Bound(w, seed)+1e-9)
+	}
+	w := quiet()
+	w.Kinds[0].Rate = 30
+	bound := Bound(w, 1)
+	is.True(bound < 0.9)
+	is.True(playOf(t, w, 1).Worth() <= bound)
+}
+
+// A flow of three jobs over two slots: the second job has to move on to let the third in.
+func TestFlowMovesWorkOn(t *testing.T) {
+	is := is.New(t)
+	f := newFlow([]int64{5, 5})
+	is.Equal(f.add([]edge{{slot: 0, capacity: 3}}, 3), int64(3))
+	is.Equal(f.add([]edge{{slot: 0, capacity: 4}, {slot: 1, capacity: 4}}, 4), int64(4))
+	is.Equal(f.add([]edge{{slot: 0, capacity: 9}}, 4), int64(2))
+	is.Equal(f.add([]edge{{slot: 0, capacity: 9}, {slot: 1, capacity: 9}}, 9), int64(1))
+}
+
+func TestExampleIsServedWithinBounds(t *testing.T) {
+	is := is.New(t)
+	content, err := os.ReadFile("../examples/workloads/rush.ini")
+	is.NoErr(err)
+	w, err := ParseWorkload(content)
+	is.NoErr(err)
+	const plays = 3
+	worth, wasted, never, jobs := 0.0, 0.0, 0, 0
+	for seed := range uint64(plays) {
+		o := playOf(t, w, seed)
+		worth += o.Worth() / plays
+		wasted += o.WastedShare() / plays
+		for _, k := range o.Kinds {
+			never += k.Never
+			jobs += k.Jobs
+		}
+	}
+	t.Logf("worth %.3f, wasted %.3f, %d of %d jobs had not ended", worth, wasted, never, jobs)
+	is.True(worth > 0.5)
+	is.True(wasted < 0.15)
+	is.True(10*never < jobs)
+}
+
+func TestWorkloadErrorsNameSectionAndKey(t *testing.T) {
+	const good = "[workload]\nlength = 10s\n[pool]\nworkers = 3\n[kind a]\nrate = 1\nwork = 1s\n"
+	for name, test := range map[string]struct{ content, wants string }{
+		"good":               {good, ""},
+		"no workers":         {strings.Replace(good, "workers = 3", "", 1), `[pool] workers: "" is not a whole number from 1 to 20000`},
+		"unknown key":        {good + "speed = 3\n", "[kind a] speed: is not known here"},
+		"unknown section":    {good + "[kinds]\na = 1\n", "[kinds] : is not known here"},
+		"bad time":           {strings.Replace(good, "work = 1s", "work = 1", 1), `[kind a] work: "1" is not a time`},
+		"not a number":       {good + "value = NaN\n", `[kind a] value: "NaN" is not a number`},
+		"share above 1":      {good + "gangs = 1.5\n", `[kind a] gangs: "1.5" is not a number from 0 to 1`},
+		"unknown trouble":    {good + "[trouble x]\nwhat = rain\nat = 1s\nfor = 1s\n", `[trouble x] what: "rain" is none of`},
+		"trouble after all":  {good + "[trouble x]\nwhat = silent-store\nat = 11s\nfor = 1s\n", `[trouble x] at: "11s" is not a time from 0s to 10s`},
+		"burst of no kind":   {good + "[trouble x]\nwhat = burst\nof = b\nfactor = 2\nat = 1s\nfor = 1s\n", `there is no kind "b"`},
+		"no kinds":           {"[workload]\nlength = 1s\n[pool]\nworkers = 1\n", "at least one is needed"},
+		"two things at once": {strings.NewReplacer("workers = 3", "workers = x", "rate = 1", "rate = -1").Replace(good), "[kind a] rate"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := ParseWorkload([]byte(test.content))
+			if test.wants == "" {
+				is.NoErr(err)
+				return
+			}
+			var failure *Error
+			is.True(errors.As(err, &failure))
+			is.Equal(failure.Kind, KindWorkload)
+			if !strings.Contains(err.Error(), test.wants) {
+				t.Errorf("%q does not tell %q", err, test.wants)
+			}
+		})
+	}
+}
+
+func FuzzWorkload(f *testing.F) {
+	content, err := os.ReadFile("../examples/workloads/rush.ini")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(content)
+	f.Fuzz(func(_ *testing.T, content []byte) {
+		_, _ = ParseWorkload(content)
+	})
+}
+
+func TestSettingsAreChangedByName(t *testing.T) {
+	is := is.New(t)
+	s, err := WithSetting(pool.DefaultSettings(), "retain-for=4s")
+	is.NoErr(err)
+	is.Equal(s.RetainFor, 4*time.Second)
+	s, err = WithSetting(s, "displace-factor=0.5")
+	is.NoErr(err)
+	is.Equal(s.DisplaceFactor, 0.5)
+	s, err = WithSetting(s, "aside-after=7")
+	is.NoErr(err)
+	is.Equal(s.AsideAfter, 7)
+	is.Equal(s.RetainFor, 4*time.Second)
+	for _, text := range []string{"", "retain-for", "retain=4s", "retain-for=4", "aside-after=x", "displace-factor=x"} {
+		_, err := WithSetting(s, text)
+		var failure *Error
+		is.True(errors.As(err, &failure))
+		is.Equal(failure.Kind, KindSetting)
+	}
+}
+
+func TestDifferenceHasAStandardError(t *testing.T) {
+	is := is.New(t)
+	outcome := func(worth float64) *Outcome {
+		return &Outcome{Kinds: []KindOutcome{{Owed: 1, Earned: worth}}}
+	}
+	pairs := []Pair{{outcome(0.5), outcome(0.6)}, {outcome(0.5), outcome(0.8)}}
+	d := DifferenceOf(pairs, (*Outcome).Worth)
+	is.True(d.Mean > 0.1999 && d.Mean < 0.2001)
+	is.True(d.Error > 0.0999 && d.Error < 0.1001)
+	is.Equal(d.Pairs, 2)
+}
--- /dev/null
+++ b/model/setting.go
@@ -0,0 +1,76 @@
+package model
+
+import (
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"hollyfork.example/hollyfork/pool"
+)
+
+// WithSetting returns settings of which one is another, as in "retain-for=4s". Names are those of the fields of
+// pool.Settings, in small letters with hyphens between their words.
+func WithSetting(s pool.Settings, text string) (pool.Settings, error) {
+	name, value, ok := strings.Cut(text, "=")
+	if !ok {
+		return s, settingError(fmt.Errorf("%q is not of the form name=value", text))
+	}
+	fields := reflect.ValueOf(&s).Elem()
+	var names []string
+	for i := range fields.NumField() {
+		field := hyphenated(fields.Type().Field(i).Name)
+		names = append(names, field)
+		if field != name {
+			continue
+		}
+		if err := set(fields.Field(i), value); err != nil {
+			return s, settingError(fmt.Errorf("%s: %w", name, err))
+		}
+		return s, nil
+	}
+	return s, settingError(fmt.Errorf("there is no setting %q; there are %s", name, strings.Join(names, ", ")))
+}
+
+func settingError(err error) error {
+	return &Error{Op: "change a setting", Kind: KindSetting, Err: err}
+}
+
+func set(field reflect.Value, text string) error {
+	switch field.Interface().(type) {
+	case time.Duration:
+		value, err := time.ParseDuration(text)
+		if err != nil {
+			return fmt.Errorf("%q is not a time such as 500ms or 10s", text)
+		}
+		field.SetInt(int64(value))
+	case int:
+		value, err := strconv.Atoi(text)
+		if err != nil {
+			return fmt.Errorf("%q is not a whole number", text)
+		}
+		field.SetInt(int64(value))
+	case float64:
+		value, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return fmt.Errorf("%q is not a number", text)
+		}
+		field.SetFloat(value)
+	default:
+		return fmt.Errorf("values of type %s can't be set", field.Type())
+	}
+	return nil
+}
+
+// hyphenated writes a field's name as settings are written.
+func hyphenated(name string) string {
+	var b strings.Builder
+	for i, c := range name {
+		if c >= 'A' && c <= 'Z' && i > 0 {
+			b.WriteByte('-')
+		}
+		b.WriteRune(c)
+	}
+	return strings.ToLower(b.String())
+}
--- a/pool/freeroom.go
+++ b/pool/freeroom.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// freeRoom counts the accelerators that nothing runs on.
-func (c *Core) freeRoom(now time.Time) FreeRoom {
+// FreeRoom counts the accelerators that nothing runs on, by the rule that keeps them free.
+func (c *Core) FreeRoom(now time.Time) FreeRoom {
 	sum := FreeRoom{}
 	for _, w := range c.workers {
 		w.addFree(now, c.settings, &sum)
--- a/pool/state.go
+++ b/pool/state.go
@@ -100,7 +100,7 @@
 		Jobs:          map[string]int{},
 		Waiting:       c.waitingByQueue(),
 		Uncommitted:   len(c.dirty),
-		Free:          c.freeRoom(now),
+		Free:          c.FreeRoom(now),
 		Lacking:       c.lackingAccelerators(now),
 	}
 	for _, j := range c.jobs {
--- /dev/null
+++ b/program/lab/lab.go
@@ -0,0 +1,158 @@
+// Package lab is the program hollyfork-lab: it plays workload files in virtual time, and compares settings on them.
+package lab
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"hollyfork.example/hollyfork/model"
+	"hollyfork.example/hollyfork/pool"
+	"hollyfork.example/hollyfork/process/launch"
+)
+
+const (
+	// defaultSeeds and mostSeeds are how often each workload is played.
+	defaultSeeds = 8
+	mostSeeds    = 10_000
+)
+
+type (
+	// lab is one run of the program.
+	lab struct {
+		stdout, stderr io.Writer
+
+		seeds  int
+		first  uint64
+		random int
+		change string
+		csv    string
+	}
+
+	// usageError is a command line that cannot be understood.
+	usageError struct {
+		reason string
+	}
+)
+
+func (e usageError) Error() string {
+	return e.reason
+}
+
+// Main is the main function of hollyfork-lab.
+func Main(args []string, stdout, stderr io.Writer) int {
+	l := &lab{stdout: stdout, stderr: stderr}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err := l.command().ParseAndRun(ctx, args)
+	var usage usageError
+	var failure *model.Error
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return launch.ExitOK
+	case errors.As(err, &usage), errors.As(err, &failure) && failure.Kind == model.KindSetting:
+		_, _ = fmt.Fprintln(stderr, err)
+		return launch.ExitUsage
+	default:
+		_, _ = fmt.Fprintln(stderr, err)
+		return launch.ExitFailure
+	}
+}
+
+func (l *lab) command() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "hollyfork-lab",
+		ShortUsage: "hollyfork-lab <play|compare> [flags] [FILE...]",
+		ShortHelp:  "play workloads in virtual time",
+		FlagSet:    flag.NewFlagSet("hollyfork-lab", flag.ContinueOnError),
+		Subcommands: []*ffcli.Command{
+			{
+				Name:       "play",
+				ShortUsage: "hollyfork-lab play [-seeds N] [-set name=value,...] FILE...",
+				ShortHelp:  "say what becomes of workloads, beside what no decisions can exceed",
+				FlagSet:    l.flags("play"),
+				Exec:       l.play,
+			},
+			{
+				Name:       "compare",
+				ShortUsage: "hollyfork-lab compare [-seeds N] [-random N] -set name=value,... [FILE...]",
+				ShortHelp:  "compare settings with the defaults, on the same workloads and seeds",
+				FlagSet:    l.flags("compare"),
+				Exec:       l.compare,
+			},
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+func (l *lab) flags(name string) *flag.FlagSet {
+	set := flag.NewFlagSet("hollyfork-lab "+name, flag.ContinueOnError)
+	set.SetOutput(l.stderr)
+	set.IntVar(&l.seeds, "seeds", defaultSeeds, "how often each workload is played, each time with another seed")
+	set.Uint64Var(&l.first, "first-seed", 1, "the first seed")
+	set.IntVar(&l.random, "random", 0, "number of workloads that are drawn at random, beside the files")
+	set.StringVar(&l.change, "set", "", "settings that are other than the defaults, with commas between them")
+	set.StringVar(&l.csv, "csv", "", "file that gets a line for each play")
+	return set
+}
+
+// cases are all workloads, each with each seed. Those that are drawn have one each.
+func (l *lab) cases(files []string) ([]namedCase, error) {
+	if l.seeds < 1 || l.seeds > mostSeeds || l.random < 0 || l.random > mostSeeds {
+		return nil, usageError{fmt.Sprintf("-seeds is to be from 1 to %d, -random from 0 to %d", mostSeeds, mostSeeds)}
+	}
+	var cases []namedCase
+	for _, name := range files {
+		content, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		load, err := model.ParseWorkload(content)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		for i := range l.seeds {
+			cases = append(cases, namedCase{name: name, Case: model.Case{Load: load, Seed: l.first + uint64(i)}})
+		}
+	}
+	for i := range l.random {
+		seed := l.first + uint64(i)
+		cases = append(cases, namedCase{name: "random", Case: model.Case{Load: model.Random(seed), Seed: seed}})
+	}
+	if len(cases) == 0 {
+		return nil, usageError{"name a workload file, or -random N"}
+	}
+	return cases, nil
+}
+
+// settings are the defaults and what is to be other than those.
+func (l *lab) settings() (before, after pool.Settings, err error) {
+	before = pool.DefaultSettings()
+	after = before
+	if l.change == "" {
+		return before, after, nil
+	}
+	for part := range strings.SplitSeq(l.change, ",") {
+		if after, err = model.WithSetting(after, strings.TrimSpace(part)); err != nil {
+			return before, after, err
+		}
+	}
+	return before, after, nil
+}
+
+// progress returns what tells on the error output how many of a number of plays are done.
+func (l *lab) progress(of int) func() {
+	var count atomic.Int64
+	return func() {
+		_, _ = fmt.Fprintf(l.stderr, "\r%d of %d", count.Add(1), of)
+	}
+}
--- /dev/null
+++ b/program/lab/report.go
@@ -0,0 +1,179 @@
+package lab
+
+import (
+	"context"
+	"encoding/csv"
+	"fmt"
+	"os"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"hollyfork.example/hollyfork/model"
+)
+
+type (
+	// namedCase is a case and where its workload is from.
+	namedCase struct {
+		model.Case
+
+		name string
+	}
+
+	// figure is what plays are compared by.
+	figure struct {
+		name string
+		of   func(*model.Outcome) float64
+	}
+)
+
+// figures are those that are told of each play.
+func figures() []figure {
+	return []figure{
+		{"worth", (*model.Outcome).Worth},
+		{"wasted", (*model.Outcome).WastedShare},
+		{"in time", func(o *model.Outcome) float64 {
+			jobs, inTime := 0, 0
+			for _, k := range o.Kinds {
+				jobs += k.Jobs
+				inTime += k.InTime
+			}
+			return float64(inTime) / float64(max(jobs, 1))
+		}},
+		{"never", func(o *model.Outcome) float64 {
+			jobs, never := 0, 0
+			for _, k := range o.Kinds {
+				jobs += k.Jobs
+				never += k.Never
+			}
+			return float64(never) / float64(max(jobs, 1))
+		}},
+	}
+}
+
+// play tells what becomes of workloads under one set of settings.
+func (l *lab) play(ctx context.Context, files []string) error {
+	cases, err := l.cases(files)
+	if err != nil {
+		return err
+	}
+	_, after, err := l.settings()
+	if err != nil {
+		return err
+	}
+	outcomes, err := model.PlayAll(ctx, plain(cases), after, l.progress(len(cases)))
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintln(l.stderr)
+	table := tabwriter.NewWriter(l.stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "workload\tseed\tkind\tjobs\tin time\tlate\tfailed\tnever\tserved\twait 50%\twait 90%")
+	for i, c := range cases {
+		o := outcomes[i]
+		for _, k := range o.Kinds {
+			_, _ = fmt.Fprintf(table, "%s\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%s\t%s\n", c.name, c.Seed, k.Name, k.Jobs, k.InTime, k.Late, k.Failed, k.Never,
+				share(k.Earned, k.Owed), k.Wait(0.5).Round(time.Millisecond), k.Wait(0.9).Round(time.Millisecond))
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%d\tall: worth %.3f, of at most %.3f; wasted %.3f\n", c.name, c.Seed, o.Worth(), model.Bound(c.Load, c.Seed), o.WastedShare())
+		_, _ = fmt.Fprintf(table, "\t\taccelerators on average: %.1f in use; free %s\n", o.Taken, o.Free)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return l.writeCSV(cases, func(i int, f figure) []float64 { return []float64{f.of(outcomes[i])} }, "")
+}
+
+// compare tells what settings change.
+func (l *lab) compare(ctx context.Context, files []string) error {
+	cases, err := l.cases(files)
+	if err != nil {
+		return err
+	}
+	if l.change == "" {
+		return usageError{"-set is needed: what is to be compared with the defaults"}
+	}
+	before, after, err := l.settings()
+	if err != nil {
+		return err
+	}
+	pairs, err := model.Compare(ctx, plain(cases), before, after, l.progress(2*len(cases)))
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintln(l.stderr)
+	table := tabwriter.NewWriter(l.stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "figure\tbefore\tafter\tdifference\tstandard error\tpairs")
+	for _, f := range figures() {
+		mean := func(of func(model.Pair) *model.Outcome) float64 {
+			sum := 0.0
+			for _, p := range pairs {
+				sum += f.of(of(p))
+			}
+			return sum / float64(len(pairs))
+		}
+		d := model.DifferenceOf(pairs, f.of)
+		_, _ = fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%+.4f\t%.4f\t%d\n", f.name,
+			mean(func(p model.Pair) *model.Outcome { return p.Before }), mean(func(p model.Pair) *model.Outcome { return p.After }), d.Mean, d.Error, d.Pairs)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return l.writeCSV(cases, func(i int, f figure) []float64 {
+		return []float64{f.of(pairs[i].Before), f.of(pairs[i].After)}
+	}, " before", " after")
+}
+
+// writeCSV writes a line for each case with its figures, if a file for them is named. Each figure has a column for each
+// of the endings of its name.
+func (l *lab) writeCSV(cases []namedCase, figuresOf func(i int, f figure) []float64, endings ...string) error {
+	if l.csv == "" {
+		return nil
+	}
+	file, err := os.Create(l.csv)
+	if err != nil {
+		return err
+	}
+	w := csv.NewWriter(file)
+	header := []string{"workload", "seed"}
+	for _, f := range figures() {
+		for _, ending := range endings {
+			header = append(header, f.name+ending)
+		}
+	}
+	records := [][]string{header}
+	for i, c := range cases {
+		record := []string{c.name, strconv.FormatUint(c.Seed, 10)}
+		for _, f := range figures() {
+			for _, value := range figuresOf(i, f) {
+				record = append(record, number(value))
+			}
+		}
+		records = append(records, record)
+	}
+	if err := w.WriteAll(records); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
+
+func plain(cases []namedCase) []model.Case {
+	list := make([]model.Case, len(cases))
+	for i, c := range cases {
+		list[i] = c.Case
+	}
+	return list
+}
+
+func number(value float64) string {
+	const digits = 6
+	return strconv.FormatFloat(value, 'f', digits, 64)
+}
+
+// share is a part of a whole, 1 where there is none.
+func share(part, whole float64) float64 {
+	if whole == 0 {
+		return 1
+	}
+	return part / whole
+}
