Urgent work that is too late gives way for a while, not for ever

What callers saw: where urgent work kept coming that filled the room, an urgent job that could not be in time any more never ran.

Cause: such a job goes behind the rest of its priority, and nothing in that order grows with the time it has waited.

Why it holds: once it is overdue by ten times the time that it had, it is ordered by when it should have been done again, and all that came later is behind it. Ruled out: an end after three times, when such a job earns its caller nothing any more and would make others late again at once.

The plain reference of the decisions has the same order; its random histories agree.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"hollyfork.example/hollyfork/job"
 )
 
 // readyRound is a round with groups that could be placed, with what orders it among others.
@@ -15,9 +17,9 @@
 	// ready are the groups, in the order of their steps.
 	ready []*group
 	rank  int
-	// tooLate says that it can't be done in time any more.
-	tooLate bool
-	due     time.Time
+	// givesWay says that it goes behind the rest of its priority.
+	givesWay bool
+	due      time.Time
 }
 
 // Decide places the groups that are ready, the most pressing first, and displaces others
@@ -98,20 +100,20 @@
 }
 
 // order sorts rounds: what is guaranteed first, then by priority, then by when they should be
-// done. Urgent work that is too late in any case goes behind the rest of its priority: in a burst
-// each such job made the next one late as well. On days with slow workers, failing workers,
+// done. Urgent work that is too late in any case goes behind the rest of its priority for a while: in a
+// burst each such job made the next one late as well. On days with slow workers, failing workers,
 // bursts and none of these worth was 0.012 ± 0.006 higher (48 pairs). Work of lesser priority has
 // several times its length to wait, and isn't told apart.
 func (p *pass) order(rounds []readyRound) {
 	for i := range rounds {
 		rounds[i].rank = p.rank(rounds[i].job)
 		rounds[i].due = rounds[i].round.due
-		rounds[i].tooLate = rounds[i].rank == 0 && rounds[i].round.tooLate(p.now, rounds[i].due)
+		rounds[i].givesWay = rounds[i].rank == 0 && rounds[i].round.givesWay(p.now, rounds[i].job.job)
 	}
 	slices.SortFunc(rounds, func(a, b readyRound) int {
 		return cmp.Or(
 			cmp.Compare(a.rank, b.rank),
-			compareBool(a.tooLate, b.tooLate),
+			compareBool(a.givesWay, b.givesWay),
 			a.due.Compare(b.due),
 			cmp.Compare(a.job.job.ID, b.job.job.ID),
 			cmp.Compare(a.round.number, b.round.number),
@@ -119,6 +121,16 @@
 	})
 }
 
+// turnAfter is how many times the time that a round had it may be overdue while it gives way to others. Without an end one
+// that was too late once did not run within a minute on a worker that other urgent jobs filled.
+const turnAfter = 10
+
+// givesWay says whether a round goes behind the rest of its priority, since it is too late in any case.
+func (r *round) givesWay(now time.Time, j job.Job) bool {
+	had := j.DueBy(r.number).Sub(j.From(r.number))
+	return r.tooLate(now, r.due) && now.Sub(r.due) < turnAfter*had
+}
+
 // tooLate says whether a round can't be done by a time even if its estimates are too long by a
 // quarter.
 func (r *round) tooLate(now, due time.Time) bool {
--- a/pool/late_test.go
+++ b/pool/late_test.go
@@ -13,7 +13,8 @@
 const lateWork = time.Second
 
 // Urgent work that was too late went behind other urgent work for as long as there was any, without end: where one job of
-// 1 s came each second to one worker, one that had been too late once did not run within a minute.
+// 1 s came each second to one worker, one that had been too late once did not run within a minute. What is too late is
+// tried behind all that is not, and nothing in that order grew with the time that it had waited.
 func TestUrgentWorkThatIsTooLateComesToItsTurn(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1)
--- a/pool/plain_test.go
+++ b/pool/plain_test.go
@@ -127,7 +127,7 @@
 func (p *plainPass) compare(a, b *group) int {
 	return cmp.Or(
 		cmp.Compare(p.rank(a), p.rank(b)),
-		compareBool(p.tooLate(a), p.tooLate(b)),
+		compareBool(p.givesWay(a), p.givesWay(b)),
 		a.due().Compare(b.due()),
 		cmp.Compare(a.job.job.ID, b.job.job.ID),
 		cmp.Compare(a.round.number, b.round.number),
@@ -136,9 +136,10 @@
 	)
 }
 
-// tooLate says whether urgent work can't be in time any more.
-func (p *plainPass) tooLate(g *group) bool {
-	if p.rank(g) != 0 {
+// givesWay says whether urgent work can't be in time any more, and is not overdue for ten times what it had.
+func (p *plainPass) givesWay(g *group) bool {
+	had := g.job.job.DueBy(g.round.number).Sub(g.job.job.From(g.round.number))
+	if p.rank(g) != 0 || p.now.Sub(g.due()) >= 10*had {
 		return false
 	}
 	for _, other := range g.job.groups {
