--- a/program/pooltest/pool_test.go
+++ b/program/pooltest/pool_test.go
@@ -5,9 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"os"
-	"slices"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -214,50 +212,6 @@
 	c.AwaitAll(2)
 }
 
-// The store makes the transactions of a part in turn. When it was slow, new jobs shared a
-// part with the holder's lease, and the holder lost the pool to their number.
-func TestNewJobsDoNotHoldUpTheLease(t *testing.T) {
-	is := is.New(t)
-	c := cluster.New(t, 2, 2)
-	c.Submit(1, cluster.Tasks(1, "100ms"))
-	c.AwaitAll(1)
-	holder := c.Holder()
-	c.Store.SetFault(fakes.Fault{TxnTakes: 150 * time.Millisecond})
-	var callers sync.WaitGroup
-	for id := 2; id <= 25; id++ {
-		callers.Go(func() {
-			c.Gateways[id%2].Call(http.MethodPost, cluster.JobPath(id), cluster.APIKey, cluster.Tasks(1, "100ms"))
-		})
-		time.Sleep(100 * time.Millisecond)
-	}
-	callers.Wait()
-	c.Store.SetFault(fakes.Fault{})
-	is.Equal(c.Holder(), holder)
-	is.True(!strings.Contains(c.Gateways[holder].Output(), "a transaction failed"))
-}
-
-// The store makes the transactions of one part in turn. Jobs that came at once stood in each
-// other's way until their callers had no time left.
-func TestSlowStoreTakesJobsThatComeAtOnce(t *testing.T) {
-	is := is.New(t)
-	c := cluster.New(t, 2, 2)
-	c.Store.SetFault(fakes.Fault{TxnTakes: 200 * time.Millisecond})
-	const jobs = 12
-	status := make([]int, jobs)
-	var callers sync.WaitGroup
-	for i := range jobs {
-		callers.Go(func() {
-			status[i], _ = c.Gateways[i%2].Call(http.MethodPost, cluster.JobPath(i+1), cluster.APIKey, cluster.Tasks(1, "100ms"))
-		})
-	}
-	callers.Wait()
-	for _, s := range status {
-		is.Equal(s, http.StatusOK)
-	}
-	c.Store.SetFault(fakes.Fault{})
-	c.AwaitAll(jobs)
-}
-
 func TestKilledSidecarAdoptsWhatRuns(t *testing.T) {
 	is := is.New(t)
 	c := cluster.New(t, 1, 2)
@@ -322,111 +276,6 @@
 	is.Equal(c.Workers[0].Runs(), 0)
 }
 
-func TestStoreOutageInterruptsNothing(t *testing.T) {
-	is := is.New(t)
-	c := cluster.New(t, 2, 2)
-	c.Submit(1, cluster.Tasks(4, "5s"))
-	c.Await(1, "running")
-	time.Sleep(500 * time.Millisecond)
-	c.Store.SetFault(fakes.Fault{Refuse: true})
-	time.Sleep(3 * time.Second)
-	status, _ := c.Gateways[0].Call(http.MethodPost, cluster.JobPath(2), cluster.APIKey, cluster.Tasks(1, "100ms"))
-	is.Equal(status, http.StatusServiceUnavailable)
-	c.Store.SetFault(fakes.Fault{})
-	c.Submit(2, cluster.Tasks(1, "100ms"))
-	c.AwaitAll(2)
-	is.Equal(c.Runs.StartCount(), 5)
-}
-
-// Gateways that knew that the store was away wrote all the same, and then could not say
-// whether the job was taken.
-func TestNothingIsWrittenToAStoreThatIsAway(t *testing.T) {
-	is := is.New(t)
-	c := cluster.New(t, 1, 1)
-	link := c.Gateways[0].Links[0]
-	link.SetMode(fakes.Reset)
-	time.Sleep(300 * time.Millisecond)
-	status, _ := c.Gateways[0].Call(http.MethodPost, cluster.JobPath(1), cluster.APIKey, cluster.Tasks(1, "100ms"))
-	is.Equal(status, http.StatusServiceUnavailable)
-	link.SetMode(fakes.Pass)
-	c.Submit(2, cluster.Tasks(1, "100ms"))
-	c.Await(2, "done")
-	is.Equal(c.State(1), "")
-	is.Equal(c.Runs.StartCount(), 1)
-}
-
-// Callers of a gateway that the store turns away were refused although others were served, and
-// a holder that was turned away lost its pool.
-func TestGatewayIsServedThroughAnother(t *testing.T) {
-	is := is.New(t)
-	c := cluster.New(t, 2, 2)
-	c.Submit(1, cluster.Tasks(1, "100ms"))
-	c.Await(1, "done")
-	holder := c.Holder()
-	cluster.Eventually(t, "the gateways know each other", func() bool {
-		return strings.Contains(c.Gateways[holder].Output(), `"known":1`)
-	})
-	turnedAway := c.Gateways[holder]
-	turnedAway.Links[0].SetMode(fakes.Reset)
-	time.Sleep(4 * time.Second) // longer than a configuration may be believed without proof
-	status, _ := turnedAway.Call(http.MethodPost, cluster.JobPath(2), cluster.APIKey, cluster.Tasks(2, "100ms"))
-	is.Equal(status, http.StatusOK)
-	c.AwaitAll(2)
-	is.Equal(c.Holder(), holder) // it kept the pool
-}
-
-// All open connections fall silent for good, without a reset, while tasks run and jobs come. No
-// run is lost, and new jobs run.
-func TestConnectionsThatFallSilent(t *testing.T) {
-	is := is.New(t)
-	c := cluster.New(t, 2, 2)
-	c.Submit(1, cluster.Tasks(4, "8s"))
-	c.Await(1, "running")
-	for id := 2; id <= 5; id++ {
-		time.Sleep(300 * time.Millisecond)
-		for _, p := range slices.Concat(c.Gateways, c.Sidecars) {
-			for _, link := range p.Links {
-				link.Silence()
-			}
-		}
-		time.Sleep(2 * time.Second)
-		c.Submit(id, cluster.Tasks(1, "100ms"))
-	}
-	c.AwaitAll(5)
-	is.Equal(c.Runs.StartCount(), 8)
-}
-
-func TestLostAndLateAnswersOfTheStore(t *testing.T) {
-	is := is.New(t)
-	c := cluster.New(t, 2, 2)
-	c.Submit(1, cluster.Tasks(2, "200ms"))
-	c.Await(1, "done")
-	c.Store.SetFault(fakes.Fault{Lose: 3, Late: 3})
-	for id := 2; id <= 6; id++ {
-		c.Submit(id, cluster.Tasks(2, "200ms"))
-	}
-	c.AwaitAll(6)
-	is.Equal(c.Runs.StartCount(), 12)
-}
-
-func TestForgottenHistoryIsNoticed(t *testing.T) {
-	c := cluster.New(t, 2, 2)
-	c.Store.ForgetHistory()
-	c.Submit(1, cluster.Tasks(2, "200ms"))
-	c.Store.ForgetHistory()
-	c.Submit(2, cluster.Tasks(2, "200ms"))
-	c.AwaitAll(2)
-}
-
-func TestSlowStore(t *testing.T) {
-	c := cluster.New(t, 2, 2)
-	c.Store.SetFault(fakes.Fault{Delay: 250 * time.Millisecond})
-	for id := 1; id <= 3; id++ {
-		c.Submit(id, cluster.Tasks(2, "500ms"))
-	}
-	c.AwaitAll(3)
-}
-
 func TestHopelessJobFails(t *testing.T) {
 	is := is.New(t)
 	c := cluster.New(t, 1, 3)
