--- /dev/null
+++ b/model/holder.go
@@ -0,0 +1,154 @@
+package model
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"hollyfork.example/hollyfork/job"
+	"hollyfork.example/hollyfork/pool"
+	"hollyfork.example/hollyfork/store"
+)
+
+// lose ends the present holder's part; another takes the pool after a time.
+func (p *play) lose(takenAfter time.Duration) {
+	p.absent = true
+	p.epoch++
+	epoch := p.epoch
+	p.after(takenAfter, func() {
+		if p.epoch == epoch {
+			p.takeOver()
+		}
+	})
+}
+
+// takeOver makes another holder of the pool, from its rows alone.
+func (p *play) takeOver() {
+	p.epoch++
+	p.absent = false
+	p.core = pool.New(poolName, p.settings, nil)
+	for _, w := range p.workers {
+		p.core.AddAgent(p.now, w.name)
+	}
+	keys := slices.SortedFunc(maps.Keys(p.rows), func(a, b store.Key) int { return strings.Compare(a.Name, b.Name) })
+	for _, key := range keys {
+		if key.Table == pool.IntakeTable {
+			p.restoreJob(p.rows[key])
+		}
+	}
+	for _, key := range keys {
+		if key.Table != pool.StateTable {
+			continue
+		}
+		if err := p.core.RestoreState(p.now, p.rows[key]); err != nil {
+			p.err = &Error{Op: "restore a state", Kind: KindRow, Err: err}
+		}
+	}
+	p.decideSoon()
+}
+
+func (p *play) restoreJob(row store.Row) {
+	item, err := pool.DecodeIntake(row, pool.Clock{Now: p.now, Store: p.clock()})
+	if err != nil {
+		p.err = &Error{Op: "restore a job", Kind: KindRow, Err: err}
+		return
+	}
+	if j, ok := item.(pool.NewJob); ok {
+		p.core.AddJob(p.now, j.Job)
+	}
+}
+
+// decideSoon has the holder decide, not sooner than it may.
+func (p *play) decideSoon() {
+	if p.deciding {
+		return
+	}
+	p.deciding = true
+	p.after(max(0, p.decided.Add(decideEvery).Sub(p.now)), p.decide)
+}
+
+// decide does what the holder does after messages.
+func (p *play) decide() {
+	p.deciding = false
+	p.decided = p.now
+	if p.absent {
+		return
+	}
+	p.core.Tick(p.now)
+	p.core.Decide(p.now)
+	p.give()
+	p.commit()
+}
+
+// give sends the orders that are due.
+func (p *play) give() {
+	list := p.core.TakeOrders(p.now)
+	slices.SortFunc(list, func(a, b pool.Orders) int { return strings.Compare(a.Agent, b.Agent) })
+	for _, orders := range list {
+		p.afterOfHolder(orderTakes, func() {
+			results := p.byName[orders.Agent].carryOut(orders)
+			p.afterOfHolder(answerTakes, func() {
+				p.core.TakeResults(p.now, orders, results)
+				p.decideSoon()
+			})
+		})
+	}
+}
+
+// commit has the store commit what has changed.
+func (p *play) commit() {
+	batch := p.core.TakeBatch()
+	if batch == nil {
+		return
+	}
+	takes := p.storeTakes()
+	epoch := p.epoch
+	p.after(takes, func() {
+		if p.silent() {
+			p.afterOfHolder(commitTimeout-takes, p.core.BatchFailed)
+			return
+		}
+		if p.epoch == epoch {
+			p.write(batch)
+		}
+	})
+}
+
+func (p *play) write(batch *pool.Batch) {
+	p.version++
+	for _, w := range batch.Writes {
+		if w.Delete {
+			delete(p.rows, w.Key)
+			continue
+		}
+		row := store.Row{Key: w.Key, Value: w.Value, Version: p.version}
+		p.rows[w.Key] = row
+		p.noteState(row)
+	}
+	p.core.BatchCommitted(p.now)
+	for _, name := range p.core.TakeCommitted() {
+		id, committed := p.core.Committed(name)
+		p.byName[name].forget(id, committed)
+	}
+	p.give()
+	p.decideSoon()
+}
+
+// noteState takes over that callers can see how a job ended.
+func (p *play) noteState(row store.Row) {
+	o := p.jobs[job.ID(lastPart(row.Key.Name))]
+	if o == nil || row.Key.Table != pool.StateTable {
+		return
+	}
+	state, err := pool.StateOf(row)
+	if err != nil {
+		p.err = &Error{Op: "read a state", Kind: KindRow, Err: err}
+		return
+	}
+	o.note(state, p.clock())
+}
+
+func lastPart(name string) string {
+	return name[strings.LastIndexByte(name, '/')+1:]
+}
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
@@ -141,9 +142,17 @@
 	is.Equal(f.add([]edge{{slot: 0, capacity: 9}, {slot: 1, capacity: 9}}, 9), int64(1))
 }
 
-func TestExampleIsServedWithinBounds(t *testing.T) {
+func TestExamplesAreServedWithinBounds(t *testing.T) {
+	for _, name := range []string{"rush.ini", "busy.ini"} {
+		t.Run(name, func(t *testing.T) { servedWithinBounds(t, filepath.Join("../examples/workloads", name)) })
+	}
+}
+
+// servedWithinBounds plays a workload and fails the test if little of it is served, or much work is lost.
+func servedWithinBounds(t *testing.T, name string) {
+	t.Helper()
 	is := is.New(t)
-	content, err := os.ReadFile("../examples/workloads/rush.ini")
+	content, err := os.ReadFile(name)
 	is.NoErr(err)
 	w, err := ParseWorkload(content)
 	is.NoErr(err)
--- a/model/trouble.go
+++ b/model/trouble.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"math/rand/v2"
+
+	"hollyfork.example/hollyfork/holder"
 )
 
 // plan has a trouble happen.
@@ -25,7 +27,7 @@
 			during(func() { p.crash(w) }, func() { p.restart(w) })
 		}
 	case HolderKilled:
-		p.after(span.At, func() { p.lose(leaseTaken + readTakes) })
+		p.after(span.At, func() { p.lose(holder.TakeAfter + readTakes) })
 	case SlowStore:
 		during(func() { p.slowStore = t.Factor }, func() { p.slowStore = 1 })
 	case SilentStore:
