hollyfork-lab: plays that end at once don't write over each other

Found by the checks under the race detector: plays tell of their progress from several goroutines, and the error output need not be safe for that.

--- a/program/lab/lab.go
+++ b/program/lab/lab.go
@@ -10,7 +10,7 @@
 	"os"
 	"os/signal"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -149,10 +149,15 @@
 	return before, after, nil
 }
 
-// progress returns what tells on the error output how many of a number of plays are done.
+// progress returns what tells on the error output how many of a number of plays are done. It may be called by several
+// goroutines at once.
 func (l *lab) progress(of int) func() {
-	var count atomic.Int64
+	var mu sync.Mutex
+	count := 0
 	return func() {
-		_, _ = fmt.Fprintf(l.stderr, "\r%d of %d", count.Add(1), of)
+		mu.Lock()
+		defer mu.Unlock()
+		count++
+		_, _ = fmt.Fprintf(l.stderr, "\r%d of %d", count, of)
 	}
 }
