Tests: what the breaking of readiness and of the model went unnoticed by

Cause: each new piece was broken in turn, and these could go without a test failing: the holder's translation of a worker's state (not one field was checked), the wake-up of placing when an agent is ready, and in the model the pace over racks, saved progress, late starts, what late jobs earn and the flow's keeping of work. A test for each.

--- a/holder/translate_test.go
+++ b/holder/translate_test.go
@@ -51,3 +51,20 @@
 	}
 	is.Equal(len(seen), len(poolpb.OrderResult_Value_name))
 }
+
+// What is left out of a worker's state is not known to any decision.
+func TestStateCarriesEverything(t *testing.T) {
+	is := is.New(t)
+	is.Equal(reportFrom("agent", &poolpb.WorkerState{
+		Instance: "i-1@5", Draining: true, NotReady: true, CpuMillis: 1, MemoryMb: 2, Accelerators: 3, Labels: []string{"a"},
+		Rack: "r1", DataCentre: "hall", Listing: 4, Lapsed: true, Lapse: poolpb.Lapse_LEFT,
+		Running: []*poolpb.RunningTask{{Task: "0123456789abcdef.1.2.3", Run: 5, Saved: "saved", Percent: 6}},
+		Ended:   []*poolpb.EndedTask{{Number: 7, Task: "0123456789abcdef.1.2.4", Run: 8, Kind: poolpb.EndKind_DONE, Saved: "more"}},
+	}), pool.Report{
+		Incarnation: "agent", Instance: instance.New("i-1", 5), Draining: true, NotReady: true,
+		Capacity: job.Shape{CPUMillis: 1, MemoryMB: 2, Accelerators: 3}, Labels: []string{"a"}, Rack: "r1", DataCentre: "hall",
+		Listing: 4, Lapsed: true, Lapse: pool.LapseLeft,
+		Running: []pool.Running{{Task: job.TaskID{Job: "0123456789abcdef", Round: 1, Step: 2, Index: 3}, Run: 5, Saved: "saved", Percent: 6}},
+		Ended:   []pool.Ended{{Number: 7, Task: job.TaskID{Job: "0123456789abcdef", Round: 1, Step: 2, Index: 4}, Run: 8, Kind: pool.EndDone, Saved: "more"}},
+	})
+}
--- /dev/null
+++ b/model/run_test.go
@@ -0,0 +1,99 @@
+package model
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/job"
+	"hollyfork.example/hollyfork/pool"
+)
+
+// arrivalOf is a job of one step that takes a time.
+func arrivalOf(step job.Step, work time.Duration) *Arrival {
+	return &Arrival{Work: work, Job: job.Job{ID: "0000000000000001", Steps: []job.Step{step}}}
+}
+
+// runOn is a run whose tasks are at work on workers.
+func runOn(a *Arrival, workers ...*worker) *run {
+	r := &run{arrival: a, failsAt: a.Work.Seconds() + 1, updated: start}
+	for _, w := range workers {
+		r.members = append(r.members, &member{run: r, worker: w, ready: true})
+	}
+	r.setRate(start, 3)
+	return r
+}
+
+func TestGangIsAsSlowAsItsSlowestWorkerAndSlowerOverRacks(t *testing.T) {
+	is := is.New(t)
+	gang := job.Step{Count: 2, Gang: true, SameRack: true}
+	fast := &worker{rack: "a", speed: 2, slowed: 1}
+	slow := &worker{rack: "a", speed: 2, slowed: 4}
+	far := &worker{rack: "b", speed: 2, slowed: 1}
+	endsIn := func(workers ...*worker) time.Duration {
+		in, fails, ok := runOn(arrivalOf(gang, 6*time.Second), workers...).endsIn()
+		is.True(ok && !fails)
+		return in
+	}
+	is.Equal(endsIn(fast, fast), 3*time.Second)
+	is.Equal(endsIn(fast, slow), 12*time.Second)
+	is.Equal(endsIn(fast, far), 9*time.Second)
+	_, _, ok := runOn(arrivalOf(gang, time.Second), fast).endsIn()
+	is.True(!ok) // its other task is missing
+}
+
+func TestProgressThatWasSavedIsKept(t *testing.T) {
+	is := is.New(t)
+	w := &worker{rack: "a", speed: 1, slowed: 1}
+	r := runOn(arrivalOf(job.Step{Count: 1, Checkpoint: true}, 10*time.Second), w)
+	r.settle(start.Add(4500 * time.Millisecond))
+	is.Equal(r.saved(2*time.Second), 4.0)
+	r.resumed = 4.2 // saved by a worker that saves more often
+	is.Equal(r.saved(2*time.Second), 4.2)
+	r.arrival.Job.Steps[0].Checkpoint = false
+	is.Equal(r.saved(2*time.Second), 0.0)
+}
+
+func TestStartAfterTheLeaseIsLate(t *testing.T) {
+	is := is.New(t)
+	a := arrivalOf(job.Step{Count: 1}, time.Second)
+	p := &play{now: start, load: quiet(), arrivals: map[job.ID]*Arrival{a.Job.ID: a}}
+	w := newWorker(p, 0)
+	w.leaseUntil = start.Add(-time.Millisecond)
+	is.Equal(w.start(pool.Start{Task: job.TaskID{Job: a.Job.ID}, Run: 1}), pool.ResultLate)
+}
+
+func TestLateJobsEarnAPart(t *testing.T) {
+	is := is.New(t)
+	arrival := Arrival{At: time.Second, Due: 3 * time.Second, LateUntil: 7 * time.Second, Value: 2}
+	earned := func(took time.Duration) float64 {
+		k := KindOutcome{}
+		k.add(&jobOutcome{Arrival: arrival, ended: true, state: pool.Done, took: took}, 0.25)
+		return k.Earned
+	}
+	is.Equal(earned(2*time.Second), 2.0)
+	is.Equal(earned(3*time.Second), 0.5)
+	is.Equal(earned(7*time.Second), 0.0)
+}
+
+// A job that makes way twice moves on from the slot where it is, each time: work is neither lost nor doubled.
+func TestFlowKeepsWork(t *testing.T) {
+	is := is.New(t)
+	f := newFlow([]int64{4, 4, 4})
+	is.Equal(f.add([]edge{{slot: 0, capacity: 4}, {slot: 1, capacity: 4}, {slot: 2, capacity: 4}}, 4), int64(4))
+	is.Equal(f.add([]edge{{slot: 0, capacity: 4}}, 4), int64(4))
+	is.Equal(f.add([]edge{{slot: 1, capacity: 4}}, 4), int64(4))
+	is.Equal(f.add([]edge{{slot: 2, capacity: 4}}, 4), int64(0))
+	for s, left := range f.left {
+		used := int64(0)
+		for _, j := range f.jobs {
+			for i, e := range j.edges {
+				if e.slot == s {
+					used += j.used[i]
+				}
+			}
+		}
+		is.Equal(used+left, int64(4))
+	}
+}
--- a/pool/instance_test.go
+++ b/pool/instance_test.go
@@ -198,6 +198,8 @@
 	is.Equal(w.count(EventRejected), 0)
 	is.Equal(len(f.running), 1) // what runs there goes on
 	f.notReady = false
+	w.run(200 * time.Millisecond)
+	is.Equal(len(f.running), 2) // it is not waited for anything else
 	w.run(3 * time.Second)
 	is.Equal(w.state("0000000000000001"), Done)
 	is.Equal(w.state("0000000000000002"), Done)
