--- a/model/model_test.go
+++ b/model/model_test.go
@@ -73,6 +73,13 @@
 
 func TestSameSeedGivesTheSameOutcome(t *testing.T) {
 	is := is.New(t)
+	content, err := os.ReadFile("../examples/workloads/rush.ini")
+	is.NoErr(err)
+	rush, err := ParseWorkload(content)
+	is.NoErr(err)
+	for seed := range uint64(3) {
+		is.Equal(playOf(t, rush, seed).Kinds, playOf(t, rush, seed).Kinds)
+	}
 	for seed := range uint64(randomPlays) {
 		w := shortRandom(seed)
 		first := playOf(t, w, seed)
--- a/sidecar/lives_test.go
+++ b/sidecar/lives_test.go
@@ -342,4 +342,9 @@
 	hold, number, _ := c.NextHold(start.Add(time.Second))
 	is.True(c.Listed(start.Add(time.Second), hold, number, Listing{Instance: named("first"), Clock: 102 * time.Second}))
 	is.True(!c.worker().GetNotReady())
+	c.Heartbeat(Heartbeat{Instance: named("stranger"), Sequence: 1})
+	before = c.report
+	c.Leave(start.Add(time.Second), named("stranger")) // it says that it has ended, so none but the known one lives
+	is.True(!c.worker().GetNotReady())
+	is.True(c.report > before)
 }
