Failing tests: a fleet that starts at once never stops writing its agents' addresses

Change: the loop moves to sidecar.Registrar, as it was, so that it can be played in virtual time through the real client against the stand-in of the store (fakes.Transport; the stand-in bounds writing calls a second). Nothing else changes.

Three tests fail.

--- a/program/sidecard/main.go
+++ b/program/sidecard/main.go
@@ -12,7 +12,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
-	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/holder"
 	"hollyfork.example/hollyfork/malformed"
@@ -33,11 +32,6 @@
 	idleTimeout   = 30 * time.Second
 	// stopWithin bounds the answers that are under way at a stop.
 	stopWithin = time.Second
-	// registerRetry is how often the agent tries to make its address known.
-	registerRetry = 200 * time.Millisecond
-	// registerAgain is how long the agent waits for a holder before it makes its address
-	// known again.
-	registerAgain = 10 * time.Second
 	// maxHolders bounds the connections of holders: one holds the pool, and others may
 	// still believe so.
 	maxHolders = 8
@@ -105,7 +99,7 @@
 	go func() { _ = server.Serve(holders) }()
 	heartbeats := &http.Server{Handler: adapter.BeatHandler(agent, *o.pool, bad), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	go func() { _ = heartbeats.Serve(beats) }()
-	go register(ctx, o, agent, logger)
+	go newRegistrar(o, agent, logger).Run(ctx)
 	go clock.Watch(ctx, clock.System{}, func(a clock.Absence) {
 		logger.Warn().Dur("for", a.For).Dur("suspended", a.Suspended).Dur("lease_left", agent.State(clock.Now()).LeaseLeft).Msg("agent: was away")
 		worker.DropIdle()
@@ -120,34 +114,14 @@
 	return nil
 }
 
-// register makes the agent's address known in the store, and again when no holder calls.
-func register(ctx context.Context, o options, agent *sidecar.Agent, logger *log.Logger) {
-	client := adapter.NewStore(*o.store)
+// newRegistrar returns what makes the agent's address known.
+func newRegistrar(o options, agent *sidecar.Agent, logger *log.Logger) *sidecar.Registrar {
 	address := *o.advertise
 	if address == "" {
 		address = *o.holders
 	}
-	row := pool.Encode(&poolpb.AgentRow{Address: address})
-	write := store.Txn{Writes: []store.Write{{Key: pool.AgentKey(*o.pool, *o.name), Value: row}}}
-	for ctx.Err() == nil {
-		if _, err := client.Commit(ctx, write); err != nil {
-			logger.Warn().Err(err).Msg("agent: its address could not be made known")
-			backoff.Sleep(ctx, registerRetry)
-			continue
-		}
-		logger.Info().Str("address", address).Msg("agent: its address is known")
-		awaitSilence(ctx, agent)
-	}
-}
-
-// awaitSilence waits until no holder has called for some time.
-func awaitSilence(ctx context.Context, agent *sidecar.Agent) {
-	began := clock.Now()
-	for backoff.Sleep(ctx, registerAgain/4) {
-		if now := clock.Now(); now.Sub(began) > registerAgain && now.Sub(agent.SyncedAt()) > registerAgain {
-			return
-		}
-	}
+	row := store.Write{Key: pool.AgentKey(*o.pool, *o.name), Value: pool.Encode(&poolpb.AgentRow{Address: address})}
+	return sidecar.NewRegistrar(clock.System{}, adapter.NewStore(*o.store), row, agent.SyncedAt, logger)
 }
 
 // state is the process's state, for operators.
--- /dev/null
+++ b/sidecar/registrar_test.go
@@ -0,0 +1,116 @@
+package sidecar_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+
+	"hollyfork.example/hollyfork/clock/clocktest"
+	"hollyfork.example/hollyfork/platform/adapter"
+	"hollyfork.example/hollyfork/platform/fakes"
+	"hollyfork.example/hollyfork/pool"
+	"hollyfork.example/hollyfork/sidecar"
+	"hollyfork.example/hollyfork/store"
+	"hollyfork.example/wire/poolpb"
+)
+
+const (
+	// txnTakes and writes are what the store of a fleet takes for a transaction, and how many writing
+	// calls in a second.
+	txnTakes = 3 * time.Millisecond
+	writes   = 4000
+)
+
+// startRegistrar starts the registrar of an agent with a number, which holders never call.
+func startRegistrar(ctx context.Context, s *fakes.Store, number int) {
+	c := clocktest.New()
+	began := c.Now()
+	client := adapter.NewStore("store").WithTransport(fakes.Transport{Handler: s.Handler()})
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	address := fmt.Sprintf("10.0.%d.%d:7000", number/250, number%250)
+	row := store.Write{Key: agentKey(number), Value: pool.Encode(&poolpb.AgentRow{Address: address})}
+	registrar := sidecar.NewRegistrar(c, client, row, func() time.Time { return began }, logger)
+	go registrar.Run(ctx)
+}
+
+func agentKey(number int) store.Key {
+	return pool.AgentKey("pool", fmt.Sprintf("agent-%d", number))
+}
+
+// countKnown counts the agents that have a row.
+func countKnown(s *fakes.Store, agents int) int {
+	known := 0
+	for number := range agents {
+		if s.Row(agentKey(number)).Version > 0 {
+			known++
+		}
+	}
+	return known
+}
+
+// The agents of a fleet that start at once wrote to one part of the store, and each gave its call up while it waited
+// for its turn there: 800 of them made 2,900 calls a second, for good.
+func TestAgentsThatStartAtOnceAreKnownSoon(t *testing.T) {
+	for _, agents := range []int{300, 800, 1600} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			s := fakes.NewStore(time.Now())
+			s.SetFault(fakes.Fault{TxnTakes: txnTakes, Writes: writes})
+			for number := range agents {
+				startRegistrar(ctx, s, number)
+			}
+			time.Sleep(3 * time.Second)
+			is.Equal(countKnown(s, agents), agents)
+			startRegistrar(ctx, s, agents) // a newcomer among them
+			time.Sleep(time.Second)
+			is.True(s.Row(agentKey(agents)).Version > 0)
+			is.True(s.Counts().Calls <= int64(agents+1)*5/4) // one each, and few again
+		})
+	}
+}
+
+// A store that turns all away for a while is asked ever less often, and all are known soon after.
+func TestAgentsWaitLongerEachTimeTheyAreTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const agents = 300
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := fakes.NewStore(time.Now())
+		s.SetFault(fakes.Fault{Refuse: true})
+		for number := range agents {
+			startRegistrar(ctx, s, number)
+		}
+		time.Sleep(20 * time.Second)
+		is.True(s.Counts().Calls <= agents*12) // it was 100 each
+		s.SetFault(fakes.Fault{TxnTakes: txnTakes, Writes: writes})
+		time.Sleep(10 * time.Second)
+		is.Equal(countKnown(s, agents), agents)
+	})
+}
+
+// An agent that a holder calls is known.
+func TestAgentThatIsCalledWritesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := fakes.NewStore(time.Now())
+		s.SetFault(fakes.Fault{Refuse: true})
+		c := clocktest.New()
+		client := adapter.NewStore("store").WithTransport(fakes.Transport{Handler: s.Handler()})
+		logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+		registrar := sidecar.NewRegistrar(c, client, store.Write{Key: agentKey(0), Value: []byte("row")}, c.Now, logger)
+		go registrar.Run(ctx)
+		time.Sleep(time.Minute)
+		is.True(s.Counts().Calls <= 1)
+	})
+}
