An agent that is turned away comes back ever later, and not once a holder calls

Cause: the loop that makes an agent's address known tried each 0.2 s whatever it was told, and went on although holders had long called the agent, whose row was written by a call whose answer came too late.

Change: pauses that grow from 0.2 to 5 s with jitter, at least as long as the store asks for (Retry-After); the loop ends when a holder calls.

--- a/backoff/backoff.go
+++ b/backoff/backoff.go
@@ -34,6 +34,11 @@
 	return Sleep(ctx, b.Delay())
 }
 
+// WaitAtLeast waits as Wait does, and no shorter than a time that whoever refused the last try has asked for.
+func (b *Backoff) WaitAtLeast(ctx context.Context, least time.Duration) bool {
+	return Sleep(ctx, max(least, b.Delay()))
+}
+
 // Reset makes the next wait a first one, after a success.
 func (b *Backoff) Reset() {
 	b.next = b.first
--- a/backoff/backoff_test.go
+++ b/backoff/backoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -27,3 +28,16 @@
 	cancel()
 	is.True(!Sleep(ctx, time.Hour))
 }
+
+func TestWhoIsToldWhenToComeBackWaitsThatLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := New(100*time.Millisecond, time.Second)
+		began := time.Now()
+		is.True(b.WaitAtLeast(t.Context(), 3*time.Second))
+		is.Equal(time.Since(began), 3*time.Second)
+		began = time.Now()
+		is.True(b.WaitAtLeast(t.Context(), 0)) // its own pauses grow meanwhile
+		is.True(time.Since(began) >= 100*time.Millisecond)
+	})
+}
--- a/sidecar/registrar.go
+++ b/sidecar/registrar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/phuslu/log"
@@ -12,8 +13,11 @@
 )
 
 const (
-	// registerRetry is how often the agent tries to make its address known.
-	registerRetry = 200 * time.Millisecond
+	// firstRegisterRetry and lastRegisterRetry bound the pauses between the tries of an agent to make its
+	// address known. They grow so far that the agents of a large fleet, turned away together, leave the
+	// store its rate.
+	firstRegisterRetry = 200 * time.Millisecond
+	lastRegisterRetry  = 5 * time.Second
 	// registerAgain is how long the agent waits for a holder before it makes its address
 	// known again.
 	registerAgain = 10 * time.Second
@@ -45,20 +49,35 @@
 // Run makes the address known, and again when no holder calls, until ctx is done.
 func (r *Registrar) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if _, err := r.store.Commit(ctx, store.Txn{Writes: []store.Write{r.row}}); err != nil {
-			r.logger.Warn().Err(err).Msg("agent: its address could not be made known")
-			backoff.Sleep(ctx, registerRetry)
-			continue
-		}
-		r.logger.Info().Str("row", r.row.Key.Name).Msg("agent: its address is known")
+		r.register(ctx)
 		r.awaitSilence(ctx)
 	}
 }
 
+// register writes the row, unless a holder calls meanwhile: then the agent is known, perhaps by a try
+// whose answer was lost.
+func (r *Registrar) register(ctx context.Context) {
+	began := r.clock.Now()
+	pause := backoff.New(firstRegisterRetry, lastRegisterRetry)
+	for ctx.Err() == nil {
+		_, err := r.store.Commit(ctx, store.Txn{Writes: []store.Write{r.row}})
+		if err == nil {
+			r.logger.Info().Str("row", r.row.Key.Name).Msg("agent: its address is known")
+			return
+		}
+		r.logger.Warn().Err(err).Msg("agent: its address could not be made known")
+		pause.WaitAtLeast(ctx, store.RetryAfter(err))
+		if r.synced().After(began) {
+			r.logger.Info().Msg("agent: a holder has called, so its address is known")
+			return
+		}
+	}
+}
+
 // awaitSilence waits until no holder has called for some time.
 func (r *Registrar) awaitSilence(ctx context.Context) {
 	began := r.clock.Now()
-	for backoff.Sleep(ctx, registerAgain/4) {
+	for backoff.Sleep(ctx, registerAgain/4+rand.N(registerAgain/4)) {
 		if now := r.clock.Now(); now.Sub(began) > registerAgain && now.Sub(r.synced()) > registerAgain {
 			return
 		}
--- a/store/error.go
+++ b/store/error.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Kinds of errors.
@@ -34,7 +35,9 @@
 		// Rows are the rows of the checks as they are, for KindConflict. Rows that do
 		// not exist have version 0.
 		Rows []Row
-		Err  error
+		// RetryAfter is how long the store asks to be left alone, for KindRefused; 0 when it does not say.
+		RetryAfter time.Duration
+		Err        error
 	}
 )
 
@@ -60,6 +63,15 @@
 	return 0
 }
 
+// RetryAfter returns how long the store asks to be left alone by an error; 0 when it does not say.
+func RetryAfter(err error) time.Duration {
+	var failure *Error
+	if errors.As(err, &failure) {
+		return failure.RetryAfter
+	}
+	return 0
+}
+
 // ConflictRow returns a row as a failed check found it.
 func ConflictRow(err error, key Key) (Row, bool) {
 	var failure *Error
