Agents' rows are spread over the parts of the intake, and wait for their turn

Cause: all agents of a pool wrote to one part of the store, which makes its transactions in turn (333 a second by the users' sheet): what 800 agents wrote at their start took 2.4 s, more than the store keeps a call waiting.

Change: agents' rows are spread over the 16 parts that callers' rows have; the part of earlier releases is still read, and both rows are deleted. The agent's client waits for its turn without probes.

--- a/pool/commit.go
+++ b/pool/commit.go
@@ -98,7 +98,7 @@
 }
 
 // maxBatchForgotten bounds the agents' rows that a batch deletes.
-const maxBatchForgotten = 5
+const maxBatchForgotten = 3
 
 // addForgotten adds the deletion of agents' rows.
 func (c *Core) addForgotten(b *Batch) {
@@ -106,7 +106,9 @@
 	b.forgotten = c.forgotten[:count]
 	c.forgotten = c.forgotten[count:]
 	for _, agent := range b.forgotten {
-		b.Writes = append(b.Writes, store.Write{Key: AgentKey(c.name, agent), Delete: true})
+		for _, key := range []store.Key{AgentKey(c.name, agent), formerAgentKey(c.name, agent)} {
+			b.Writes = append(b.Writes, store.Write{Key: key, Delete: true})
+		}
 	}
 }
 
--- a/pool/key.go
+++ b/pool/key.go
@@ -21,58 +21,62 @@
 	HandoverTable = "handover"
 )
 
-// intakeParts is the number of parts that the rows of callers are spread over. The store makes
-// the transactions of one part in turn, so when it is 60 times as slow one part takes 5 jobs a
-// second. Spread over 16, of 12 jobs that came at once all were accepted at the first try.
+// intakeParts is the number of parts that the rows of callers and agents are spread over. The store
+// makes the transactions of one part in turn: what a whole fleet writes at its start takes its turn
+// within the store's patience, and a store that is 60 times as slow takes some jobs at once.
 const intakeParts = 16
 
-// AgentPart is the part of the store that has the rows of a pool's agents. Like those of
-// callers it is apart from that of the holder: new rows would hold up the renewals of its
-// lease.
-func AgentPart(pool string) string {
-	return pool + "/intake"
-}
-
-// IntakeParts are all parts of the store that have rows of a pool's intake table.
+// IntakeParts are all parts of the store that have rows of a pool's intake table. They are apart from
+// that of the holder: new rows would hold up the renewals of its lease.
 func IntakeParts(pool string) []string {
-	parts := []string{AgentPart(pool)}
+	parts := []string{formerAgentPart(pool)}
 	for number := range uint32(intakeParts) {
-		parts = append(parts, callerPart(pool, number))
+		parts = append(parts, intakePart(pool, number))
 	}
 	return parts
 }
 
-// callerPart is the name of one of the parts that callers' rows are spread over.
-func callerPart(pool string, number uint32) string {
-	return AgentPart(pool) + "/" + strconv.FormatUint(uint64(number), 10)
+// intakePart is the name of one of the parts that callers' and agents' rows are spread over.
+func intakePart(pool string, number uint32) string {
+	return formerAgentPart(pool) + "/" + strconv.FormatUint(uint64(number), 10)
 }
 
-// jobPart is the part that has what callers wrote of a job.
-func jobPart(pool string, id job.ID) string {
+// intakePartOf is the part that has the rows of a job or an agent.
+func intakePartOf(pool, name string) string {
 	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(id)) // never fails
-	return callerPart(pool, hash.Sum32()%intakeParts)
+	_, _ = hash.Write([]byte(name)) // never fails
+	return intakePart(pool, hash.Sum32()%intakeParts)
+}
+
+// formerAgentPart is the part in which agents of earlier releases keep their rows, all of them.
+func formerAgentPart(pool string) string {
+	return pool + "/intake"
 }
 
 // JobKey is the key of a job's row.
 func JobKey(pool string, id job.ID) store.Key {
-	return store.Key{Table: IntakeTable, Part: jobPart(pool, id), Name: jobPrefix + string(id) + jobSuffix}
+	return store.Key{Table: IntakeTable, Part: intakePartOf(pool, string(id)), Name: jobPrefix + string(id) + jobSuffix}
 }
 
 // CancelKey is the key of the row that says that a job was cancelled.
 func CancelKey(pool string, id job.ID) store.Key {
-	return store.Key{Table: IntakeTable, Part: jobPart(pool, id), Name: jobPrefix + string(id) + cancelSuffix}
+	return store.Key{Table: IntakeTable, Part: intakePartOf(pool, string(id)), Name: jobPrefix + string(id) + cancelSuffix}
 }
 
 // JobRange is the range of the rows that callers wrote of a job.
 func JobRange(pool string, id job.ID) store.Range {
 	name := jobPrefix + string(id) + "/"
-	return store.Range{Table: IntakeTable, Part: jobPart(pool, id), From: name, To: name + "~"}
+	return store.Range{Table: IntakeTable, Part: intakePartOf(pool, string(id)), From: name, To: name + "~"}
 }
 
 // AgentKey is the key of the row that says where an agent is reached.
 func AgentKey(pool, agent string) store.Key {
-	return store.Key{Table: IntakeTable, Part: AgentPart(pool), Name: agentPrefix + agent}
+	return store.Key{Table: IntakeTable, Part: intakePartOf(pool, agent), Name: agentPrefix + agent}
+}
+
+// formerAgentKey is the key of an agent's row as earlier releases wrote it.
+func formerAgentKey(pool, agent string) store.Key {
+	return store.Key{Table: IntakeTable, Part: formerAgentPart(pool), Name: agentPrefix + agent}
 }
 
 // StateKey is the key of the row that says where a job stands.
--- /dev/null
+++ b/pool/key_test.go
@@ -0,0 +1,42 @@
+package pool
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestRowsOfAFleetAreSpreadOverParts(t *testing.T) {
+	is := is.New(t)
+	const agents = 1600
+	byPart := map[string]int{}
+	for number := range agents {
+		byPart[AgentKey("pool", fmt.Sprintf("side-hall-%d", number)).Part]++
+	}
+	is.Equal(len(byPart), intakeParts)
+	for part, count := range byPart {
+		is.True(slices.Contains(IntakeParts("pool"), part)) // else no holder reads it
+		is.True(count < 2*agents/intakeParts)
+	}
+}
+
+// Rows that agents of earlier releases wrote are read, and go with their agents.
+func TestFormerRowsOfAgentsAreReadAndDeleted(t *testing.T) {
+	is := is.New(t)
+	former := formerAgentKey("pool", "agent")
+	is.True(slices.Contains(IntakeParts("pool"), former.Part))
+	c := New("pool", DefaultSettings(), nil)
+	began := time.Unix(9000, 0)
+	c.AddAgent(began, "agent")
+	c.Tick(began.Add(c.settings.ForgetAfter))
+	deleted := 0
+	for _, w := range c.TakeBatch().Writes {
+		if w.Delete && (w.Key == former || w.Key == AgentKey("pool", "agent")) {
+			deleted++
+		}
+	}
+	is.Equal(deleted, 2)
+}
--- a/program/sidecard/main.go
+++ b/program/sidecard/main.go
@@ -121,7 +121,7 @@
 		address = *o.holders
 	}
 	row := store.Write{Key: pool.AgentKey(*o.pool, *o.name), Value: pool.Encode(&poolpb.AgentRow{Address: address})}
-	return sidecar.NewRegistrar(clock.System{}, adapter.NewStore(*o.store), row, agent.SyncedAt, logger)
+	return sidecar.NewRegistrar(clock.System{}, adapter.NewStore(*o.store).Unhurried(), row, agent.SyncedAt, logger)
 }
 
 // state is the process's state, for operators.
