--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -17,8 +17,9 @@
 
 const (
 	// followWait is how long the store holds a question for a newer configuration back. It
-	// bounds how old the proof is that the present one is the newest.
-	followWait = 1 * time.Second
+	// bounds how old the proof is that the present one is the newest: twice as long on the way through
+	// a relay, well below MaxAge.
+	followWait = 750 * time.Millisecond
 	// MaxAge is how old that proof may be before requests with a key are refused. It is
 	// below the time (5 s) in which a key that was taken away must be refused everywhere,
 	// by more than a feed may be silent before it breaks (1 s).
@@ -74,7 +75,7 @@
 	evacuations atomic.Pointer[catalog.Evacuations]
 	// seen is the store's newest version in an answer.
 	seen uint64
-	// provenAt is when the last answered question was sent, since began; 0 for none.
+	// provenAt is up to when the configuration is known to be the newest, since began; 0 for never.
 	provenAt atomic.Int64
 	// away says that the last question was not answered.
 	away  atomic.Bool
@@ -163,10 +164,11 @@
 		return
 	}
 	f.seen = update.Stamp.Version
-	f.takeEvacuations(sent, update)
+	proven := sent.Add(-update.Stamp.Age)
+	f.takeEvacuations(proven, update)
 	f.takeCatalog(update.Catalog)
 	f.noteUnreadable(sent, update)
-	f.provenAt.Store(int64(sent.Sub(f.began)))
+	f.provenAt.Store(max(f.provenAt.Load(), int64(proven.Sub(f.began))))
 }
 
 // takeCatalog puts a configuration in force unless it is older than the present one.
@@ -189,7 +191,7 @@
 }
 
 // takeEvacuations takes over which data centres are evacuated, with the proof's time.
-func (f *Follower) takeEvacuations(sent time.Time, update Update) {
+func (f *Follower) takeEvacuations(proven time.Time, update Update) {
 	before := f.Evacuations()
 	next := before
 	if update.Whole {
@@ -202,7 +204,10 @@
 		}
 		next = next.With(e.DataCentre, e.Version)
 	}
-	next = next.WithProof(sent)
+	if proven.Before(before.ProvenAt()) {
+		proven = before.ProvenAt()
+	}
+	next = next.WithProof(proven)
 	f.evacuations.Store(&next)
 	if !next.Same(before) {
 		f.logger.Info().Strs("data_centres", next.DataCentres()).Uint64("version", update.Stamp.Version).Msg("gateway: evacuations are in force")
--- a/holder/host.go
+++ b/holder/host.go
@@ -40,9 +40,12 @@
 		// Advisor is asked which workers may run a step, in queues that need it; nil when
 		// there is none.
 		Advisor Advisor
-		// Patience is how long this process leaves a free pool to others, which may be
-		// better placed to hold it.
-		Patience time.Duration
+		// Patience is how long this process leaves a pool that an address held to others, which may be
+		// better placed to hold it; nil for no time.
+		Patience func(holder string) time.Duration
+		// Standby says whether others look after the lease, and where notices are taken meanwhile; nil when
+		// this process always does.
+		Standby func(now time.Time) (address string, standing bool)
 	}
 
 	// Host waits for a pool to be free, holds it, and waits again when it was lost. Create
@@ -100,39 +103,73 @@
 	h.deps.Logger.Warn().Err(err).Str("pool", h.pool).Msg("holder: a transaction failed and is sent again")
 }
 
-// awaitFree looks at the lease until the pool is free, and returns the lease's row.
+// awaitFree waits until the pool is free, and returns the lease's row.
 func (h *Host) awaitFree(ctx context.Context) (store.Row, bool) {
+	for ctx.Err() == nil {
+		if h.standsBy() {
+			backoff.Sleep(ctx, vary(lookEvery))
+			continue
+		}
+		if row, ok := h.watchLease(ctx); ok {
+			return row, true
+		}
+	}
+	return store.Row{}, false
+}
+
+// standsBy says whether others look after the lease. Notices go to them meanwhile.
+func (h *Host) standsBy() bool {
+	if h.deps.Standby == nil {
+		return false
+	}
+	address, standing := h.deps.Standby(h.deps.Clock.Now())
+	if standing {
+		h.setKnown(address)
+	}
+	return standing
+}
+
+// watchLease looks at the lease until the pool is free, or others look after it.
+func (h *Host) watchLease(ctx context.Context) (store.Row, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	handovers := make(chan struct{}, 1)
 	go h.followHandovers(ctx, handovers)
 	candidate := &Candidate{address: h.address}
 	pause := backoff.New(firstRetry, lastRetry)
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !h.standsBy() {
 		sent := h.deps.Clock.Now()
 		row, _, err := readLease(ctx, h.deps.Store, h.pool)
 		if err != nil {
 			candidate.Unread()
-			pause.Wait(ctx)
+			pause.WaitAtLeast(ctx, store.RetryAfter(err))
 			continue
 		}
 		pause.Reset()
 		candidate.Observe(sent, row)
 		h.setKnown(holderAddress(row))
-		wait := candidate.Wait(sent.Add(-h.deps.Patience))
+		patience := h.patience(holderAddress(row))
+		wait := candidate.Wait(sent.Add(-patience))
 		if wait == 0 {
 			return row, true
 		}
-		waitFor(ctx, handovers, min(wait, h.lookEvery()))
+		waitFor(ctx, handovers, min(wait, vary(max(lookEvery, patience))))
 	}
 	return store.Row{}, false
 }
 
-// lookEvery is the time to the next look at the lease. It differs by up to a third, so that
-// the candidates of a large deployment do not ask all at once.
-func (h *Host) lookEvery() time.Duration {
-	every := max(lookEvery, h.deps.Patience)
-	return every - rand.N(every/3)
+// patience is how long this process leaves a pool to others that an address held.
+func (h *Host) patience(holder string) time.Duration {
+	if h.deps.Patience == nil {
+		return 0
+	}
+	return h.deps.Patience(holder)
+}
+
+// vary returns a time that is up to a third shorter, so that the candidates of a large deployment do not ask all at
+// once.
+func vary(d time.Duration) time.Duration {
+	return d - rand.N(d/3)
 }
 
 // followHandovers signals each time that a pool may have been given up, until ctx is done.
--- a/holder/host_test.go
+++ b/holder/host_test.go
@@ -85,7 +85,7 @@
 func takes(t *testing.T, s *busyLease, patience time.Duration) (waited time.Duration, calls int) {
 	t.Helper()
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	host := New("pool", "name", "address", pool.DefaultSettings(), Deps{Clock: clocktest.New(), Store: s, Logger: logger, Patience: patience, Malformed: malformed.New(logger, metrics.NewSet())})
+	host := New("pool", "name", "address", pool.DefaultSettings(), Deps{Clock: clocktest.New(), Store: s, Logger: logger, Patience: func(string) time.Duration { return patience }, Malformed: malformed.New(logger, metrics.NewSet())})
 	s.began = time.Now()
 	_, free := host.awaitFree(t.Context())
 	is.New(t).True(free)
@@ -123,3 +123,28 @@
 		is.Equal(waited, 3800*time.Millisecond)
 	})
 }
+
+// Processes for which others look after the lease ask the store nothing, and look themselves as soon as the others
+// don't.
+func TestWhoStandsByAsksNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const othersUntil = 20 * time.Second
+		is := is.New(t)
+		s := &busyLease{silentAt: 10 * time.Second, released: make(chan struct{})}
+		c := clocktest.New()
+		logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+		s.began = time.Now()
+		host := New("pool", "name", "address", pool.DefaultSettings(), Deps{
+			Clock: c, Store: s, Logger: logger, Malformed: malformed.New(logger, metrics.NewSet()),
+			Standby: func(now time.Time) (string, bool) { return "10.0.0.1:1", now.Sub(s.began) < othersUntil },
+		})
+		time.AfterFunc(othersUntil-time.Second, func() {
+			is.Equal(s.calls, 0)
+			is.Equal(host.known.Address(), "10.0.0.1:1") // where notices go meanwhile
+		})
+		_, free := host.awaitFree(t.Context())
+		is.True(free)
+		is.True(time.Since(s.began) >= othersUntil+TakeAfter)
+		is.True(time.Since(s.began) <= othersUntil+TakeAfter+2*lookEvery)
+	})
+}
--- a/holder/notice.go
+++ b/holder/notice.go
@@ -33,7 +33,7 @@
 	return &NoticeService{find: find}
 }
 
-// Tell hands a row to the holder of its pool, if this process holds it.
+// Tell hands a row to the holder of its pool: in this process, or once to the one that this process knows of.
 func (s *NoticeService) Tell(request *poolpb.NoticeRequest, reply *poolpb.NoticeReply) error {
 	host, known := s.find(request.GetPool())
 	if !known {
@@ -43,7 +43,11 @@
 		Key:   store.Key{Table: pool.IntakeTable, Part: request.GetPart(), Name: request.GetName()},
 		Value: request.GetValue(),
 	}
-	reply.Taken = host.take(row, time.Duration(request.GetClockMs())*time.Millisecond)
+	clock := time.Duration(request.GetClockMs()) * time.Millisecond
+	reply.Taken = host.take(row, clock)
+	if !reply.GetTaken() && !request.GetForwarded() {
+		host.pass(row, clock, true)
+	}
 	return nil
 }
 
@@ -64,9 +68,13 @@
 // follows the table. While the store's feeds are silent, as they are for a second or two when it
 // forgets its history, notices are what brings new jobs and cancellations.
 func (h *Host) Notify(row store.Row, clock time.Duration) {
-	if h.take(row, clock) {
-		return
+	if !h.take(row, clock) {
+		h.pass(row, clock, false)
 	}
+}
+
+// pass tells the process that is known to hold the pool of a row, or one that knows the holder.
+func (h *Host) pass(row store.Row, clock time.Duration, forwarded bool) {
 	h.mu.Lock()
 	client := h.known
 	h.mu.Unlock()
@@ -80,19 +88,20 @@
 	}
 	go func() {
 		defer func() { <-h.notices }()
-		h.notify(client, row, clock)
+		h.notify(client, row, clock, forwarded)
 	}()
 }
 
-func (h *Host) notify(client *rpc.Client, row store.Row, clock time.Duration) {
+func (h *Host) notify(client *rpc.Client, row store.Row, clock time.Duration, forwarded bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 	defer cancel()
 	_, err := rpc.Call[poolpb.NoticeReply](ctx, client, noticeMethod, &poolpb.NoticeRequest{
-		Pool:    h.pool,
-		Part:    row.Key.Part,
-		Name:    row.Key.Name,
-		Value:   row.Value,
-		ClockMs: clock.Milliseconds(),
+		Pool:      h.pool,
+		Part:      row.Key.Part,
+		Name:      row.Key.Name,
+		Value:     row.Value,
+		ClockMs:   clock.Milliseconds(),
+		Forwarded: forwarded,
 	})
 	if err != nil {
 		client.Reset()
@@ -100,7 +109,7 @@
 	}
 }
 
-// setKnown notes where the pool's holder takes notices; empty for nowhere.
+// setKnown notes where notices are taken: by the pool's holder or by a process that knows it; empty for nowhere.
 func (h *Host) setKnown(address string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/process/launch/launch.go
+++ b/process/launch/launch.go
@@ -7,9 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 
 	"github.com/phuslu/log"
+	"golang.org/x/sys/unix"
 
 	"hollyfork.example/hollyfork/process"
 	"hollyfork.example/hollyfork/settings"
@@ -60,3 +62,12 @@
 	config := net.ListenConfig{}
 	return config.Listen(context.Background(), "tcp", address)
 }
+
+// FileLimit returns a part of the files that the process may open: one in so many.
+func FileLimit(part uint64) (int, error) {
+	limit := unix.Rlimit{}
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0, fmt.Errorf("limit of open files: %w", err)
+	}
+	return int(min(limit.Cur/part, math.MaxInt32)), nil
+}
--- a/program/gatewayd/main.go
+++ b/program/gatewayd/main.go
@@ -33,11 +33,9 @@
 	lameDuck = 2500 * time.Millisecond
 	// stopWithin bounds the whole stop, below the platform's 6 s.
 	stopWithin = 5500 * time.Millisecond
-	// weakShare is the part of a processor below which a gateway leaves pools to others for
-	// weakPatience: the users' smallest gateways have 0.19, and holding a pool of 70 workers
-	// takes about 0.1.
-	weakShare    = 0.3
-	weakPatience = 800 * time.Millisecond
+	// longestPatience is how long a gateway with next to no processor leaves a pool to stronger ones: they
+	// look at the lease three times meanwhile.
+	longestPatience = 800 * time.Millisecond
 	// headerTimeout and idleTimeout bound a caller's header and pauses; headerBytes its
 	// header. They are the users' configured limits.
 	headerTimeout = 3 * time.Second
@@ -46,9 +44,9 @@
 	// longestEvacuation is the longest bound for evacuations that makes sense: a minute is ten
 	// times what any operator asked for.
 	longestEvacuation = time.Minute
-	// maxGateways bounds the connections of other gateways: one each, several times the 55 of the
-	// largest deployment so far.
-	maxGateways = 256
+	// gatewayFiles is the part of the process's open files that connections of other gateways may
+	// take.
+	gatewayFiles = 4
 )
 
 // options are the settings of the process.
@@ -60,7 +58,9 @@
 	store   *string
 	advice  *string
 	relay   *string
-	share   *float64
+	// share is the part of a processor that the gateway may use, speed how many times as fast as others it is.
+	share *float64
+	speed *float64
 	// evacuateWithin is 0 when the operator states no bound.
 	evacuateWithin *time.Duration
 	level          *string
@@ -78,6 +78,7 @@
 		advice:  settings.Add(s, "platform.advice", "", "IP address and port of the advice service; empty for none", settings.OptionalAddress),
 		relay:   settings.Add(s, "gateway.relay", "", "IP address and port for calls of other gateways that the store turns away; empty for none", settings.OptionalAddress),
 		share:   settings.Add(s, "gateway.processor-share", "1", "part of a processor that the gateway may use", settings.Share),
+		speed:   settings.Add(s, "gateway.processor-speed", "1", "how many times as fast as others the processor is", settings.Share),
 		level:   launch.LogLevel(s),
 
 		evacuateWithin: settings.Add(s, "gateway.evacuate-within", "0s", "time after which nothing may be started any more in a data centre whose evacuation was requested; 0s for no bound", settings.Duration(0, longestEvacuation)),
@@ -94,8 +95,12 @@
 	logger  *log.Logger
 	metrics *metrics.Set
 	// bad keeps what this process could not read.
-	bad      *malformed.Registry
-	store    store.Store
+	bad   *malformed.Registry
+	store store.Store
+	// configs is what the configuration is read from.
+	configs store.Reader
+	// relay is nil when this gateway takes no calls of others.
+	relay    *relay.Store
 	follower *gateway.Follower
 	gateway  *gateway.Gateway
 	traffic  *rpc.Traffic
@@ -118,13 +123,14 @@
 	p.bad = malformed.New(logger, p.metrics)
 	client := adapter.NewStore(*o.store)
 	direct := store.NewMetered(client, p.metrics)
-	p.store = direct
+	p.store, p.configs = direct, direct
 	if *o.relay != "" {
-		if p.store, err = p.startRelay(ctx, direct); err != nil {
+		if p.relay, err = p.startRelay(ctx, direct); err != nil {
 			return err
 		}
+		p.store, p.configs = p.relay, p.relay.Feed()
 	}
-	p.follower = gateway.NewFollower(clock.System{}, adapter.NewConfigs(p.store), logger, p.bad)
+	p.follower = gateway.NewFollower(clock.System{}, adapter.NewConfigs(p.configs), logger, p.bad)
 	p.gateway = gateway.New(p.store, p, p.follower, p.metrics, logger, p.bad)
 	following, endFollowing := context.WithCancel(context.Background())
 	defer endFollowing()
@@ -156,14 +162,21 @@
 	client.DropIdle()
 }
 
-// startRelay serves other gateways that the store turns away, and returns the store as it is
-// reached through them while it turns this one away.
-func (p *gatewayProcess) startRelay(ctx context.Context, direct store.Store) (store.Store, error) {
+// startRelay serves other gateways, and returns the store as it is reached through them while it turns
+// this one away.
+func (p *gatewayProcess) startRelay(ctx context.Context, direct store.Store) (*relay.Store, error) {
 	listener, err := launch.Listen(*p.options.relay)
 	if err != nil {
 		return nil, err
 	}
-	relayed := relay.New(relay.Deps{Direct: direct, Metrics: p.metrics, Traffic: p.traffic, Logger: p.logger, Malformed: p.bad})
+	maxGateways, err := launch.FileLimit(gatewayFiles)
+	if err != nil {
+		return nil, err
+	}
+	relayed := relay.New(relay.Deps{
+		Direct: direct, Clock: clock.System{}, Name: *p.options.name, Table: adapter.ConfigTable,
+		Metrics: p.metrics, Traffic: p.traffic, Logger: p.logger, Malformed: p.bad,
+	})
 	server := rpc.NewServer(maxGateways, p.traffic)
 	if err := server.Register(relay.ServiceName, relayed.Service()); err != nil {
 		return nil, err
@@ -172,10 +185,26 @@
 		return nil, err
 	}
 	go func() { _ = server.Serve(listener) }()
-	go relayed.Run(ctx, *p.options.name, *p.options.relay)
+	p.running.Go(func() {
+		relayed.Run(ctx, relay.Self{Name: *p.options.name, Address: *p.options.relay, Power: p.power()})
+	})
 	return relayed, nil
 }
 
+// power is what this gateway has of processors.
+func (p *gatewayProcess) power() float64 {
+	return *p.options.share * *p.options.speed
+}
+
+// patience is how long this gateway leaves a pool that an address held to stronger relays.
+func (p *gatewayProcess) patience(holder string) time.Duration {
+	strongest := p.relay.Strongest(holder)
+	if strongest <= p.power() {
+		return 0
+	}
+	return time.Duration((1 - p.power()/strongest) * float64(longestPatience))
+}
+
 // shutdown hands the pools over, lets the balancer turn away, finishes what is asked, and
 // ends.
 func (p *gatewayProcess) shutdown(callers *http.Server) {
--- a/program/gatewayd/pools.go
+++ b/program/gatewayd/pools.go
@@ -33,8 +33,9 @@
 	if *p.options.advice != "" {
 		deps.Advisor = adapter.NewAdvice(*p.options.advice)
 	}
-	if *p.options.share < weakShare {
-		deps.Patience = weakPatience
+	if p.relay != nil {
+		deps.Patience = p.patience
+		deps.Standby = p.relay.Feed().Standby
 	}
 	p.running.Go(func() {
 		for ctx.Err() == nil {
--- /dev/null
+++ b/relay/feed_test.go
@@ -0,0 +1,228 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+
+	"hollyfork.example/hollyfork/clock"
+	"hollyfork.example/hollyfork/gateway"
+	"hollyfork.example/hollyfork/malformed"
+	"hollyfork.example/hollyfork/platform/adapter"
+	"hollyfork.example/hollyfork/platform/fakes"
+	"hollyfork.example/hollyfork/relay"
+	"hollyfork.example/rpc"
+)
+
+const patience = 10 * time.Second
+
+type (
+	// fleet is a number of gateways in one process, as far as they read the configuration.
+	fleet struct {
+		t        *testing.T
+		store    *fakes.Store
+		gateways []*fleetGateway
+	}
+
+	fleetGateway struct {
+		self     relay.Self
+		relay    *relay.Store
+		follower *gateway.Follower
+		direct   *fakes.Gate
+		server   *rpc.Server
+		stop     context.CancelFunc
+	}
+)
+
+func newFleet(t *testing.T, gateways int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: fakes.NewStore(time.Now())}
+	f.configure(1)
+	for number := range gateways {
+		f.gateways = append(f.gateways, f.start(number))
+	}
+	f.eventually("all have the configuration", func() bool { return f.inForce(1) == gateways })
+	return f
+}
+
+func (f *fleet) configure(version int) {
+	f.store.Put("op", "", "config", fmt.Appendf(nil, `{"version":%d}`, version))
+}
+
+func (f *fleet) start(number int) *fleetGateway {
+	f.t.Helper()
+	config := net.ListenConfig{}
+	listener, err := config.Listen(f.t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	f.t.Cleanup(stop)
+	g := &fleetGateway{
+		self:   relay.Self{Name: fmt.Sprintf("gateway-%d", number), Address: listener.Addr().String(), Power: 1},
+		direct: &fakes.Gate{Next: fakes.Transport{Handler: f.store.Handler()}},
+		server: rpc.NewServer(0, nil),
+		stop:   stop,
+	}
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	bad := malformed.New(logger, metrics.NewSet())
+	client := adapter.NewStore("store").WithTransport(g.direct)
+	g.relay = relay.New(relay.Deps{
+		Direct: client, Clock: clock.System{}, Name: g.self.Name, Table: adapter.ConfigTable,
+		Metrics: metrics.NewSet(), Logger: logger, Malformed: bad,
+	})
+	if err := g.server.Register(relay.ServiceName, g.relay.Service()); err != nil {
+		f.t.Fatal(err)
+	}
+	g.follower = gateway.NewFollower(clock.System{}, adapter.NewConfigs(g.relay.Feed()), logger, bad)
+	go func() { _ = g.server.Serve(listener) }()
+	f.t.Cleanup(func() { _ = g.server.Close() })
+	go g.relay.Run(ctx, g.self)
+	go g.follower.Run(ctx)
+	return g
+}
+
+// inForce counts the gateways that have a version of the configuration in force.
+func (f *fleet) inForce(version uint64) int {
+	count := 0
+	for _, g := range f.gateways {
+		if g.follower.Fresh(clock.Now()) && g.follower.Catalog().Version == version {
+			count++
+		}
+	}
+	return count
+}
+
+// relays returns the gateways that serve others, others those that stand by for them.
+func (f *fleet) relays() (relays, others []*fleetGateway) {
+	for _, g := range f.gateways {
+		switch address, standing := g.relay.Feed().Standby(clock.Now()); {
+		case !standing:
+			relays = append(relays, g)
+		case address != "":
+			others = append(others, g)
+		}
+	}
+	return relays, others
+}
+
+func (f *fleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !holds() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("not within %s: %s", patience, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// settle waits until some gateways are relays and serve all others.
+func (f *fleet) settle() (relays, others []*fleetGateway) {
+	f.t.Helper()
+	f.eventually("some serve all others", func() bool {
+		relays, others = f.relays()
+		return len(relays) <= relay.MaxRelays && len(relays)+len(others) == len(f.gateways)
+	})
+	return relays, others
+}
+
+// callsIn returns how many calls the store gets in a time.
+func (f *fleet) callsIn(d time.Duration) int64 {
+	before := f.store.Counts().Calls
+	time.Sleep(d)
+	return f.store.Counts().Calls - before
+}
+
+// kill ends a gateway without a word.
+func (g *fleetGateway) kill() {
+	g.stop()
+	_ = g.server.Close()
+}
+
+// Each gateway asked the store for the configuration, once a second: what one pool's store was asked
+// grew with the gateways.
+func TestCallsDoNotGrowWithGateways(t *testing.T) {
+	is := is.New(t)
+	var calls []int64
+	for _, gateways := range []int{relay.MaxRelays, 80} {
+		f := newFleet(t, gateways)
+		f.settle()
+		calls = append(calls, f.callsIn(4*time.Second))
+		is.Equal(f.inForce(1), gateways)
+	}
+	t.Logf("calls in 4 s: %d of %d gateways, %d of 80", calls[0], relay.MaxRelays, calls[1])
+	is.True(calls[1] <= calls[0]*5/4)
+}
+
+func TestChangeReachesAllGatewaysThroughRelays(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 60)
+	f.settle()
+	f.configure(2)
+	began := time.Now()
+	f.eventually("the change is in force", func() bool { return f.inForce(2) == 60 })
+	is.True(time.Since(began) < 500*time.Millisecond)
+}
+
+// All relays are lost together. The others ask the store themselves before the proof of their
+// configuration is too old, and become relays.
+func TestLossOfAllRelaysCostsNoGatewayItsProof(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 40)
+	relays, others := f.settle()
+	for _, g := range relays {
+		g.kill()
+	}
+	f.gateways = others
+	for began := time.Now(); time.Since(began) < 4*time.Second; time.Sleep(10 * time.Millisecond) {
+		is.Equal(f.inForce(1), len(others))
+	}
+	f.configure(2)
+	f.eventually("a change is in force", func() bool { return f.inForce(2) == len(others) })
+}
+
+// Relays that the store turns away all at once do not keep the others from it, nor does one of
+// these stand by for them.
+func TestRelaysThatAreTurnedAwayAreNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 30)
+	relays, others := f.settle()
+	for _, g := range relays {
+		g.direct.Shut(true)
+	}
+	f.gateways = others
+	for began := time.Now(); time.Since(began) < 4*time.Second; time.Sleep(10 * time.Millisecond) {
+		is.Equal(f.inForce(1), len(others))
+	}
+	candidates, _ := f.relays()
+	is.True(len(candidates) > 0)
+}
+
+// While the store serves nobody no gateway looks after what needs the store, and after it all go on as
+// before.
+func TestOutageOfTheStoreLeavesRelaysAsTheyAre(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 30)
+	relays, _ := f.settle()
+	f.store.SetFault(fakes.Fault{Refuse: true})
+	time.Sleep(5 * time.Second)
+	is.Equal(f.inForce(1), 0)
+	calls := f.callsIn(time.Second)
+	t.Logf("calls in 1 s of an outage: %d", calls)
+	is.True(calls <= 30*5)
+	f.store.SetFault(fakes.Fault{})
+	f.eventually("all have the configuration again", func() bool { return f.inForce(1) == 30 })
+	after, _ := f.settle()
+	for _, g := range after {
+		is.True(slices.Contains(relays, g))
+	}
+}
--- a/relay/member.go
+++ b/relay/member.go
@@ -2,130 +2,166 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
+	"math/rand/v2"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"hollyfork.example/hollyfork/backoff"
-	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/store"
-	"hollyfork.example/wire/relaypb"
 )
 
 const (
-	// Table has a row for each gateway. They have a part of their own: the store makes the
-	// transactions of a part in turn, and the operator's rows have the one without a name.
-	Table = "gateway"
-	part  = "gateway"
-
-	// announceEvery is how often a gateway renews its row and looks for others once it has
-	// run for a while; firstAnnounce is the first pause, and each is twice as long as the one
-	// before. With 100 gateways that makes 20 calls a second.
-	announceEvery = 10 * time.Second
-	firstAnnounce = 1 * time.Second
-	// staleAfter is how old a row may be for its gateway to be tried: three renewals.
-	staleAfter = 3 * announceEvery
-	// removeAfter is how old a row must be to be deleted by whoever finds it.
-	removeAfter = 2 * time.Minute
+	// renewEvery is how often a relay renews its row, at most.
+	renewEvery = 5 * time.Second
+	// lookEvery is how often other gateways look for relays, at most.
+	lookEvery = 10 * time.Second
+	// firstLook is how soon a gateway looks again after its start; each time after that takes twice as long.
+	firstLook = time.Second
+	// firstLookRetry and lastLookRetry bound the pauses after a look that failed.
+	firstLookRetry = 200 * time.Millisecond
+	lastLookRetry  = 5 * time.Second
+	// claimPause is how long a gateway with one processor leaves a free slot to stronger ones, on average.
+	claimPause = 100 * time.Millisecond
+	// leaveTimeout bounds the deletion of a relay's row when it stops.
+	leaveTimeout = 500 * time.Millisecond
 )
 
-// Run makes this gateway known to the others under a name and address, looks for them, and
-// tries the store again while it turns this gateway away, until ctx is done.
-func (s *Store) Run(ctx context.Context, name, address string) {
+// Run keeps up which gateways are relays, makes this one a relay when one is wanted, and tries the store again
+// while it turns this gateway away, until ctx is done.
+func (s *Store) Run(ctx context.Context, self Self) {
 	go s.probe(ctx)
-	pause := firstAnnounce
-	for {
-		if err := s.announce(ctx, name, address); err != nil {
-			s.logger.Warn().Err(err).Msg("relay: the gateways' rows could not be renewed and read")
-		}
-		if !backoff.Sleep(ctx, pause) {
-			return
+	defer s.leave(self)
+	pause := backoff.New(firstLookRetry, lastLookRetry)
+	longest := firstLook
+	for ctx.Err() == nil {
+		next, err := s.keepUp(ctx, self)
+		if err != nil {
+			if ctx.Err() == nil {
+				s.logger.Warn().Err(err).Msg("relay: the relays' rows could not be read or renewed")
+			}
+			pause.WaitAtLeast(ctx, store.RetryAfter(err))
+			continue
 		}
-		pause = min(2*pause, announceEvery)
+		pause.Reset()
+		backoff.Sleep(ctx, min(next, vary(longest)))
+		longest = min(2*longest, lookEvery)
 	}
 }
 
-// announce reads the rows of all gateways and renews that of this one.
-func (s *Store) announce(ctx context.Context, name, address string) error {
-	page, err := s.Read(ctx, store.Range{Table: Table, Part: part})
+// keepUp reads which gateways are relays, and renews or takes a slot for this one. It returns how long to wait
+// until the next time.
+func (s *Store) keepUp(ctx context.Context, self Self) (time.Duration, error) {
+	table, err := s.readTable(ctx, self)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	known := members(page, name)
-	if s.peers.set(known.addresses) {
-		s.logger.Info().Int("known", len(known.addresses)).Msg("relay: the other gateways changed")
+	if number, ok := table.slotOf(self.Name); ok {
+		return vary(renewEvery), s.write(ctx, self, table, number)
 	}
-	for _, u := range known.unreadable {
-		s.bad.Note(clock.Now(), malformed.Gateway, u.row.Key.Name, len(u.row.Value), u.err)
+	s.feed.setRelay(false)
+	if len(table.claimable(self)) == 0 {
+		return vary(lookEvery), nil
 	}
-	value, err := proto.Marshal(&relaypb.GatewayRow{Address: address, AnnouncedMs: page.Stamp.Clock.Milliseconds()})
+	return s.claim(ctx, self)
+}
+
+// claim takes a slot, unless stronger gateways have taken all meanwhile.
+func (s *Store) claim(ctx context.Context, self Self) (time.Duration, error) {
+	mean := time.Duration(float64(claimPause) / max(self.Power, 1.0/thousandths))
+	backoff.Sleep(ctx, min(rand.N(2*mean), lastLookRetry))
+	table, err := s.readDirect(ctx, self)
+	if err != nil {
+		return 0, err
+	}
+	free := table.claimable(self)
+	if len(free) == 0 {
+		return vary(lookEvery), nil
+	}
+	err = s.write(ctx, self, table, free[rand.N(len(free))])
+	if store.KindOf(err) == store.KindConflict {
+		return rand.N(2 * mean), nil
+	}
+	return vary(renewEvery), err
+}
+
+// write writes this gateway's row into a slot, if the slot is as it was read.
+func (s *Store) write(ctx context.Context, self Self, table slotTable, number int) error {
+	value, err := self.encode(table.stamp.Clock)
 	if err != nil {
 		return &store.Error{Op: "announce", Kind: store.KindInvalid, Err: err}
 	}
-	writes := []store.Write{{Key: memberKey(name), Value: value}}
-	for _, key := range known.gone {
-		writes = append(writes, store.Write{Key: key, Delete: true})
+	key := slotKey(number)
+	_, err = s.Commit(ctx, store.Txn{
+		Checks: []store.Check{{Key: key, Version: table.slots[number].version}},
+		Writes: []store.Write{{Key: key, Value: value}},
+	})
+	if err == nil {
+		s.feed.setRelay(true)
 	}
-	_, err = s.Commit(ctx, store.Txn{Writes: writes})
 	return err
 }
 
-func memberKey(name string) store.Key {
-	return store.Key{Table: Table, Part: part, Name: name}
+// readTable reads the rows of the slots: from a relay if one serves this gateway, else from the store.
+func (s *Store) readTable(ctx context.Context, self Self) (slotTable, error) {
+	if page, ok := s.feed.members(ctx); ok {
+		return s.takeTable(page, self), nil
+	}
+	return s.readDirect(ctx, self)
 }
 
-// membership is what the rows of the gateways tell.
-type membership struct {
-	// addresses are those of the other gateways that live, as far as their rows tell.
-	addresses []string
-	// gone are the rows of those that have long ended.
-	gone []store.Key
-	// unreadable are the rows that say nothing of a gateway.
-	unreadable []unreadableRow
+func (s *Store) readDirect(ctx context.Context, self Self) (slotTable, error) {
+	page, err := s.Read(ctx, slotsRange())
+	if err != nil {
+		return slotTable{}, err
+	}
+	return s.takeTable(page, self), nil
 }
 
-type unreadableRow struct {
-	row store.Row
-	err error
+// takeTable takes over which gateways are relays.
+func (s *Store) takeTable(page store.Page, self Self) slotTable {
+	table := readSlots(page)
+	s.lastTable.Store(&page)
+	others := table.others(self.Name)
+	if s.peers.set(others) {
+		s.logger.Info().Int("known", len(others)).Msg("relay: the relays changed")
+	}
+	for _, u := range table.unreadable {
+		s.bad.Note(s.clock.Now(), malformed.Gateway, u.row.Key.Name, len(u.row.Value), u.err)
+	}
+	s.feed.setDecided()
+	return table
 }
 
-// decodeMember reads the row of a gateway.
-func decodeMember(row store.Row, content *relaypb.GatewayRow) error {
-	if err := proto.Unmarshal(row.Value, content); err != nil {
-		return err
+// leave frees this gateway's slot, so that another takes it at once.
+func (s *Store) leave(self Self) {
+	if !s.feed.isRelay() {
+		return
 	}
-	if content.GetAnnouncedMs() < 0 {
-		return fmt.Errorf("it was announced at %d ms", content.GetAnnouncedMs())
+	s.feed.setRelay(false)
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	page, err := s.direct.Read(ctx, slotsRange())
+	if err != nil {
+		s.logger.Warn().Err(err).Msg("relay: the slot could not be freed; its row grows stale")
+		return
+	}
+	table := readSlots(page)
+	number, ok := table.slotOf(self.Name)
+	if !ok {
+		return
+	}
+	key := slotKey(number)
+	_, err = s.direct.Commit(ctx, store.Txn{
+		Checks: []store.Check{{Key: key, Version: table.slots[number].version}},
+		Writes: []store.Write{{Key: key, Delete: true}},
+	})
+	if err != nil {
+		s.logger.Warn().Err(err).Msg("relay: the slot could not be freed; its row grows stale")
 	}
-	_, _, err := net.SplitHostPort(content.GetAddress())
-	return err
 }
 
-// maxRemoved bounds the rows that one renewal deletes.
-const maxRemoved = 20
-
-// members reads the rows of the gateways other than the named one.
-func members(page store.Page, name string) membership {
-	var m membership
-	for _, row := range page.Rows {
-		if row.Key.Name == name {
-			continue
-		}
-		content := &relaypb.GatewayRow{}
-		if err := decodeMember(row, content); err != nil {
-			m.unreadable = append(m.unreadable, unreadableRow{row, err})
-			continue
-		}
-		age := page.Stamp.Clock - time.Duration(content.GetAnnouncedMs())*time.Millisecond
-		switch {
-		case age <= staleAfter:
-			m.addresses = append(m.addresses, content.GetAddress())
-		case age > removeAfter && len(m.gone) < maxRemoved:
-			m.gone = append(m.gone, row.Key)
-		}
-	}
-	return m
+// vary returns a time that is up to a third shorter, so that gateways that started together don't ask
+// together.
+func vary(d time.Duration) time.Duration {
+	return d - rand.N(d/3)
 }
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -17,15 +17,16 @@
 )
 
 type (
-	// peer is another gateway.
+	// peer is a relay.
 	peer struct {
 		address string
+		power   float64
 		client  *rpc.Client
 		// failedAt is when it last did not help.
 		failedAt time.Time
 	}
 
-	// peers are the other gateways that are known. They are safe for concurrent use.
+	// peers are the relays that are known, but for this gateway. They are safe for concurrent use.
 	peers struct {
 		traffic *rpc.Traffic
 
@@ -34,29 +35,52 @@
 	}
 )
 
-// set replaces the addresses of the other gateways. It says whether that changes any.
-func (p *peers) set(addresses []string) bool {
+// set replaces the relays. It says whether that changes any.
+func (p *peers) set(relays []Self) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := len(p.list)
 	p.list = slices.DeleteFunc(p.list, func(known *peer) bool {
-		if slices.Contains(addresses, known.address) {
+		if slices.ContainsFunc(relays, func(r Self) bool { return r.Address == known.address }) {
 			return false
 		}
 		_ = known.client.Close()
 		return true
 	})
 	changed := len(p.list) != before
-	for _, address := range addresses {
-		if !slices.ContainsFunc(p.list, func(known *peer) bool { return known.address == address }) {
-			p.list = append(p.list, &peer{address: address, client: rpc.NewClient(address, p.traffic)})
+	for _, r := range relays {
+		i := slices.IndexFunc(p.list, func(known *peer) bool { return known.address == r.Address })
+		if i < 0 {
+			i = len(p.list)
+			p.list = append(p.list, &peer{address: r.Address, client: rpc.NewClient(r.Address, p.traffic)})
 			changed = true
 		}
+		p.list[i].power = r.Power
 	}
 	rand.Shuffle(len(p.list), func(i, j int) { p.list[i], p.list[j] = p.list[j], p.list[i] })
 	return changed
 }
 
+// all returns all relays.
+func (p *peers) all() []*peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.list)
+}
+
+// strongest returns the most that a relay other than one has of processors.
+func (p *peers) strongest(but string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	power := 0.0
+	for _, known := range p.list {
+		if known.address != but {
+			power = max(power, known.power)
+		}
+	}
+	return power
+}
+
 // choose returns the gateways to try for a call: those that failed least lately first.
 func (p *peers) choose(now time.Time) []*peer {
 	p.mu.Lock()
--- a/relay/service.go
+++ b/relay/service.go
@@ -17,12 +17,18 @@
 	commitMethod = ServiceName + ".Commit"
 	readMethod   = ServiceName + ".Read"
 	followMethod = ServiceName + ".Follow"
+
+	watchMethod   = ServiceName + ".Watch"
+	membersMethod = ServiceName + ".Members"
 )
 
 // maxWait bounds how long a question for changes is held back for another gateway.
 const maxWait = 2 * time.Second
 
-var errTurnedAway = errors.New("this gateway is turned away as well")
+var (
+	errTurnedAway = errors.New("this gateway is turned away as well")
+	errNoRelay    = errors.New("this gateway is no relay")
+)
 
 // Service passes calls of other gateways on to the store, never to a third gateway.
 type Service struct {
@@ -57,6 +63,32 @@
 	})
 }
 
+// Watch tells another gateway what has changed in the table that this one follows, if it is a relay.
+func (s *Service) Watch(request *relaypb.WatchRequest, reply *relaypb.Outcome) error {
+	feed := s.store.feed
+	if !feed.isRelay() || request.GetTable() != feed.table {
+		putOutcome(reply, store.Page{}, &store.Error{Op: opWatch, Kind: store.KindRefused, Err: errNoRelay})
+		return nil
+	}
+	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maxWait)
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	page, err := feed.mirror.watch(ctx, s.store.clock.Now, request.GetAfter(), request.GetAway())
+	putOutcome(reply, page, err)
+	return nil
+}
+
+// Members tells another gateway which gateways are relays, as this one has read it last.
+func (s *Service) Members(_ *relaypb.MembersRequest, reply *relaypb.Outcome) error {
+	page := s.store.lastTable.Load()
+	if page == nil || !s.store.feed.isRelay() {
+		putOutcome(reply, store.Page{}, &store.Error{Op: opMembers, Kind: store.KindRefused, Err: errNoRelay})
+		return nil
+	}
+	putOutcome(reply, *page, nil)
+	return nil
+}
+
 // pass makes a call unless the store turns this gateway away too.
 func (s *Service) pass(op string, timeout time.Duration, reply *relaypb.Outcome, call func(context.Context) (store.Page, error)) error {
 	if !s.store.path.direct() {
--- /dev/null
+++ b/relay/slot.go
@@ -0,0 +1,163 @@
+package relay
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"hollyfork.example/hollyfork/store"
+	"hollyfork.example/wire/relaypb"
+)
+
+const (
+	// Table has a row for each slot. The rows have a part of their own: the store makes the transactions
+	// of a part in turn, and the operator's rows have the one without a name.
+	Table = "gateway"
+	part  = "gateway"
+	// slotPrefix begins the names of the rows, and the slot's number ends them.
+	slotPrefix = "relay/"
+
+	// MaxRelays is the number of slots. One is enough to serve a fleet; the others are there for
+	// when some of them are lost, cut off or turned away together.
+	MaxRelays = 8
+	// staleAfter is how old a row may be until its slot is free: three renewals.
+	staleAfter = 3 * renewEvery
+	// muchStronger is how many times the processors of a relay another gateway must have to take its slot.
+	muchStronger = 2
+)
+
+type (
+	// Self is what a gateway tells the others of itself.
+	Self struct {
+		Name string
+		// Address is where it takes calls of others.
+		Address string
+		// Power is what it has of processors.
+		Power float64
+	}
+
+	// slot is what a row says of a relay.
+	slot struct {
+		version uint64
+		relay   Self
+		// fresh says that the row was renewed lately, so that the relay may live.
+		fresh bool
+	}
+
+	// slotTable is what a read found of all slots.
+	slotTable struct {
+		stamp store.Stamp
+		slots [MaxRelays]slot
+		// unreadable are rows that say nothing of a relay.
+		unreadable []unreadableRow
+	}
+
+	unreadableRow struct {
+		row store.Row
+		err error
+	}
+)
+
+func slotKey(number int) store.Key {
+	return store.Key{Table: Table, Part: part, Name: slotPrefix + strconv.Itoa(number)}
+}
+
+// slotsRange is the range of the rows of all slots.
+func slotsRange() store.Range {
+	return store.Range{Table: Table, Part: part, From: slotPrefix, To: slotPrefix + "~"}
+}
+
+// readSlots reads the rows of slots.
+func readSlots(page store.Page) slotTable {
+	t := slotTable{stamp: page.Stamp}
+	for _, row := range page.Rows {
+		number, err := strconv.Atoi(strings.TrimPrefix(row.Key.Name, slotPrefix))
+		if err != nil || number < 0 || number >= MaxRelays || row.Key != slotKey(number) {
+			continue
+		}
+		t.slots[number].version = row.Version
+		content, err := decodeSlot(row)
+		if err != nil {
+			t.unreadable = append(t.unreadable, unreadableRow{row, err})
+			continue
+		}
+		t.slots[number].relay = Self{
+			Name:    content.GetName(),
+			Address: content.GetAddress(),
+			Power:   float64(content.GetPowerMillis()) / thousandths,
+		}
+		age := page.Stamp.Clock - time.Duration(content.GetAnnouncedMs())*time.Millisecond
+		t.slots[number].fresh = age <= staleAfter
+	}
+	return t
+}
+
+const thousandths = 1000
+
+// decodeSlot reads the row of a slot.
+func decodeSlot(row store.Row) (*relaypb.GatewayRow, error) {
+	content := &relaypb.GatewayRow{}
+	if err := proto.Unmarshal(row.Value, content); err != nil {
+		return nil, err
+	}
+	if content.GetAnnouncedMs() < 0 || content.GetName() == "" || content.GetPowerMillis() < 0 {
+		return nil, fmt.Errorf("announced at %d ms by %q with power %d", content.GetAnnouncedMs(), content.GetName(), content.GetPowerMillis())
+	}
+	_, _, err := net.SplitHostPort(content.GetAddress())
+	return content, err
+}
+
+// encode returns the row's content as a relay writes it at a reading of the store's clock.
+func (s Self) encode(clock time.Duration) ([]byte, error) {
+	return proto.Marshal(&relaypb.GatewayRow{
+		Name:        s.Name,
+		Address:     s.Address,
+		PowerMillis: int32(s.Power * thousandths),
+		AnnouncedMs: clock.Milliseconds(),
+	})
+}
+
+// slotOf returns the number of the slot that a gateway has; ok is false when it has none.
+func (t slotTable) slotOf(name string) (number int, ok bool) {
+	for number, s := range t.slots {
+		if s.relay.Name == name {
+			return number, true
+		}
+	}
+	return 0, false
+}
+
+// others returns the relays that may live, but for the named gateway.
+func (t slotTable) others(name string) []Self {
+	var relays []Self
+	for _, s := range t.slots {
+		if s.fresh && s.relay.Name != name {
+			relays = append(relays, s.relay)
+		}
+	}
+	return relays
+}
+
+// claimable returns the slots that a gateway may take: free ones, or else that of the weakest relay if the
+// gateway is much stronger.
+func (t slotTable) claimable(self Self) []int {
+	var free []int
+	weakest := -1
+	for number, s := range t.slots {
+		if !s.fresh {
+			free = append(free, number)
+			continue
+		}
+		if weakest < 0 || s.relay.Power < t.slots[weakest].relay.Power {
+			weakest = number
+		}
+	}
+	if len(free) == 0 && muchStronger*t.slots[weakest].relay.Power <= self.Power {
+		return []int{weakest}
+	}
+	return free
+}
--- /dev/null
+++ b/relay/slot_test.go
@@ -0,0 +1,120 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"hollyfork.example/hollyfork/store"
+	"hollyfork.example/wire/relaypb"
+)
+
+func slotRow(t *testing.T, number int, self Self, announced time.Duration) store.Row {
+	t.Helper()
+	value, err := self.encode(announced)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store.Row{Key: slotKey(number), Value: value, Version: uint64(number + 1)}
+}
+
+// relayNamed is a gateway with one processor.
+func relayNamed(name, address string) Self {
+	return Self{Name: name, Address: address, Power: 1}
+}
+
+func TestRelaysAreThoseWithFreshRows(t *testing.T) {
+	is := is.New(t)
+	const at = time.Hour
+	table := readSlots(store.Page{
+		Stamp: store.Stamp{Clock: at},
+		Rows: []store.Row{
+			slotRow(t, 0, relayNamed("self", "a:1"), at),
+			slotRow(t, 1, relayNamed("fresh", "b:1"), at-staleAfter),
+			slotRow(t, 2, relayNamed("stale", "c:1"), at-staleAfter-time.Second),
+			{Key: slotKey(3), Value: []byte{0xff}, Version: 4},
+			slotRow(t, MaxRelays, relayNamed("beyond", "d:1"), at),
+		},
+	})
+	is.Equal(table.others("self"), []Self{relayNamed("fresh", "b:1")})
+	number, ok := table.slotOf("self")
+	is.True(ok)
+	is.Equal(number, 0)
+	is.Equal(table.claimable(relayNamed("new", "e:1")), []int{2, 3, 4, 5, 6, 7})
+}
+
+// Rows of other writers were tried as gateways, whatever they held for an address.
+func TestRowsWithoutAnAddressAreNoRelays(t *testing.T) {
+	is := is.New(t)
+	const at = time.Hour
+	table := readSlots(store.Page{
+		Stamp: store.Stamp{Clock: at},
+		Rows: []store.Row{
+			slotRow(t, 0, relayNamed("empty", ""), at),
+			slotRow(t, 1, relayNamed("place", "here"), at),
+			slotRow(t, 2, relayNamed("early", "b:1"), -time.Hour),
+			{Key: slotKey(3), Value: []byte{0xff, 1}, Version: 1},
+			slotRow(t, 4, relayNamed("", "f:1"), at),
+			slotRow(t, 5, relayNamed("good", "c:1"), at),
+		},
+	})
+	is.Equal(table.others("self"), []Self{relayNamed("good", "c:1")})
+	is.Equal(len(table.unreadable), 5)
+}
+
+// fullTable returns slots that are all taken by relays with a power each.
+func fullTable(t *testing.T, power float64) slotTable {
+	t.Helper()
+	page := store.Page{Stamp: store.Stamp{Clock: time.Hour}}
+	for number := range MaxRelays {
+		relay := Self{Name: fmt.Sprint(number), Address: fmt.Sprintf("10.0.0.%d:1", number), Power: power}
+		page.Rows = append(page.Rows, slotRow(t, number, relay, time.Hour))
+	}
+	return readSlots(page)
+}
+
+func TestOnlyMuchStrongerGatewaysTakeTheSlotOfARelay(t *testing.T) {
+	is := is.New(t)
+	table := fullTable(t, 0.4)
+	is.Equal(len(table.claimable(Self{Name: "alike", Power: 0.7})), 0)
+	is.Equal(len(table.claimable(Self{Name: "strong", Power: 0.8})), 1)
+	table.slots[5].relay.Power = 0.2
+	is.Equal(table.claimable(Self{Name: "strong", Power: 0.8}), []int{5}) // the weakest's
+}
+
+func TestRowOfARelayCarriesTheStoresClock(t *testing.T) {
+	is := is.New(t)
+	s, direct, _ := newGateway(t)
+	_, err := s.keepUp(context.Background(), relayNamed("self", "10.0.0.1:1"))
+	is.NoErr(err)
+	is.Equal(len(direct.txns), 1)
+	written := direct.txns[0].Writes[0]
+	is.Equal(written.Key.Table, Table)
+	is.True(written.Key.Part != "") // where it would stand in the operator's way
+	content := &relaypb.GatewayRow{}
+	is.NoErr(proto.Unmarshal(written.Value, content))
+	is.Equal(content.GetAddress(), "10.0.0.1:1")
+	is.Equal(content.GetAnnouncedMs(), stamp.Clock.Milliseconds())
+	is.Equal(direct.txns[0].Checks, []store.Check{{Key: written.Key, Version: 0}}) // else two would have one slot
+}
+
+func TestGatewaysThatFailedAreTriedLast(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(9000, 0)
+	p := &peers{}
+	p.set([]Self{{Address: "a:1"}, {Address: "b:1"}, {Address: "c:1"}})
+	bad := p.choose(now)[0]
+	p.failed(now, bad, true)
+	for _, chosen := range p.choose(now.Add(setAside)) {
+		is.True(chosen != bad)
+	}
+	is.Equal(len(p.choose(now)), maxTried)
+	p.set([]Self{{Address: bad.address}})
+	is.Equal(p.choose(now), []*peer{bad}) // better than none
+	p.set(nil)
+	is.Equal(len(p.choose(now)), 0)
+}
--- a/relay/store.go
+++ b/relay/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -28,8 +29,10 @@
 	// followWait is the longest that a question for changes waits at another gateway, for the
 	// same reason.
 	followWait = 500 * time.Millisecond
-	// probeEvery is how often the store itself is tried while it turns this gateway away.
-	probeEvery = 300 * time.Millisecond
+	// firstProbe and lastProbe bound the pauses after which the store itself is tried while it turns this gateway
+	// away.
+	firstProbe = 200 * time.Millisecond
+	lastProbe  = time.Second
 )
 
 // Operations, for logs and counters.
@@ -37,13 +40,22 @@
 	opCommit = "commit"
 	opRead   = "read"
 	opFollow = "follow"
+
+	opWatch   = "watch"
+	opMembers = "members"
 )
 
 type (
 	// Deps are what a Store works with.
 	Deps struct {
 		// Direct is the platform's store.
-		Direct  store.Store
+		Direct store.Store
+		// Clock tells the time from which the ages of proofs count.
+		Clock clock.Clock
+		// Name is this gateway's.
+		Name string
+		// Table is the one that gateways are told of through relays.
+		Table   string
 		Metrics *metrics.Set
 		Traffic *rpc.Traffic
 		Logger  *log.Logger
@@ -59,11 +71,16 @@
 	// 0.921 to 0.995 (8 plays without and with it, same arrivals).
 	Store struct {
 		direct  store.Store
+		clock   clock.Clock
+		name    string
 		metrics *metrics.Set
 		logger  *log.Logger
 		bad     *malformed.Registry
 		path    *path
 		peers   *peers
+		feed    *Feed
+		// lastTable is the page of the slots that was read last.
+		lastTable atomic.Pointer[store.Page]
 	}
 
 	// viaPeer makes a call through another gateway.
@@ -72,14 +89,29 @@
 
 // New returns a store that knows no other gateway yet.
 func New(deps Deps) *Store {
-	return &Store{
+	s := &Store{
 		direct:  deps.Direct,
+		clock:   deps.Clock,
+		name:    deps.Name,
 		metrics: deps.Metrics,
 		logger:  deps.Logger,
 		bad:     deps.Malformed,
 		path:    newPath(),
 		peers:   &peers{traffic: deps.Traffic},
 	}
+	s.feed = newFeed(s, deps.Table)
+	return s
+}
+
+// Feed returns what reads the table that gateways are told of through relays.
+func (s *Store) Feed() *Feed {
+	return s.feed
+}
+
+// Strongest returns the most that a relay has of processors, of those other than this gateway and the one at an
+// address.
+func (s *Store) Strongest(but string) float64 {
+	return s.peers.strongest(but)
 }
 
 // Commit implements store.Store.
@@ -160,10 +192,10 @@
 // tryPeers makes a call through other gateways while the store turns this one away. done says
 // that one of them made it, or may have.
 func (s *Store) tryPeers(ctx context.Context, op string, timeout time.Duration, via viaPeer) (page store.Page, done bool, err error) {
-	if !s.path.throughPeers(clock.Now()) {
+	if !s.path.throughPeers(s.clock.Now()) {
 		return store.Page{}, false, nil
 	}
-	for _, p := range s.peers.choose(clock.Now()) {
+	for _, p := range s.peers.choose(s.clock.Now()) {
 		if s.path.direct() {
 			return store.Page{}, false, nil
 		}
@@ -172,7 +204,7 @@
 			return page, true, err
 		}
 	}
-	s.path.noPeer(clock.Now())
+	s.path.noPeer(s.clock.Now())
 	return store.Page{}, false, nil
 }
 
@@ -181,7 +213,7 @@
 	defer cancel()
 	outcome, err := via(ctx, p.client)
 	if err != nil {
-		s.peers.failed(clock.Now(), p, true)
+		s.peers.failed(s.clock.Now(), p, true)
 		s.count(op, "no answer")
 		if op != opCommit || undelivered(err) {
 			return store.Page{}, false, nil
@@ -191,7 +223,7 @@
 	page, err = pageFrom(op, outcome)
 	s.count(op, store.KindOf(err).String())
 	if store.KindOf(err) == store.KindRefused {
-		s.peers.failed(clock.Now(), p, false)
+		s.peers.failed(s.clock.Now(), p, false)
 		return store.Page{}, false, nil
 	}
 	return page, true, err
@@ -215,7 +247,8 @@
 			return
 		case <-s.path.awayNow:
 		}
-		for !s.path.direct() && backoff.Sleep(ctx, probeEvery) {
+		pause := backoff.New(firstProbe, lastProbe)
+		for !s.path.direct() && pause.Wait(ctx) {
 			_, err := s.direct.Read(ctx, store.Range{Table: Table, Part: part, Limit: 1})
 			s.noteDirect(ctx, err)
 		}
--- a/relay/store_test.go
+++ b/relay/store_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
 
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/rpc"
@@ -76,7 +77,7 @@
 func newGateway(t *testing.T) (s *Store, direct *fakeStore, address string) {
 	t.Helper()
 	direct = &fakeStore{}
-	s = New(Deps{Direct: direct, Metrics: metrics.NewSet(), Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, Malformed: malformed.New(&log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, metrics.NewSet())})
+	s = New(Deps{Direct: direct, Clock: clock.System{}, Name: "gateway", Table: "op", Metrics: metrics.NewSet(), Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, Malformed: malformed.New(&log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, metrics.NewSet())})
 	server := rpc.NewServer(0, nil)
 	if err := server.Register(ServiceName, s.Service()); err != nil {
 		t.Fatal(err)
@@ -91,12 +92,21 @@
 	return s, direct, listener.Addr().String()
 }
 
+// at returns relays at addresses.
+func at(addresses ...string) []Self {
+	relays := make([]Self, len(addresses))
+	for i, address := range addresses {
+		relays[i] = Self{Name: address, Address: address, Power: 1}
+	}
+	return relays
+}
+
 func TestCallsGoThroughAnotherGateway(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
 	one, oneDirect, _ := newGateway(t)
 	_, otherDirect, address := newGateway(t)
-	one.peers.set([]string{address})
+	one.peers.set(at(address))
 
 	_, err := one.Commit(ctx, txn)
 	is.NoErr(err)
@@ -122,7 +132,7 @@
 	is := is.New(t)
 	one, oneDirect, _ := newGateway(t)
 	_, otherDirect, address := newGateway(t)
-	one.peers.set([]string{address})
+	one.peers.set(at(address))
 	oneDirect.setErr(store.KindRefused)
 	for _, kind := range []store.Kind{store.KindConflict, store.KindHistoryGone, store.KindInvalid, store.KindUnsettled} {
 		otherDirect.setErr(kind)
@@ -141,7 +151,7 @@
 	is := is.New(t)
 	one, oneDirect, _ := newGateway(t)
 	_, otherDirect, address := newGateway(t)
-	one.peers.set([]string{address})
+	one.peers.set(at(address))
 	oneDirect.setErr(store.KindUnsettled)
 	_, err := one.Commit(context.Background(), txn)
 	is.Equal(store.KindOf(err), store.KindUnsettled)
@@ -170,7 +180,7 @@
 		}
 	}()
 	defer func() { _ = listener.Close() }()
-	one.peers.set([]string{listener.Addr().String()})
+	one.peers.set(at(listener.Addr().String()))
 	_, err = one.Commit(context.Background(), txn)
 	is.Equal(store.KindOf(err), store.KindUnsettled)
 	asked := oneDirect.count()
@@ -192,7 +202,7 @@
 		defer func() { _ = silent.Close() }()
 		addresses = append(addresses, silent.Addr().String())
 	}
-	one.peers.set(addresses)
+	one.peers.set(at(addresses...))
 	one.path.note(false)
 	time.AfterFunc(readTimeout/2, func() { one.path.note(true) })
 	began := time.Now()
@@ -206,8 +216,8 @@
 	is := is.New(t)
 	one, oneDirect, oneAddress := newGateway(t)
 	other, otherDirect, address := newGateway(t)
-	one.peers.set([]string{address})
-	other.peers.set([]string{oneAddress})
+	one.peers.set(at(address))
+	other.peers.set(at(oneAddress))
 	oneDirect.setErr(store.KindRefused)
 	otherDirect.setErr(store.KindRefused)
 	_, err := other.Read(context.Background(), store.Range{Table: "t"})
@@ -232,10 +242,10 @@
 	is.True(err != nil)
 	is.True(!one.path.direct())
 	oneDirect.setErr(0)
-	deadline := time.Now().Add(20 * probeEvery)
+	deadline := time.Now().Add(6 * lastProbe)
 	for !one.path.direct() {
 		is.True(time.Now().Before(deadline))
-		time.Sleep(probeEvery / 10)
+		time.Sleep(firstProbe / 10)
 	}
 }
 
--- a/relay/translate.go
+++ b/relay/translate.go
@@ -90,6 +90,7 @@
 	outcome.Rows = rowsTo(page.Rows)
 	outcome.Version = page.Stamp.Version
 	outcome.ClockMs = page.Stamp.Clock.Milliseconds()
+	outcome.AgeUs = page.Stamp.Age.Microseconds()
 	if err == nil {
 		return
 	}
@@ -111,6 +112,10 @@
 	if outcome.GetKind() != relaypb.Outcome_OK {
 		return store.Page{}, &store.Error{Op: op, Kind: kindsFrom[outcome.GetKind()], Rows: rows, Err: errors.New(outcome.GetText())}
 	}
-	stamp := store.Stamp{Version: outcome.GetVersion(), Clock: time.Duration(outcome.GetClockMs()) * time.Millisecond}
+	stamp := store.Stamp{
+		Version: outcome.GetVersion(),
+		Clock:   time.Duration(outcome.GetClockMs()) * time.Millisecond,
+		Age:     time.Duration(outcome.GetAgeUs()) * time.Microsecond,
+	}
 	return store.Page{Rows: rows, Stamp: stamp}, nil
 }
--- a/store/store.go
+++ b/store/store.go
@@ -49,6 +49,9 @@
 		Version uint64
 		// Clock is the reading of the store's steady clock.
 		Clock time.Duration
+		// Age is how long before the question was sent the state was the newest, in an answer that did not
+		// come from the store itself; below 0 for after it.
+		Age time.Duration
 	}
 
 	// Range names rows of one part, from a name on, up to but without another. An empty
@@ -87,3 +90,8 @@
 		Commit(ctx context.Context, txn Txn) (Stamp, error)
 	}
 )
+
+// Has says whether a row is in the range, however many it is limited to.
+func (r Range) Has(key Key) bool {
+	return key.Table == r.Table && key.Part == r.Part && key.Name >= r.From && (r.To == "" || key.Name < r.To)
+}
