Renewals of agents are spaced by how many there are, and are shorter

Cause: a holder renews each agent's lease twice a second, and says its own and the pool's name and two long random names each time. With 800 agents the busiest gateway hears and sends over 500 KB a second; its share of a processor grows alike.

Change: agents hold renewals back for 0.5 s up to 400 agents, and so that 800 a second are made beyond, 1.5 s at most: the lease (4.5 s) still outlasts that and a change of holder. Work is given to workers that were heard of within two renewals and 0.5 s, as before (1.5 s up to 400 agents). Progress alone is told no more often than renewals come. Names that only the log needs are sent until the agent has met the holder; incarnations have 13 letters instead of 36.

Up to 400 agents nothing changes but the length of messages.

--- a/holder/candidate_test.go
+++ b/holder/candidate_test.go
@@ -71,7 +71,7 @@
 	is := is.New(t)
 	is.True(TakeAfter > HoldFor)
 	is.True(renewEvery*3 <= HoldFor)
-	is.True(pool.DefaultSettings().AgentLease > TakeAfter+syncWait+syncTimeout) // tasks survive a change of holder
+	is.True(pool.DefaultSettings().AgentLease > TakeAfter+longestSyncWait+syncTimeout) // tasks survive a change of holder
 }
 
 // What can't be read is not free: it is taken when it has not changed for a lease's length.
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -68,6 +68,8 @@
 	root   *actor.RootContext
 
 	links map[string]*link
+	// spacing is how long agents hold renewals back, in nanoseconds.
+	spacing atomic.Int64
 	// confirmed is when the last transaction was sent that the store confirmed, in
 	// nanoseconds since began.
 	confirmed atomic.Int64
@@ -349,13 +351,20 @@
 		l.close()
 		delete(h.links, a.Agent)
 	}
-	if a.Address == "" {
-		return
+	if a.Address != "" {
+		l := newLink(h, a)
+		l.setCommitted(h.core.Committed(a.Agent))
+		h.links[a.Agent] = l
+		go l.run(h.ctx)
 	}
-	l := newLink(h, a)
-	l.setCommitted(h.core.Committed(a.Agent))
-	h.links[a.Agent] = l
-	go l.run(h.ctx)
+	spacing := spaceRenewals(len(h.links))
+	h.spacing.Store(int64(spacing))
+	h.core.SetRenewalEvery(spacing)
+}
+
+// syncWait is how long an agent holds a renewal back while it has no news. It is safe for concurrent use.
+func (h *Holder) syncWait() time.Duration {
+	return time.Duration(h.spacing.Load())
 }
 
 // tellLinks lets the links tell agents which ends are committed since they were told last.
--- a/holder/link.go
+++ b/holder/link.go
@@ -67,7 +67,7 @@
 	up := true
 	pause := backoff.New(firstRetryAgent, lastRetryAgent)
 	for ctx.Err() == nil {
-		reply, err := l.sync(ctx, syncWait)
+		reply, err := l.sync(ctx, l.holder.syncWait())
 		if ctx.Err() != nil {
 			return
 		}
@@ -87,6 +87,12 @@
 	}
 }
 
+// spaceRenewals returns how long agents hold renewals back when there are so many of them.
+func spaceRenewals(agents int) time.Duration {
+	spaced := time.Duration(agents) * time.Second / renewalsPerSecond
+	return max(syncWait, min(spaced, longestSyncWait))
+}
+
 // renew renews the agent's lease at once, beside the renewal that the agent holds back. One
 // that fails is left to run.
 func (l *link) renew(ctx context.Context) {
@@ -156,8 +162,6 @@
 	defer cancel()
 	l.mu.Lock()
 	request := &poolpb.SyncRequest{
-		Pool:        l.holder.host.pool,
-		Holder:      l.holder.host.name,
 		Epoch:       l.holder.ledger.Epoch(),
 		LeaseToken:  l.last.GetLeaseToken(),
 		Incarnation: l.last.GetIncarnation(),
@@ -166,6 +170,9 @@
 		SeenReport:  l.seenReport(),
 		WaitMs:      int32(wait.Milliseconds()),
 	}
+	if l.last.GetEpoch() != request.GetEpoch() {
+		request.Pool, request.Holder = l.holder.host.pool, l.holder.host.name // for the agent's log
+	}
 	l.mu.Unlock()
 	if l.holder.inForce(l.holder.now()) {
 		request.LeaseMs = int32(l.holder.host.settings.AgentLease.Milliseconds())
--- a/holder/link_test.go
+++ b/holder/link_test.go
@@ -194,3 +194,13 @@
 	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
 }
+
+// A renewal each half second for each agent made what a holder sends and hears grow with the fleet.
+func TestRenewalsOfLargeFleetsAreSpaced(t *testing.T) {
+	is := is.New(t)
+	is.Equal(spaceRenewals(1), syncWait)
+	is.Equal(spaceRenewals(400), syncWait)
+	is.Equal(spaceRenewals(800), time.Second)
+	is.Equal(spaceRenewals(1200), longestSyncWait)
+	is.Equal(spaceRenewals(10000), longestSyncWait)
+}
--- a/holder/settings.go
+++ b/holder/settings.go
@@ -25,8 +25,13 @@
 	// history; this bounds for how long that goes unnoticed.
 	intakeWait = 800 * time.Millisecond
 
-	// syncWait is how long an agent holds a renewal back while it has no news.
-	syncWait = 500 * time.Millisecond
+	// syncWait is how long an agent holds a renewal back while it has no news, at least, and longestSyncWait
+	// at most: a lease outlasts it and a change of holder.
+	syncWait        = 500 * time.Millisecond
+	longestSyncWait = 1500 * time.Millisecond
+	// renewalsPerSecond is how many renewals without news a holder makes for all its agents at most, until each
+	// waits for longestSyncWait.
+	renewalsPerSecond = 800
 	// syncTimeout is how long a renewal may take beyond that; then the connection is dialled
 	// anew.
 	syncTimeout = 800 * time.Millisecond
--- a/pool/core.go
+++ b/pool/core.go
@@ -85,6 +85,11 @@
 	}
 }
 
+// SetRenewalEvery takes over how often agents that have no news are heard of.
+func (c *Core) SetRenewalEvery(every time.Duration) {
+	c.settings.FreshFor = 2*every + c.settings.RenewalSlack
+}
+
 // AddJob takes over an accepted job. One that is known already is left as it is.
 func (c *Core) AddJob(now time.Time, j job.Job) {
 	if _, known := c.jobs[j.ID]; known {
--- a/pool/settings.go
+++ b/pool/settings.go
@@ -17,6 +17,8 @@
 	// FreshFor is how long a worker may be given work after the last word of its agent:
 	// a bit over two renewals.
 	FreshFor time.Duration
+	// RenewalSlack is what FreshFor is longer than two renewals.
+	RenewalSlack time.Duration
 	// ResendAfter is how long an order without an answer is left before it is sent again. The
 	// agent has given it up by then, and orders can be repeated.
 	ResendAfter time.Duration
@@ -68,6 +70,7 @@
 		ClockDrift:     0.02,
 		LeaseMargin:    150 * time.Millisecond,
 		FreshFor:       1500 * time.Millisecond,
+		RenewalSlack:   500 * time.Millisecond,
 		ResendAfter:    100 * time.Millisecond,
 		StartWithin:    2 * time.Second,
 		StopLinger:     time.Second,
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -4,11 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/clock"
@@ -64,7 +65,7 @@
 		worker:  worker,
 		metrics: set,
 		logger:  logger,
-		core:    NewCore(now, uuid.NewString()),
+		core:    NewCore(now, newIncarnation()),
 		changed: make(chan struct{}),
 		wake:    make(chan struct{}, 1),
 
@@ -73,6 +74,12 @@
 	}
 }
 
+// newIncarnation names a life of an agent. It is in each message, so it is short.
+func newIncarnation() string {
+	const base = 36
+	return strconv.FormatUint(rand.Uint64(), base)
+}
+
 // Run asks the worker what it runs, and extends its lease, until ctx is done.
 func (a *Agent) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -93,6 +93,8 @@
 	report        uint64
 	// reportedAt is when the last news were noted.
 	reportedAt time.Time
+	// renewedEvery is how long the holder lets renewals be held back.
+	renewedEvery time.Duration
 	// open are starts that may be under way to the worker, recalled stops of such as were meant for its former instance.
 	open     []openStart
 	recalled []*poolpb.StopOrder
@@ -122,6 +124,7 @@
 		return true
 	}
 	c.epoch = request.GetEpoch()
+	c.renewedEvery = time.Duration(request.GetWaitMs()) * time.Millisecond
 	if request.GetIncarnation() == c.incarnation {
 		c.extendLease(request)
 	}
@@ -223,7 +226,7 @@
 	first := c.listed == 0
 	c.listed = number
 	c.noteSure()
-	progress := len(listing.Running) > 0 && now.Sub(c.reportedAt) >= progressEvery
+	progress := len(listing.Running) > 0 && now.Sub(c.reportedAt) >= max(progressEvery, c.renewedEvery)
 	due := c.tellAfter > 0 && number > c.tellAfter
 	news := c.report != before || first || c.gone || c.silent || due || progress || differs(c.listing.from(c.toldCommitted), listing)
 	c.listing = listing
