Gateways host new pools when a configuration comes, not each 50 ms

Cause: each gateway looked twenty times a second whether the configuration names a new pool; with 183 gateways that is 3,700 wake-ups a second for something that changes by the week.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,11 +81,15 @@
 	// away says that the last question was not answered.
 	away  atomic.Bool
 	clock atomic.Pointer[pool.Clock]
+
+	mu sync.Mutex
+	// changed is closed, and replaced, when a configuration is in force.
+	changed chan struct{}
 }
 
 // NewFollower returns a follower that has no configuration yet.
 func NewFollower(c clock.Clock, source ConfigSource, logger *log.Logger, bad *malformed.Registry) *Follower {
-	f := &Follower{steady: c, source: source, logger: logger, bad: bad, began: c.Now()}
+	f := &Follower{steady: c, source: source, logger: logger, bad: bad, began: c.Now(), changed: make(chan struct{})}
 	f.current.Store(&catalog.Catalog{})
 	f.evacuations.Store(&catalog.Evacuations{})
 	return f
@@ -95,6 +100,13 @@
 	return f.current.Load()
 }
 
+// Changed returns what is closed when the next configuration is in force.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
 // Evacuations returns the data centres that are evacuated, with the time of the proof.
 func (f *Follower) Evacuations() catalog.Evacuations {
 	return *f.evacuations.Load()
@@ -177,6 +189,10 @@
 		return
 	}
 	f.current.Store(next)
+	f.mu.Lock()
+	close(f.changed)
+	f.changed = make(chan struct{})
+	f.mu.Unlock()
 	f.logger.Info().Uint64("version", next.Version).Int("queues", len(next.Queues)).Int("workspaces", len(next.Workspaces)).Msg("gateway: a configuration is in force")
 }
 
--- a/program/gatewayd/pools.go
+++ b/program/gatewayd/pools.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/holder"
 	"hollyfork.example/hollyfork/platform/adapter"
@@ -39,10 +38,14 @@
 	}
 	p.running.Go(func() {
 		for ctx.Err() == nil {
+			changed := p.follower.Changed()
 			for _, name := range p.follower.Catalog().Pools {
 				p.hostPool(ctx, name, deps)
 			}
-			backoff.Sleep(ctx, lookForPools)
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			}
 		}
 	})
 }
@@ -107,6 +110,3 @@
 	}
 	return held
 }
-
-// lookForPools is how often the configuration is looked at for new pools.
-const lookForPools = 50 * time.Millisecond
