Workers' paces are learnt, and work is placed by them

Cause: the scheduler takes workers for alike. A gang is as slow as the slowest of them.

Change: a pure part (pool/pace.go) learns how long each worker takes, from runs that were done and the progress of those under way, each against the other runs of its step and, with less weight, its caller's guess. Runs count half after 15 s, a long one counts little, a worker that ends its runs at once is not quick; where workers do not surely differ, all are of one class and nothing changes. Tasks of a gang are told apart by how far they were. Urgent work goes to quick workers first, other work to slow ones first. What a holder knows is kept in a row for the next one, which counts it as at most three runs.

Tests: paces are learnt for spreads of 0.6 to 1.7, equal workers are of one class in 200 drawn pools, one long run makes no slow worker, a liar is not quick, changes are followed. All tests of the pool pass, the differential ones with it on.

--- a/pool/commit.go
+++ b/pool/commit.go
@@ -56,6 +56,9 @@
 	c.dirty = c.dirty[count:]
 	c.addSummary(b)
 	c.addForgotten(b)
+	if write, due := c.pacesRow(); due {
+		b.Writes = append(b.Writes, write)
+	}
 	if len(b.Writes) == 0 {
 		return nil
 	}
@@ -98,7 +101,7 @@
 }
 
 // maxBatchForgotten bounds the agents' rows that a batch deletes.
-const maxBatchForgotten = 3
+const maxBatchForgotten = 2
 
 // addForgotten adds the deletion of agents' rows.
 func (c *Core) addForgotten(b *Batch) {
--- a/pool/core.go
+++ b/pool/core.go
@@ -30,6 +30,8 @@
 	// averageUse is the share of the pool in use lately, as of usedAt.
 	averageUse float64
 	usedAt     time.Time
+	// paces is what is known of how long workers take for their work.
+	paces paceBook
 	// toldWaitingAt is when the log last said why a job waits.
 	toldWaitingAt time.Time
 	// ordersDue says that there may be orders to give, beside those that are sent again.
@@ -134,6 +136,7 @@
 	if c.watchedSince.IsZero() {
 		c.watchedSince = now
 	}
+	c.workOutPaces(now)
 	for _, w := range c.workers {
 		c.tickWorker(now, w)
 	}
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -93,6 +93,7 @@
 			compareBool(a.worker.health.doubtful(), b.worker.health.doubtful()),
 			cmp.Compare(a.worker.suspected, b.worker.suspected),
 			g.compareCrashed(a.worker, b.worker),
+			g.comparePace(a.worker, b.worker),
 			cmp.Compare(a.left.Accelerators, b.left.Accelerators),
 			cmp.Compare(a.left.CPUMillis, b.left.CPUMillis),
 			cmp.Compare(a.worker.slot, b.worker.slot),
--- a/pool/group.go
+++ b/pool/group.go
@@ -110,6 +110,11 @@
 		floorKnown   bool
 		percent      int
 		saved        string
+		// percentAt is when the present percent was listed first. startPercent is that at startedAt, from which on
+		// the run's length counts; startedAt is zero while that is not known.
+		percentAt    time.Time
+		startPercent int
+		startedAt    time.Time
 	}
 )
 
--- a/pool/instance.go
+++ b/pool/instance.go
@@ -37,6 +37,7 @@
 	c.settleCrashes(now, w, r.Instance)
 	w.instance = r.Instance
 	w.most = job.Shape{}
+	c.paces.forget(w)
 	w.strays = map[runKey]*stray{}
 	c.forgetEnds(w)
 	w.listing = 0
--- /dev/null
+++ b/pool/pace_test.go
@@ -0,0 +1,137 @@
+package pool
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/job"
+)
+
+// pacedPool draws runs of steps on workers of which the paces are told, and returns the workers with what is
+// known of them after a number of steps.
+func pacedPool(seed uint64, paces []float64, steps int) (*paceBook, []*worker) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	workers := make([]*worker, len(paces))
+	for i := range workers {
+		workers[i] = &worker{agent: fmt.Sprintf("w%02d", i)}
+	}
+	b := &paceBook{}
+	now := time.Unix(9000, 0)
+	for range steps {
+		j := &jobState{job: job.Job{Queue: "queue", Steps: []job.Step{{Estimate: time.Second}}}}
+		r := &round{}
+		off := random.NormFloat64() * guessNoise
+		now = now.Add(100 * time.Millisecond)
+		for range 2 + random.IntN(5) {
+			i := random.IntN(len(paces))
+			length := math.Exp(off + random.NormFloat64()*0.15)
+			b.add(pacedRun{worker: workers[i], step: pacedStep{r, 0}, queue: j.job.Queue, length: math.Log(length * paces[i]), weight: 1, at: now}, paceRunsPerWorker*len(paces))
+		}
+	}
+	known := b.workOut(now, workers, b.recent(now))
+	for _, w := range workers {
+		w.pace = known[w]
+	}
+	return b, workers
+}
+
+// thirds are the paces of workers of which each third takes as long as the next one of three.
+func thirds(count int, a, b, c float64) []float64 {
+	paces := make([]float64, count)
+	for i := range paces {
+		paces[i] = []float64{a, b, c}[i%3]
+	}
+	return paces
+}
+
+func TestPacesAreLearnt(t *testing.T) {
+	is := is.New(t)
+	for _, test := range [][3]float64{{0.8, 1, 1.25}, {0.7, 0.7, 1.7}, {0.6, 1, 1.5}} {
+		right, all := 0, 0
+		for seed := range uint64(20) {
+			paces := thirds(60, test[0], test[1], test[2])
+			_, workers := pacedPool(seed, paces, 100)
+			for i, w := range workers {
+				for k, other := range workers[:i] {
+					if ratio := paces[i] / paces[k]; ratio > 1.2 || ratio < 1/1.2 {
+						all++
+						if (w.pace.class > other.pace.class) == (ratio > 1) && w.pace.class != other.pace.class {
+							right++
+						}
+					}
+				}
+			}
+		}
+		t.Logf("%v: %d of %d pairs in order", test, right, all)
+		is.True(float64(right) > 0.85*float64(all))
+	}
+}
+
+// Where workers are alike nothing is decided by their paces.
+func TestEqualWorkersAreOfOneClass(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(200) {
+		_, workers := pacedPool(seed, thirds(60, 1, 1, 1), 20+int(seed))
+		for _, w := range workers {
+			is.Equal(w.pace.class, paceClass(0))
+		}
+	}
+}
+
+// A task far beyond its siblings is long, and its worker not slow.
+func TestOneLongRunMakesNoSlowWorker(t *testing.T) {
+	is := is.New(t)
+	b, workers := pacedPool(1, thirds(30, 1, 1, 1), 100)
+	now := b.runs[len(b.runs)-1].at
+	for i := range b.runs {
+		if b.runs[i].worker == workers[0] {
+			b.runs[i].length += 2
+			break
+		}
+	}
+	is.Equal(b.workOut(now, workers, b.recent(now))[workers[0]].class, paceClass(0))
+}
+
+// A worker that ends all it starts at once does not look quick.
+func TestWorkerThatEndsRunsAtOnceIsNotQuick(t *testing.T) {
+	is := is.New(t)
+	paces := thirds(30, 0.8, 1, 1.25)
+	paces[0] = 0.01
+	_, workers := pacedPool(1, paces, 100)
+	is.Equal(workers[0].pace.class, paceClass(0))
+}
+
+// A worker that has turned slow is found out, and so is that it is well again.
+func TestPaceFollowsChanges(t *testing.T) {
+	is := is.New(t)
+	b, workers := pacedPool(1, thirds(12, 1, 1, 1), 60)
+	now := b.runs[len(b.runs)-1].at
+	run := func(factor float64) {
+		for range 30 {
+			now = now.Add(300 * time.Millisecond)
+			r := &round{}
+			for _, w := range workers {
+				length := 0.0
+				if w == workers[0] {
+					length = math.Log(factor)
+				}
+				b.add(pacedRun{worker: w, step: pacedStep{r, 0}, queue: "queue", length: length, weight: 1, at: now}, paceRunsPerWorker*len(workers))
+			}
+		}
+		known := b.workOut(now, workers, b.recent(now))
+		for _, w := range workers {
+			w.pace = known[w]
+		}
+	}
+	run(3)
+	is.True(workers[0].pace.class >= 3)
+	is.Equal(workers[1].pace.class, paceClass(0))
+	run(1)
+	run(1)
+	is.True(workers[0].pace.class <= 1)
+}
--- a/pool/report.go
+++ b/pool/report.go
@@ -81,8 +81,7 @@
 
 // memberRuns takes over how far a member is.
 func (c *Core) memberRuns(now time.Time, m *member, run Running) {
-	m.listed = true
-	m.percent = run.Percent
+	m.notePercent(now, run.Percent)
 	if run.Saved != "" {
 		m.saved = run.Saved
 		c.keepSaved(m.group, run.Saved)
@@ -95,6 +94,19 @@
 	}
 }
 
+// notePercent takes over how far a member is. The length of a run that goes on from saved progress, or that an earlier holder
+// started, counts from when it is listed first.
+func (m *member) notePercent(now time.Time, percent int) {
+	if !m.listed && (m.restored || m.group.saved != "") {
+		m.startedAt, m.startPercent = now, percent
+	}
+	if !m.listed || percent != m.percent {
+		m.percentAt = now
+	}
+	m.listed = true
+	m.percent = percent
+}
+
 // memberAbsent judges a member that its worker does not list, in a listing.
 func (c *Core) memberAbsent(now time.Time, m *member, listing uint64) {
 	if m.recalled && now.After(m.startsUntil) {
@@ -125,6 +137,9 @@
 	m.phase = memberRunning
 	m.ran = true
 	g := m.group
+	if m.startedAt.IsZero() && !m.restored && g.saved == "" {
+		m.startedAt = now
+	}
 	c.tell(Event{Kind: EventStarted, Job: g.job.job.ID, Step: g.step, First: m.index, Run: g.run, Worker: m.worker.agent, Detail: m.instance.String()})
 	g.job.begun = true
 	if g.running() {
@@ -195,6 +210,9 @@
 		c.keepSaved(g, e.Saved)
 	}
 	if current {
+		if e.Kind == EndDone {
+			c.noteDone(now, m)
+		}
 		c.leave(now, m)
 	}
 	c.endEffect(now, g, w, e, current)
--- a/pool/restore.go
+++ b/pool/restore.go
@@ -17,6 +17,9 @@
 // over. What it says was placed may run. A job whose row can't be read is put out of play: nothing
 // of it is started, since anything may run or be done already.
 func (c *Core) RestoreState(now time.Time, row store.Row) error {
+	if row.Key.Name == pacesName && !row.Deleted {
+		return c.restorePaces(now, row)
+	}
 	id, isJob := strings.CutPrefix(row.Key.Name, jobPrefix)
 	if !isJob || row.Deleted {
 		return nil
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -52,6 +52,8 @@
 		strays map[runKey]*stray
 		ends   endList
 		health health
+		// pace is how long it takes for its work, by how long others do.
+		pace pace
 		// retained is room kept for urgent work, the oldest first.
 		retained []retained
 		// held and promised are the accelerators that the last pass kept for gangs, and promised
