Urgent work is kept off slow workers while room can be made elsewhere

Change: a group of priority 0 is first looked at as if workers that take a third longer than usual were not there: placed, promised room that is about to be free, or others displaced for it under the same terms as ever; only then does it take slow ones.

Ruled out that it matters where workers differ little: no worker is slow there.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -184,6 +184,9 @@
 		p.core.endJob(p.now, g.job, Failed, fmt.Sprintf("a task was started %d times after %d workers had crashed under it", startsLeft, provenCrashes))
 		return
 	}
+	if d.priority == 0 && p.anySlow && p.tryQuick(g) {
+		return
+	}
 	plain := g.plain()
 	if !plain || !d.full {
 		if places := p.fit(g, d, p.offered(d)); places != nil {
@@ -212,6 +215,36 @@
 	}
 }
 
+// tryQuick places an urgent group on workers that are not slow, or promises or makes room for it there: to wait
+// until others have stopped costs less than to run on slow workers. It says whether it did; else the group takes
+// what there is.
+func (p *pass) tryQuick(g *group) bool {
+	g.sparesSlow = true
+	defer func() { g.sparesSlow = false }()
+	d, plain := p.prospectOf(g), g.plain()
+	if !plain || !d.full {
+		if places := p.fit(g, d, p.offered(d)); places != nil {
+			p.place(g, places)
+			return true
+		}
+		d.full = d.full || plain
+	}
+	if plain && d.stuck && d.stuckAfter == p.stops {
+		return false
+	}
+	if places := p.fit(g, d, p.withReleasing()); places != nil {
+		p.promise(g, places)
+		return true
+	}
+	if !p.waitsToDisplace(g) && p.displaceFor(g, d) {
+		return true
+	}
+	if plain {
+		d.stuck, d.stuckAfter = true, p.stops
+	}
+	return false
+}
+
 // place books a group on workers, one for each of its tasks. It starts once that is
 // committed.
 func (p *pass) place(g *group, places []*worker) {
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -176,6 +176,8 @@
 		return objectionDisturbs
 	case p.now.Before(g.avoided[w]):
 		return objectionRefused
+	case g.sparesSlow && w.pace.slow():
+		return objectionSlow
 	}
 	return objectionNone
 }
--- a/pool/group.go
+++ b/pool/group.go
@@ -78,6 +78,8 @@
 		// percent and progressAt are of the member that is least far.
 		percent    int
 		progressAt time.Time
+		// sparesSlow says that, at present, it is looked for room on workers that are not slow.
+		sparesSlow bool
 	}
 
 	// member is one task of a group's present run.
--- a/pool/objection.go
+++ b/pool/objection.go
@@ -28,6 +28,7 @@
 	objectionTicket
 	objectionDisturbs
 	objectionRefused
+	objectionSlow
 	objectionRoom
 	objectionCount
 	objectionWithheld
@@ -52,6 +53,7 @@
 	objectionTicket:    "without a ticket",
 	objectionDisturbs:  "run what it must not share a worker with",
 	objectionRefused:   "refused it just now",
+	objectionSlow:      "slow",
 	objectionFailed:    "failed it before",
 	objectionTrial:     "on trial",
 	objectionUnproven:  "not proven",
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -29,6 +29,8 @@
 	sureBy = 2
 	// paceStep is how much one class of paces is slower than the next, in logarithms.
 	paceStep = 0.2
+	// slowClass is the class from which on a worker is slow: it takes a third longer than the usual one.
+	slowClass paceClass = 2
 	// farOff is the logarithm from which on a run counts less the farther off it is: it may be long, or cut
 	// short, by itself.
 	farOff = 0.6
@@ -114,6 +116,11 @@
 	return (m.sum + prior*weight) / (m.weight + weight)
 }
 
+// slow says whether the worker takes so much longer that urgent work is better off waiting for another to be free.
+func (p pace) slow() bool {
+	return p.class >= slowClass
+}
+
 // noteDone remembers how long a member's run took that was done just now. The tasks of a gang end together, when
 // the slowest does: how long the others took is told by how far they were.
 func (c *Core) noteDone(now time.Time, m *member) {
--- a/pool/pass.go
+++ b/pool/pass.go
@@ -37,6 +37,8 @@
 		anyProven bool
 		// anyTrial says that a worker is set aside or on trial.
 		anyTrial bool
+		// anySlow says that a worker takes much longer than others.
+		anySlow bool
 		// anyAlone says that a worker is left to a suspect.
 		anyAlone bool
 		// tried are the groups that are tried before the others of their jobs, as far as they were
@@ -70,6 +72,7 @@
 		filler     bool
 		target     bool
 		relaxation relaxation
+		sparesSlow bool
 		// round and step are those of groups for which more than room counts: how many others
 		// of the step a worker has, or what a policy says of it.
 		round *round
@@ -144,6 +147,7 @@
 	if w.health.doubtful() {
 		p.doubtful++
 	}
+	p.anySlow = p.anySlow || w.pace.slow()
 	p.anyTrial = p.anyTrial || w.health.probing || w.health.aside(p.now)
 	p.anyProven = p.anyProven || w.health.proven && !w.health.aside(p.now)
 }
@@ -209,6 +213,7 @@
 		filler:     step.Filler,
 		target:     step.Target > 0,
 		relaxation: g.relaxation,
+		sparesSlow: g.sparesSlow,
 	}
 	if step.MaxPerWorker > 0 || g.job.job.Terms.Advised {
 		d.round, d.step = g.round, g.step
--- a/pool/world_order_test.go
+++ b/pool/world_order_test.go
@@ -88,7 +88,7 @@
 	}
 	w.checkStart(f, s)
 	w.starts++
-	f.running[key] = &fakeRun{placed: w.now, begun: w.now, work: w.jobs[s.Task.Job].Steps[s.Task.Step].Estimate, saved: s.Saved}
+	f.running[key] = &fakeRun{placed: w.now, begun: w.now, work: f.takes(w.jobs[s.Task.Job].Steps[s.Task.Step].Estimate), saved: s.Saved}
 	return ResultOK
 }
 
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -109,6 +109,8 @@
 	rack       string
 	dataCentre string
 	labels     []string
+	// slowness is how many times as long as usual it takes; 0 counts as 1.
+	slowness   float64
 	running    map[runKey]*fakeRun
 	ended      []Ended
 	number     uint64
--- a/pool/world_worker_test.go
+++ b/pool/world_worker_test.go
@@ -88,8 +88,24 @@
 	w.core.Report(w.now, f.name, f.report(w))
 }
 
-// finish ends a task, with all of its gang.
+// takes is how long the worker takes for work.
+func (f *fakeWorker) takes(work time.Duration) time.Duration {
+	if f.slowness == 0 {
+		return work
+	}
+	return time.Duration(f.slowness * float64(work))
+}
+
+// finish ends a task, with all of its gang once the slowest is done.
 func (w *world) finish(f *fakeWorker, key runKey) {
+	slowest := true
+	w.eachMember(key, func(other *fakeWorker, k runKey) {
+		run := other.running[k]
+		slowest = slowest && w.now.Sub(run.begun) >= run.work
+	})
+	if w.jobs[key.task.Job].Steps[key.task.Step].Gang && !slowest {
+		return
+	}
 	if !w.jobs[key.task.Job].Steps[key.task.Step].Gang {
 		f.end(w, key, EndDone)
 		w.done[key.task] = true
