What a holder knew of paces reaches the next one

Cause: two mistakes in the row of paces. A holder forgot what the row said of a worker with the worker's first report, as if another instance had come; and the row names the workers that are not usual ones alone, so that with nothing else known the slow ones were taken for the usual.

Change: only a change of a known instance forgets; who is not named counts as a usual worker, by one run. TestPacesOutliveTheHolder failed before with both.

--- a/pool/instance.go
+++ b/pool/instance.go
@@ -35,9 +35,11 @@
 		}
 	}
 	c.settleCrashes(now, w, r.Instance)
+	if !w.instance.IsZero() {
+		c.paces.forget(w)
+	}
 	w.instance = r.Instance
 	w.most = job.Shape{}
-	c.paces.forget(w)
 	w.strays = map[runKey]*stray{}
 	c.forgetEnds(w)
 	w.listing = 0
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -63,7 +63,8 @@
 		differ bool
 		// workedOutAt is when the paces were worked out last.
 		workedOutAt time.Time
-		// kept is what an earlier holder knew, at keptAt.
+		// kept is what an earlier holder knew of workers that are not usual ones, at keptAt; nil if it knew
+		// nothing.
 		kept   map[string]keptPace
 		keptAt time.Time
 		// written are the classes that were committed last, at writtenAt.
@@ -203,8 +204,8 @@
 // and from these how much longer each worker takes.
 func (b *paceBook) workOut(now time.Time, workers []*worker, runs []pacedRun) map[*worker]pace {
 	l := newPaceLedger(runs)
-	for _, w := range workers {
-		if _, known := b.kept[w.agent]; known {
+	if b.kept != nil {
+		for _, w := range workers {
 			l.include(w)
 		}
 	}
--- a/pool/pacerow.go
+++ b/pool/pacerow.go
@@ -83,10 +83,17 @@
 	return nil
 }
 
-// before is what an earlier holder knew of a worker.
+// before is what an earlier holder knew of a worker: that it is a usual one if nothing else is said.
 func (b *paceBook) before(now time.Time, w *worker) mean {
 	m := mean{}
-	if p, known := b.kept[w.agent]; known && (w.instance.IsZero() || p.of.Matches(w.instance)) {
+	if b.kept == nil {
+		return m
+	}
+	p, known := b.kept[w.agent]
+	switch {
+	case !known:
+		m.add(0, decay(now.Sub(b.keptAt)))
+	case w.instance.IsZero() || p.of.Matches(w.instance):
 		m.add(p.log, p.runs*decay(now.Sub(b.keptAt)))
 	}
 	return m
--- /dev/null
+++ b/pool/pacerow_test.go
@@ -0,0 +1,33 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/store"
+	"hollyfork.example/wire/poolpb"
+)
+
+// The next holder knows from the rows what the one before had learnt.
+func TestPacesOutliveTheHolder(t *testing.T) {
+	is := is.New(t)
+	w := newUnequalWorld(t, 12)
+	w.takeOver()
+	w.run(time.Second)
+	for i, f := range w.workers {
+		is.Equal(w.core.workers[f.name].pace.slow(), i%3 == 0)
+	}
+}
+
+// A row that can't be read says nothing of any worker.
+func TestBadRowOfPacesIsNone(t *testing.T) {
+	is := is.New(t)
+	for _, content := range [][]byte{{0xff, 0xff}, []byte("noise"), Encode(&poolpb.PacesRow{Layout: rowLayout + 1})} {
+		c := New("pool", DefaultSettings(), nil)
+		err := c.RestoreState(time.Unix(1000, 0), store.Row{Key: pacesKey("pool"), Value: content, Version: 1})
+		is.True(err != nil)
+		is.Equal(len(c.paces.kept), 0)
+	}
+}
