--- a/pool/decide.go
+++ b/pool/decide.go
@@ -280,9 +280,9 @@
 		First:  g.first,
 		Run:    g.run,
 		Worker: strings.Join(names, " "),
-		Detail: fmt.Sprintf("priority %d, %d tasks of %s, expected to take %s, due in %s, waited %s%s",
+		Detail: fmt.Sprintf("priority %d, %d tasks of %s, expected to take %s, due in %s, waited %s%s%s",
 			g.job.job.Terms.Priority, g.size, g.spec().Shape, g.spec().Estimate,
-			g.due().Sub(p.now).Round(time.Millisecond), p.now.Sub(g.readySince).Round(time.Millisecond), reluctantly),
+			g.due().Sub(p.now).Round(time.Millisecond), p.now.Sub(g.readySince).Round(time.Millisecond), slowest(places), reluctantly),
 	})
 }
 
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -122,6 +123,25 @@
 	return p.class >= slowClass
 }
 
+// factor is how many times as long as usual the worker takes.
+func (p pace) factor() float64 {
+	return math.Exp(p.log)
+}
+
+// slowest says how slow the slowest of some workers is, for the log; empty where all are usual or quick.
+func slowest(places []*worker) string {
+	most := pace{}
+	for _, w := range places {
+		if w.pace.class > most.class {
+			most = w.pace
+		}
+	}
+	if most.class <= 0 {
+		return ""
+	}
+	return fmt.Sprintf(", the slowest takes %.2f times as long as usual", most.factor())
+}
+
 // noteDone remembers how long a member's run took that was done just now. The tasks of a gang end together, when
 // the slowest does: how long the others took is told by how far they were.
 func (c *Core) noteDone(now time.Time, m *member) {
--- a/pool/state.go
+++ b/pool/state.go
@@ -25,9 +25,11 @@
 		// Free counts the accelerators that nothing runs on.
 		Free FreeRoom `json:"free_accelerators"`
 		// Lacking are accelerators that workers had and have not at present.
-		Lacking int              `json:"lacking_accelerators"`
-		Workers []WorkerSnapshot `json:"workers"`
-		Live    []JobSnapshot    `json:"live_jobs"`
+		Lacking int `json:"lacking_accelerators"`
+		// PaceSpread is by how much the lengths that workers take differ, a standard deviation of logarithms.
+		PaceSpread float64          `json:"pace_spread"`
+		Workers    []WorkerSnapshot `json:"workers"`
+		Live       []JobSnapshot    `json:"live_jobs"`
 		// Failed are the jobs that ended failed last, the newest first.
 		Failed []FailedSnapshot `json:"failed_jobs,omitempty"`
 	}
@@ -60,6 +62,11 @@
 		OnTrial       bool `json:"on_trial"`
 		Proven        bool `json:"proven"`
 		FailuresInRow int  `json:"failures_in_row"`
+		// Pace is how many times as long as usual the worker takes, as far as PaceRuns runs tell, and Slow whether
+		// urgent work is kept off it for that.
+		Pace     float64 `json:"pace"`
+		PaceRuns float64 `json:"pace_runs"`
+		Slow     bool    `json:"slow"`
 
 		Tasks  int    `json:"tasks"`
 		Strays int    `json:"strays"`
@@ -102,6 +109,7 @@
 		Uncommitted:   len(c.dirty),
 		Free:          c.FreeRoom(now),
 		Lacking:       c.lackingAccelerators(now),
+		PaceSpread:    c.paces.spread,
 	}
 	for _, j := range c.jobs {
 		s.Jobs[j.standing()]++
@@ -186,6 +194,10 @@
 		Proven:        w.health.proven,
 		FailuresInRow: w.health.streak,
 
+		Pace:     w.pace.factor(),
+		PaceRuns: w.pace.runs,
+		Slow:     w.pace.slow(),
+
 		Tasks:       len(w.members),
 		Strays:      len(w.strays),
 		Free:        w.free().String(),
--- a/program/ctl_pools.go
+++ b/program/ctl_pools.go
@@ -147,16 +147,24 @@
 }
 
 func poolWorkerRows(workers []pool.WorkerSnapshot) []row {
-	rows := []row{{"WORKER", "STANDING", "RACK", "TASKS", "FREE", "HEARD", "INSTANCE", "BORN"}}
+	rows := []row{{"WORKER", "STANDING", "RACK", "TASKS", "FREE", "PACE", "HEARD", "INSTANCE", "BORN"}}
 	for _, w := range workers {
 		rows = append(rows, row{
-			w.Agent, standing(w), w.Rack, fmt.Sprint(w.Tasks), w.Free, fmt.Sprintf("%d ms ago", w.HeardAgoMS),
+			w.Agent, standing(w), w.Rack, fmt.Sprint(w.Tasks), w.Free, paceText(w), fmt.Sprintf("%d ms ago", w.HeardAgoMS),
 			w.Instance, orUnknown(w.Born),
 		})
 	}
 	return rows
 }
 
+// paceText says how many times as long as usual a worker takes, and by how many runs that is known.
+func paceText(w pool.WorkerSnapshot) string {
+	if w.PaceRuns < 1 {
+		return "unknown"
+	}
+	return fmt.Sprintf("%.2f (%.0f runs)", w.Pace, w.PaceRuns)
+}
+
 // orUnknown is a text, or what stands for one that is not known.
 func orUnknown(text string) string {
 	if text == "" {
@@ -184,6 +192,8 @@
 		return "on trial"
 	case w.Lacking != "":
 		return "shrunk"
+	case w.Slow:
+		return "slow"
 	default:
 		return "usable"
 	}
--- a/program/gatewayd/state.go
+++ b/program/gatewayd/state.go
@@ -17,8 +17,10 @@
 	ConfigAge     time.Duration `json:"config_age_ns"`
 	// Evacuated are the data centres in which nothing is to be started.
 	Evacuated []string `json:"evacuated,omitempty"`
-	Ready     bool     `json:"ready"`
-	Stopping  bool     `json:"stopping"`
+	// ConfigFrom says by which way the configuration comes.
+	ConfigFrom string `json:"config_from"`
+	Ready      bool   `json:"ready"`
+	Stopping   bool   `json:"stopping"`
 	// Malformed is what this process could not read.
 	Malformed []malformed.Entry `json:"malformed,omitempty"`
 	// Pools are those that this process holds.
@@ -31,6 +33,7 @@
 		ConfigVersion: p.follower.Catalog().Version,
 		ConfigAge:     p.follower.Age(now),
 		Evacuated:     p.follower.Evacuations().DataCentres(),
+		ConfigFrom:    p.configFrom(),
 		Ready:         p.gateway.Ready(now),
 		Stopping:      p.gateway.Stopping(),
 		Malformed:     p.bad.List(),
@@ -38,6 +41,14 @@
 	}
 }
 
+// configFrom says by which way the configuration comes.
+func (p *gatewayProcess) configFrom() string {
+	if p.relay == nil {
+		return "from the store"
+	}
+	return p.relay.Feed().Summary()
+}
+
 // freeBy are the rules that keep accelerators free.
 var freeBy = map[string]func(pool.FreeRoom) int{
 	"open":        func(f pool.FreeRoom) int { return f.Open },
@@ -61,6 +72,28 @@
 	})
 }
 
+// addPaceGauges adds how much workers differ in the time that they take, and how many are slow.
+func (p *gatewayProcess) addPaceGauges() {
+	p.metrics.NewGauge("hollyfork_pool_workers_slow", func() float64 {
+		slow := 0
+		for _, snapshot := range p.pools() {
+			for _, w := range snapshot.Workers {
+				if w.Slow {
+					slow++
+				}
+			}
+		}
+		return float64(slow)
+	})
+	p.metrics.NewGauge("hollyfork_pool_pace_spread", func() float64 {
+		spread := 0.0
+		for _, snapshot := range p.pools() {
+			spread = max(spread, snapshot.PaceSpread)
+		}
+		return spread
+	})
+}
+
 // addFreeGauges adds a gauge for each rule that keeps accelerators free.
 func (p *gatewayProcess) addFreeGauges() {
 	for reason, count := range freeBy {
@@ -116,6 +149,13 @@
 	})
 	p.addFreeGauges()
 	p.addLackingGauge()
+	p.addPaceGauges()
+	p.metrics.NewGauge("hollyfork_gateway_relay", func() float64 {
+		if p.relay != nil && p.relay.Feed().IsRelay() {
+			return 1
+		}
+		return 0
+	})
 	p.metrics.NewGauge("hollyfork_rpc_received_bytes_total", func() float64 { return float64(p.traffic.BytesIn.Load()) })
 	p.metrics.NewGauge("hollyfork_rpc_sent_bytes_total", func() float64 { return float64(p.traffic.BytesOut.Load()) })
 }
--- a/relay/feed.go
+++ b/relay/feed.go
@@ -261,7 +261,8 @@
 	return f.away
 }
 
-func (f *Feed) isRelay() bool {
+// IsRelay says whether this gateway serves others.
+func (f *Feed) IsRelay() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.relay
--- a/relay/member.go
+++ b/relay/member.go
@@ -134,7 +134,7 @@
 
 // leave frees this gateway's slot, so that another takes it at once.
 func (s *Store) leave(self Self) {
-	if !s.feed.isRelay() {
+	if !s.feed.IsRelay() {
 		return
 	}
 	s.feed.setRelay(false)
--- a/relay/service.go
+++ b/relay/service.go
@@ -66,7 +66,7 @@
 // Watch tells another gateway what has changed in the table that this one follows, if it is a relay.
 func (s *Service) Watch(request *relaypb.WatchRequest, reply *relaypb.Outcome) error {
 	feed := s.store.feed
-	if !feed.isRelay() || request.GetTable() != feed.table {
+	if !feed.IsRelay() || request.GetTable() != feed.table {
 		putOutcome(reply, store.Page{}, &store.Error{Op: opWatch, Kind: store.KindRefused, Err: errNoRelay})
 		return nil
 	}
@@ -81,7 +81,7 @@
 // Members tells another gateway which gateways are relays, as this one has read it last.
 func (s *Service) Members(_ *relaypb.MembersRequest, reply *relaypb.Outcome) error {
 	page := s.store.lastTable.Load()
-	if page == nil || !s.store.feed.isRelay() {
+	if page == nil || !s.store.feed.IsRelay() {
 		putOutcome(reply, store.Page{}, &store.Error{Op: opMembers, Kind: store.KindRefused, Err: errNoRelay})
 		return nil
 	}
