--- a/pool/decide_test.go
+++ b/pool/decide_test.go
@@ -83,7 +83,7 @@
 // two passes. On 240 workers with 400 groups that wait a pass took 1,286 us on average and
 // 22 ms at worst while each group was tried on each worker.
 func BenchmarkDecide(b *testing.B) {
-	for _, size := range []struct{ workers, waiting int }{{55, 100}, {240, 400}, {1000, 1600}} {
+	for _, size := range []struct{ workers, waiting int }{{55, 100}, {240, 400}, {800, 1300}, {1000, 1600}, {2000, 3200}} {
 		b.Run(fmt.Sprintf("workers=%d", size.workers), func(b *testing.B) {
 			random := rand.New(rand.NewPCG(3, 4))
 			c, now := loadedCore(random, size.workers, size.waiting)
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -12,8 +12,9 @@
 	paceRunsPerWorker = 16
 	// paceHalfLife is the time after which a run counts half: a worker may turn slow, and be well again.
 	paceHalfLife = 15 * time.Second
-	// paceEvery is how often paces are worked out anew.
+	// paceEvery is how often paces are worked out anew from up to pacedRuns runs, more seldom from more.
 	paceEvery = 500 * time.Millisecond
+	pacedRuns = 1000
 	// paceRounds is the number of times that workers' paces and steps' lengths are worked out in turn.
 	paceRounds = 4
 
@@ -183,7 +184,7 @@
 
 // workOutPaces works the workers' paces out anew, once in a while.
 func (c *Core) workOutPaces(now time.Time) {
-	if now.Sub(c.paces.workedOutAt) < paceEvery {
+	if now.Sub(c.paces.workedOutAt) < paceEvery*time.Duration(1+len(c.paces.runs)/pacedRuns) {
 		return
 	}
 	c.paces.workedOutAt = now
--- a/pool/pace_test.go
+++ b/pool/pace_test.go
@@ -135,3 +135,17 @@
 	run(1)
 	is.True(workers[0].pace.class <= 1)
 }
+
+// BenchmarkPaces works paces out of as many runs as a pool remembers.
+func BenchmarkPaces(b *testing.B) {
+	for _, workers := range []int{55, 800, 2000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			book, list := pacedPool(1, thirds(workers, 0.8, 1, 1.25), 4*workers)
+			now := book.runs[len(book.runs)-1].at
+			for b.Loop() {
+				book.workOut(now, list, book.recent(now))
+			}
+			b.ReportMetric(float64(len(book.runs)), "runs")
+		})
+	}
+}
