Counts of waiting jobs come as copies from the relays

Change: a gateway asks the relay that serves it, which answers with its copy of the row if that is no older than a second (the count may be 2 s old), and asks the store once for all that want it at the same time.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,7 @@
 	// Gateway answers callers. Create it with New.
 	Gateway struct {
 		store    store.Store
+		recent   store.RecentReader
 		notifier Notifier
 		follower *Follower
 		logger   *log.Logger
@@ -69,10 +70,10 @@
 	}
 )
 
-// New returns a gateway that works with the configuration of a follower, tells holders by a
-// notifier, counts in a set, and keeps in a registry what it can't read.
-func New(s store.Store, notifier Notifier, follower *Follower, set *metrics.Set, logger *log.Logger, bad *malformed.Registry) *Gateway {
-	return &Gateway{store: s, notifier: notifier, follower: follower, metrics: set, logger: logger, bad: bad}
+// New returns a gateway that works with the configuration of a follower, reads what may be a bit old as a copy,
+// tells holders by a notifier, counts in a set, and keeps in a registry what it can't read.
+func New(s store.Store, recent store.RecentReader, notifier Notifier, follower *Follower, set *metrics.Set, logger *log.Logger, bad *malformed.Registry) *Gateway {
+	return &Gateway{store: s, recent: recent, notifier: notifier, follower: follower, metrics: set, logger: logger, bad: bad}
 }
 
 // now returns the present time, on the clock of the follower.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -38,7 +38,7 @@
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	follower := NewFollower(clocktest.Standing(now), nil, logger, malformed.New(logger, metrics.NewSet()))
 	follower.take(now, Update{Catalog: config})
-	return New(unused{}, nil, follower, metrics.NewSet(), logger, malformed.New(logger, metrics.NewSet()))
+	return New(unused{}, store.NewPresent(unused{}), nil, follower, metrics.NewSet(), logger, malformed.New(logger, metrics.NewSet()))
 }
 
 func testConfig(version uint64, key string) *catalog.Catalog {
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -12,6 +13,9 @@
 	"hollyfork.example/wire/poolpb"
 )
 
+// countAge is how old a count of waiting jobs may be. It changes all the time, and callers ask each gateway for it.
+const countAge = time.Second
+
 // State tells where a job stands.
 func (g *Gateway) State(ctx context.Context, call Call) (pool.State, error) {
 	began := g.now()
@@ -149,9 +153,14 @@
 	if err != nil {
 		return 0, err
 	}
-	row, err := g.readRow(ctx, op, call, pool.SummaryKey(t.queue.Pool))
+	var row store.Row
+	_, err = g.retry(ctx, call, func(ctx context.Context) error {
+		var err error
+		row, err = g.recent.Recent(ctx, pool.SummaryKey(t.queue.Pool), countAge)
+		return err
+	})
 	if err != nil {
-		return 0, err
+		return 0, unread(op, err)
 	}
 	count, err := pool.WaitingOf(row, t.queue.Name)
 	if err != nil {
--- a/gateway/suspended_test.go
+++ b/gateway/suspended_test.go
@@ -14,6 +14,7 @@
 	"hollyfork.example/hollyfork/clock/clocktest"
 	"hollyfork.example/hollyfork/job"
 	"hollyfork.example/hollyfork/malformed"
+	"hollyfork.example/hollyfork/store"
 )
 
 // A gateway whose VM was suspended took its proof of the configuration for as young as before, and ran requests
@@ -25,7 +26,7 @@
 	bad := malformed.New(logger, metrics.NewSet())
 	follower := NewFollower(vm, nil, logger, bad)
 	follower.take(now, Update{Catalog: testConfig(3, "k")})
-	g := New(unused{}, nil, follower, metrics.NewSet(), logger, bad)
+	g := New(unused{}, store.NewPresent(unused{}), nil, follower, metrics.NewSet(), logger, bad)
 	is.True(g.Ready(vm.Now()))
 
 	vm.Suspend(MaxAge + time.Millisecond)
@@ -48,7 +49,7 @@
 		bad := malformed.New(logger, metrics.NewSet())
 		follower := NewFollower(vm, nil, logger, bad)
 		follower.take(vm.Now(), Update{Catalog: testConfig(3, "k")})
-		g := New(unused{}, nil, follower, metrics.NewSet(), logger, bad)
+		g := New(unused{}, store.NewPresent(unused{}), nil, follower, metrics.NewSet(), logger, bad)
 		decode := func() (job.Job, error) {
 			vm.Suspend(time.Minute)
 			return job.Job{Spec: "x", Steps: []job.Step{{Count: 1, Shape: job.Shape{CPUMillis: 1, MemoryMB: 1}}}}, nil
--- a/program/gatewayd/main.go
+++ b/program/gatewayd/main.go
@@ -124,14 +124,15 @@
 	client := adapter.NewStore(*o.store)
 	direct := store.NewMetered(client, p.metrics)
 	p.store, p.configs = direct, direct
+	var recent store.RecentReader = store.NewPresent(direct)
 	if *o.relay != "" {
 		if p.relay, err = p.startRelay(ctx, direct); err != nil {
 			return err
 		}
-		p.store, p.configs = p.relay, p.relay.Feed()
+		p.store, p.configs, recent = p.relay, p.relay.Feed(), p.relay
 	}
 	p.follower = gateway.NewFollower(clock.System{}, adapter.NewConfigs(p.configs), logger, p.bad)
-	p.gateway = gateway.New(p.store, p, p.follower, p.metrics, logger, p.bad)
+	p.gateway = gateway.New(p.store, recent, p, p.follower, p.metrics, logger, p.bad)
 	following, endFollowing := context.WithCancel(context.Background())
 	defer endFollowing()
 	go p.follower.Run(following)
--- a/relay/feed.go
+++ b/relay/feed.go
@@ -203,19 +203,31 @@
 	return hash.Sum32()
 }
 
-// members returns the rows of the relays as the relay that serves this gateway read them last.
-func (f *Feed) members(ctx context.Context) (store.Page, bool) {
+// serving returns the relay that serves this gateway; nil for none.
+func (f *Feed) serving() *peer {
 	f.mu.Lock()
 	address := f.servedBy
 	f.mu.Unlock()
+	if address == "" {
+		return nil
+	}
 	all := f.store.peers.all()
 	i := slices.IndexFunc(all, func(p *peer) bool { return p.address == address })
-	if address == "" || i < 0 {
+	if i < 0 {
+		return nil
+	}
+	return all[i]
+}
+
+// members returns the rows of the relays as the relay that serves this gateway read them last.
+func (f *Feed) members(ctx context.Context) (store.Page, bool) {
+	upstream := f.serving()
+	if upstream == nil {
 		return store.Page{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	outcome, err := rpc.Call[relaypb.Outcome](ctx, all[i].client, membersMethod, &relaypb.MembersRequest{})
+	outcome, err := rpc.Call[relaypb.Outcome](ctx, upstream.client, membersMethod, &relaypb.MembersRequest{})
 	if err != nil {
 		return store.Page{}, false
 	}
--- a/relay/feed_test.go
+++ b/relay/feed_test.go
@@ -19,6 +19,7 @@
 	"hollyfork.example/hollyfork/platform/adapter"
 	"hollyfork.example/hollyfork/platform/fakes"
 	"hollyfork.example/hollyfork/relay"
+	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/rpc"
 )
 
@@ -226,3 +227,29 @@
 		is.True(slices.Contains(relays, g))
 	}
 }
+
+// Callers ask each gateway how much waits: the store was asked each time.
+func TestCopiesAreSharedByAllGateways(t *testing.T) {
+	is := is.New(t)
+	const gateways = 40
+	f := newFleet(t, gateways)
+	f.settle()
+	key := store.Key{Table: "state", Part: "pool", Name: "summary"}
+	f.store.Put(key.Table, key.Part, key.Name, []byte("one"))
+	before := f.store.Counts().Reads
+	for range 5 {
+		for _, g := range f.gateways {
+			row, err := g.relay.Recent(t.Context(), key, 5*time.Second)
+			is.NoErr(err)
+			is.Equal(string(row.Value), "one")
+		}
+	}
+	is.True(f.store.Counts().Reads-before < 3*relay.MaxRelays) // of 200; relays look at their slots as well
+	f.store.Put(key.Table, key.Part, key.Name, []byte("two"))
+	time.Sleep(100 * time.Millisecond)
+	for _, g := range f.gateways {
+		row, err := g.relay.Recent(t.Context(), key, 50*time.Millisecond)
+		is.NoErr(err)
+		is.Equal(string(row.Value), "two") // no older than was asked for
+	}
+}
--- a/relay/service.go
+++ b/relay/service.go
@@ -20,6 +20,7 @@
 
 	watchMethod   = ServiceName + ".Watch"
 	membersMethod = ServiceName + ".Members"
+	recentMethod  = ServiceName + ".Recent"
 )
 
 // maxWait bounds how long a question for changes is held back for another gateway.
@@ -78,6 +79,19 @@
 	return nil
 }
 
+// Recent tells another gateway of a row as it was lately, if this one is a relay.
+func (s *Service) Recent(request *relaypb.RecentRequest, reply *relaypb.Outcome) error {
+	if !s.store.feed.IsRelay() {
+		putOutcome(reply, store.Page{}, &store.Error{Op: opRecent, Kind: store.KindRefused, Err: errNoRelay})
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	row, err := s.store.copies.get(ctx, keyFrom(request.GetKey()), time.Duration(request.GetMaxAgeMs())*time.Millisecond)
+	putOutcome(reply, store.Page{Rows: []store.Row{row}}, err)
+	return nil
+}
+
 // Members tells another gateway which gateways are relays, as this one has read it last.
 func (s *Service) Members(_ *relaypb.MembersRequest, reply *relaypb.Outcome) error {
 	page := s.store.lastTable.Load()
--- a/relay/store.go
+++ b/relay/store.go
@@ -43,6 +43,7 @@
 
 	opWatch   = "watch"
 	opMembers = "members"
+	opRecent  = "recent"
 )
 
 type (
@@ -79,6 +80,7 @@
 		path    *path
 		peers   *peers
 		feed    *Feed
+		copies  *copies
 		// lastTable is the page of the slots that was read last.
 		lastTable atomic.Pointer[store.Page]
 	}
@@ -100,6 +102,7 @@
 		peers:   &peers{traffic: deps.Traffic},
 	}
 	s.feed = newFeed(s, deps.Table)
+	s.copies = newCopies(s.clock, s)
 	return s
 }
 
@@ -114,6 +117,27 @@
 	return s.peers.strongest(but)
 }
 
+// Recent implements store.RecentReader: with the copy of the relay that serves this gateway, so that the store is asked
+// by the relays alone, however many gateways are asked.
+func (s *Store) Recent(ctx context.Context, key store.Key, maxAge time.Duration) (store.Row, error) {
+	upstream := s.feed.serving()
+	if upstream == nil {
+		return s.copies.get(ctx, key, maxAge)
+	}
+	request := &relaypb.RecentRequest{Key: keyTo(key), MaxAgeMs: int32(maxAge.Milliseconds())}
+	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	outcome, err := rpc.Call[relaypb.Outcome](callCtx, upstream.client, recentMethod, request)
+	if err == nil {
+		page, err := pageFrom(opRecent, outcome)
+		if err == nil && len(page.Rows) == 1 {
+			return page.Rows[0], nil
+		}
+	}
+	s.count(opRecent, "failed")
+	return s.copies.get(ctx, key, maxAge)
+}
+
 // Commit implements store.Store.
 func (s *Store) Commit(ctx context.Context, txn store.Txn) (store.Stamp, error) {
 	via := func(ctx context.Context, client *rpc.Client) (*relaypb.Outcome, error) {
--- a/store/get.go
+++ b/store/get.go
@@ -1,6 +1,30 @@
 package store
 
-import "context"
+import (
+	"context"
+	"time"
+)
+
+// RecentReader reads rows for who is content with a copy that is some time old.
+type RecentReader interface {
+	// Recent returns a row as it was no longer ago than a time. One that did not exist has version 0.
+	Recent(ctx context.Context, key Key, maxAge time.Duration) (Row, error)
+}
+
+// Present reads rows anew each time. Create it with NewPresent.
+type Present struct {
+	reader Reader
+}
+
+// NewPresent returns a RecentReader without copies.
+func NewPresent(r Reader) Present {
+	return Present{reader: r}
+}
+
+// Recent implements RecentReader.
+func (p Present) Recent(ctx context.Context, key Key, _ time.Duration) (Row, error) {
+	return Get(ctx, p.reader, key)
+}
 
 // NextName returns the lowest name behind a name.
 func NextName(name string) string {
