Runs that outlast a leaving worker are started elsewhere at once

Change: the holder takes over how long a draining worker stays. A run that is expected, by its progress, to end later is stopped and placed anew: one that saves, as soon as it is known (a stop saves all); another only if it would end later by half of the time that is left and a second, since workers often stay longer. Tasks that last are left to what their jobs allow.

Test: TestRunThatOutlastsItsWorkerIsStartedElsewhere (four cases; the two that move fail without it).

--- a/holder/translate.go
+++ b/holder/translate.go
@@ -47,6 +47,7 @@
 		Incarnation: incarnation,
 		Instance:    instance.Parse(w.GetInstance()),
 		Draining:    w.GetDraining(),
+		Remaining:   time.Duration(w.GetRemainingMs()) * time.Millisecond,
 		NotReady:    w.GetNotReady(),
 		Capacity: job.Shape{
 			CPUMillis:    int(w.GetCpuMillis()),
--- a/pool/core.go
+++ b/pool/core.go
@@ -170,6 +170,7 @@
 	case g.running():
 		c.checkSurvived(now, g)
 		c.checkStall(now, g)
+		c.checkLeaving(now, g)
 	case g.evacuated():
 		c.giveUpEvacuated(now, g)
 	case !g.began.IsZero() && now.Sub(g.began) > c.settings.StartWithin:
--- a/pool/event.go
+++ b/pool/event.go
@@ -11,9 +11,11 @@
 	EventLost      EventKind = "run lost"
 	EventDisplaced EventKind = "displaced"
 	EventStalled   EventKind = "stalled"
-	EventJobEnded  EventKind = "job ended"
-	EventAside     EventKind = "worker set aside"
-	EventBack      EventKind = "worker back"
+	// EventLeaving tells that a run is started elsewhere since a worker leaves before it would end.
+	EventLeaving  EventKind = "moved off a leaving worker"
+	EventJobEnded EventKind = "job ended"
+	EventAside    EventKind = "worker set aside"
+	EventBack     EventKind = "worker back"
 	// EventTrial and EventProven tell that a worker which was set aside is tried, and that a run
 	// was done there.
 	EventTrial  EventKind = "worker on trial"
--- /dev/null
+++ b/pool/leave_test.go
@@ -0,0 +1,50 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// leaving has a worker say that it leaves after a time.
+func (w *world) leaving(f *fakeWorker, after time.Duration) {
+	f.draining = true
+	f.remaining = after
+}
+
+// A gang of which a worker left ran on until it broke, and began anew with nothing saved: 29 tasks that were sound were
+// thrown away with one that was lost.
+func TestRunThatOutlastsItsWorkerIsStartedElsewhere(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		checkpoint bool
+		work, left time.Duration
+		moves      bool
+	}{
+		{"it ends in time", false, 3 * time.Second, 6 * time.Second, false},
+		{"it ends a bit late, and workers often stay longer", false, 5 * time.Second, 3 * time.Second, false},
+		{"it ends far too late", false, 20 * time.Second, 4 * time.Second, true},
+		{"what it has done is saved, so it loses nothing", true, 6 * time.Second, 3 * time.Second, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 6)
+			w.run(300 * time.Millisecond)
+			j := gang(1, 3, 8, test.work)
+			j.Steps[0].Checkpoint = test.checkpoint
+			w.submit(j)
+			w.run(1500 * time.Millisecond)
+			on := w.runningOn(j.ID)
+			is.Equal(len(on), 3)
+			w.leaving(on[0], test.left)
+			w.run(time.Second)
+			is.Equal(w.count(EventLeaving) > 0, test.moves)
+			if test.moves {
+				for _, f := range w.runningOn(j.ID) {
+					is.True(f != on[0])
+				}
+			}
+		})
+	}
+}
--- a/pool/message.go
+++ b/pool/message.go
@@ -97,6 +97,8 @@
 		// Instance is the worker's; zero when it is not known.
 		Instance instance.ID
 		Draining bool
+		// Remaining is how long a draining worker stays at least; 0 when it does not say.
+		Remaining time.Duration
 		// NotReady says that the agent carries out no starts at present, since it is not sure which instance lives or
 		// what that has said last.
 		NotReady bool
--- a/pool/report.go
+++ b/pool/report.go
@@ -30,6 +30,7 @@
 	w.rack = r.Rack
 	c.setDataCentre(w, r.DataCentre)
 	w.draining = r.Draining
+	w.noteLeaving(now, r)
 	w.notReady = r.NotReady
 	if r.Lapsed {
 		c.workerLapsed(now, w, r.Lapse)
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -25,6 +25,10 @@
 		labels    []string
 		rack      string
 		draining  bool
+		// leavesAt is when it leaves at the soonest; zero when it does not, or has not said. remaining is
+		// what it said.
+		leavesAt  time.Time
+		remaining time.Duration
 		// notReady says that its agent carries out no starts at present.
 		notReady bool
 		// dataCentre is where the worker stands, evacuated whether it gets no new work there.
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -110,7 +110,9 @@
 	dataCentre string
 	labels     []string
 	// slowness is how many times as long as usual it takes; 0 counts as 1.
-	slowness   float64
+	slowness float64
+	// remaining is how long it says that it stays while it drains.
+	remaining  time.Duration
 	running    map[runKey]*fakeRun
 	ended      []Ended
 	number     uint64
--- a/pool/world_worker_test.go
+++ b/pool/world_worker_test.go
@@ -153,6 +153,7 @@
 		DataCentre:  f.dataCentre,
 		Labels:      f.labels,
 		Draining:    f.draining,
+		Remaining:   f.remaining,
 		NotReady:    f.notReady,
 		Listing:     f.listing,
 		Ended:       slices.Clone(f.ended),
