--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -54,3 +54,17 @@
 	is.Equal(f.Evacuations().ProvenAt(), now)
 	is.Equal(f.Age(now.Add(time.Second)), time.Second)
 }
+
+// The proof that came through a relay was taken for as young as one of the store's own answer, so a key that had been taken
+// away would have been honoured for longer.
+func TestProofThroughARelayIsAsOldAsTheRelays(t *testing.T) {
+	is := is.New(t)
+	f := newTestFollower()
+	sent := now.Add(5 * time.Second)
+	f.take(sent, Update{Stamp: store.Stamp{Version: 11, Age: 700 * time.Millisecond}})
+	is.Equal(f.Age(sent), 700*time.Millisecond)
+	is.Equal(f.Evacuations().ProvenAt(), sent.Add(-700*time.Millisecond))
+	f.take(sent, Update{Stamp: store.Stamp{Version: 12, Age: 2 * time.Second}}) // another relay's, which is older
+	is.Equal(f.Age(sent), 700*time.Millisecond)
+	is.Equal(f.Evacuations().ProvenAt(), sent.Add(-700*time.Millisecond))
+}
--- /dev/null
+++ b/holder/notice_test.go
@@ -0,0 +1,62 @@
+package holder
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+
+	"hollyfork.example/hollyfork/clock/clocktest"
+	"hollyfork.example/hollyfork/malformed"
+	"hollyfork.example/hollyfork/pool"
+	"hollyfork.example/rpc"
+	"hollyfork.example/wire/poolpb"
+)
+
+// told notes the notices that it gets.
+type told chan *poolpb.NoticeRequest
+
+// Tell takes a notice as the holder's process does.
+func (t told) Tell(request *poolpb.NoticeRequest, reply *poolpb.NoticeReply) error {
+	t <- request
+	reply.Taken = true
+	return nil
+}
+
+// Gateways that don't look at the lease tell a relay of new rows, which tells the holder; a relay that is wrong about the
+// holder must not send notices round in circles.
+func TestNoticesArePassedOnOnce(t *testing.T) {
+	is := is.New(t)
+	notices := make(told, 2)
+	server := rpc.NewServer(0, nil)
+	is.NoErr(server.Register(NoticeServiceName, notices))
+	config := net.ListenConfig{}
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	host := New("pool", "relay", "10.0.0.9:1", pool.DefaultSettings(), Deps{Clock: clocktest.New(), Logger: logger, Malformed: malformed.New(logger, metrics.NewSet())})
+	host.setKnown(listener.Addr().String())
+	service := NewNoticeService(func(string) (*Host, bool) { return host, true })
+	is.NoErr(service.Tell(&poolpb.NoticeRequest{Pool: "pool", Name: "job/1/spec"}, &poolpb.NoticeReply{}))
+	select {
+	case passed := <-notices:
+		is.Equal(passed.GetName(), "job/1/spec")
+		is.True(passed.GetForwarded())
+	case <-time.After(10 * time.Second):
+		t.Fatal("the notice was not passed on")
+	}
+	is.NoErr(service.Tell(&poolpb.NoticeRequest{Pool: "pool", Name: "job/2/spec", Forwarded: true}, &poolpb.NoticeReply{}))
+	select {
+	case <-notices:
+		t.Fatal("a notice was passed on twice")
+	case <-time.After(100 * time.Millisecond):
+	}
+}
