--- a/backoff/backoff.go
+++ b/backoff/backoff.go
@@ -44,6 +44,12 @@
 	b.next = b.first
 }
 
+// Vary returns a time that is up to a third shorter, so that those who do something regularly and started
+// together do not do it together.
+func Vary(d time.Duration) time.Duration {
+	return d - rand.N(d/3)
+}
+
 // Sleep waits, and says false when ctx is done first.
 func Sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/holder/host.go
+++ b/holder/host.go
@@ -107,7 +107,7 @@
 func (h *Host) awaitFree(ctx context.Context) (store.Row, bool) {
 	for ctx.Err() == nil {
 		if h.standsBy() {
-			backoff.Sleep(ctx, vary(lookEvery))
+			backoff.Sleep(ctx, backoff.Vary(lookEvery))
 			continue
 		}
 		if row, ok := h.watchLease(ctx); ok {
@@ -153,7 +153,7 @@
 		if wait == 0 {
 			return row, true
 		}
-		waitFor(ctx, handovers, min(wait, vary(max(lookEvery, patience))))
+		waitFor(ctx, handovers, min(wait, backoff.Vary(max(lookEvery, patience))))
 	}
 	return store.Row{}, false
 }
@@ -166,12 +166,6 @@
 	return h.deps.Patience(holder)
 }
 
-// vary returns a time that is up to a third shorter, so that the candidates of a large deployment do not ask all at
-// once.
-func vary(d time.Duration) time.Duration {
-	return d - rand.N(d/3)
-}
-
 // followHandovers signals each time that a pool may have been given up, until ctx is done.
 func (h *Host) followHandovers(ctx context.Context, handovers chan<- struct{}) {
 	version := uint64(0)
--- a/relay/member.go
+++ b/relay/member.go
@@ -43,7 +43,7 @@
 			continue
 		}
 		pause.Reset()
-		backoff.Sleep(ctx, min(next, vary(longest)))
+		backoff.Sleep(ctx, min(next, backoff.Vary(longest)))
 		longest = min(2*longest, lookEvery)
 	}
 }
@@ -56,11 +56,11 @@
 		return 0, err
 	}
 	if number, ok := table.slotOf(self.Name); ok {
-		return vary(renewEvery), s.write(ctx, self, table, number)
+		return backoff.Vary(renewEvery), s.write(ctx, self, table, number)
 	}
 	s.feed.setRelay(false)
 	if len(table.claimable(self)) == 0 {
-		return vary(lookEvery), nil
+		return backoff.Vary(lookEvery), nil
 	}
 	return s.claim(ctx, self)
 }
@@ -75,13 +75,13 @@
 	}
 	free := table.claimable(self)
 	if len(free) == 0 {
-		return vary(lookEvery), nil
+		return backoff.Vary(lookEvery), nil
 	}
 	err = s.write(ctx, self, table, free[rand.N(len(free))])
 	if store.KindOf(err) == store.KindConflict {
 		return rand.N(2 * mean), nil
 	}
-	return vary(renewEvery), err
+	return backoff.Vary(renewEvery), err
 }
 
 // write writes this gateway's row into a slot, if the slot is as it was read.
@@ -159,9 +159,3 @@
 		s.logger.Warn().Err(err).Msg("relay: the slot could not be freed; its row grows stale")
 	}
 }
-
-// vary returns a time that is up to a third shorter, so that gateways that started together don't ask
-// together.
-func vary(d time.Duration) time.Duration {
-	return d - rand.N(d/3)
-}
--- a/relay/store_test.go
+++ b/relay/store_test.go
@@ -261,3 +261,22 @@
 	is.True(err != nil)
 	is.True(one.path.direct())
 }
+
+// A relay that is none any more was asked again and again, a whole time-out each.
+func TestRelayThatDoesNotServeIsLeftAloneForAWhile(t *testing.T) {
+	is := is.New(t)
+	one, oneDirect, _ := newGateway(t)
+	_, _, address := newGateway(t) // no relay
+	one.peers.set(at(address))
+	_, err := one.Feed().Follow(context.Background(), "op", 3, 10*time.Millisecond)
+	is.NoErr(err)
+	is.Equal(oneDirect.count(), 1) // asked instead
+	now := clock.Now()
+	is.True(one.feed.upstream(now) == nil)
+	is.True(one.feed.upstream(now.Add(relayPause)) != nil)
+	_, standing := one.Feed().Standby(now)
+	is.True(standing) // until it is known which gateways are relays
+	one.feed.setDecided()
+	_, standing = one.Feed().Standby(now)
+	is.True(!standing) // nobody looks after the lease for it
+}
