Other work goes to quick workers that urgent work does not need; the model's workers differ

Cause: work that is not urgent went to slow workers first, also where nothing urgent was there to need the quick ones.

Change: other work goes to quick workers first as long as it leaves eight times the room there that urgent work has used lately (half-life 15 s), else to slow ones.

--- a/model/run.go
+++ b/model/run.go
@@ -115,6 +115,17 @@
 	return int(100 * r.done / r.arrival.Work.Seconds())
 }
 
+// percent is the share of a task's own work that is done: tasks of a gang on quicker workers are ahead of the
+// slowest, and wait for it at the end.
+func (m *member) percent(now time.Time) int {
+	const all = 100
+	slowest := m.worker.pace()
+	for _, other := range m.run.members {
+		slowest = min(slowest, other.worker.pace())
+	}
+	return min(all, int(float64(m.run.percent(now))*m.worker.pace()/slowest))
+}
+
 // saved is how much of the work would not have to be done again if the run ended.
 func (r *run) saved(every time.Duration) float64 {
 	if !r.arrival.Job.Steps[0].Checkpoint {
--- a/model/worker.go
+++ b/model/worker.go
@@ -162,7 +162,7 @@
 		r.Running = append(r.Running, pool.Running{
 			Task:    key.task,
 			Run:     key.run,
-			Percent: m.run.percent(w.play.now),
+			Percent: m.percent(w.play.now),
 			Saved:   w.play.token(m.run),
 		})
 	}
--- a/pool/core.go
+++ b/pool/core.go
@@ -32,6 +32,9 @@
 	usedAt     time.Time
 	// paces is what is known of how long workers take for their work.
 	paces paceBook
+	// urgentUse is how many accelerators urgent work has used lately, as of urgentUseAt.
+	urgentUse   float64
+	urgentUseAt time.Time
 	// toldWaitingAt is when the log last said why a job waits.
 	toldWaitingAt time.Time
 	// ordersDue says that there may be orders to give, beside those that are sent again.
@@ -71,6 +74,7 @@
 		jobs:     map[job.ID]*jobState{},
 		live:     map[job.ID]*jobState{},
 		workers:  map[string]*worker{},
+		paces:    paceBook{least: settings.LeastPaceSpread},
 	}
 }
 
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -27,6 +27,7 @@
 func (c *Core) Decide(now time.Time) {
 	c.roomChanged = false
 	c.decidedAt = now
+	c.noteUrgentUse(now)
 	rounds := c.waitingRounds(now)
 	if len(rounds) == 0 {
 		c.forgetWithheld()
@@ -261,6 +262,9 @@
 		g.members = append(g.members, m)
 		w.members = append(w.members, m)
 		p.free[w.slot] = p.free[w.slot].Sub(shape)
+		if w.pace.class <= 0 {
+			p.quickFree -= shape.Accelerators
+		}
 		if g.job.job.Terms.Priority == 0 {
 			w.useRetained(shape)
 		}
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -23,6 +23,7 @@
 	if total < g.size {
 		return nil
 	}
+	g.quickFirst = p.goesToQuick(g)
 	if d.oneRack {
 		if places := p.fitRack(g, slots); places != nil || g.relaxation < relaxAll {
 			return places
--- a/pool/group.go
+++ b/pool/group.go
@@ -80,6 +80,8 @@
 		progressAt time.Time
 		// sparesSlow says that, at present, it is looked for room on workers that are not slow.
 		sparesSlow bool
+		// quickFirst says that, at present, quick workers are looked at first.
+		quickFirst bool
 	}
 
 	// member is one task of a group's present run.
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -24,10 +24,7 @@
 	guessNoise  = 0.5
 	// usualSpread is by how much workers are taken to differ until they are known to differ more, in logarithms.
 	usualSpread = 0.15
-	// leastSpread is how much workers have to differ for it to matter, in logarithms: below a tenth a
-	// worker that packs better is worth more.
-	leastSpread = 0.1
-	// sureBy is how many standard errors their difference has to be above that.
+	// sureBy is how many standard errors the spread of workers has to be above the least that matters.
 	sureBy = 2
 	// paceStep is how much one class of paces is slower than the next, in logarithms.
 	paceStep = 0.2
@@ -52,8 +49,8 @@
 	// paceClass orders workers by how long they take: 0 is usual, each above takes a fifth longer.
 	paceClass int
 
-	// paceBook learns how long workers take for what they run, each against the others that run the same. Its zero
-	// value knows nothing.
+	// paceBook learns how long workers take for what they run, each against the others that run the same. A new one
+	// knows nothing.
 	paceBook struct {
 		// runs are those that were done lately, the oldest first.
 		runs []pacedRun
@@ -61,7 +58,8 @@
 		// on one worker do.
 		spread float64
 		noise  float64
-		// differ says that they surely do, by enough to matter.
+		// least is how much they have to differ for it to matter, differ says that they surely do.
+		least  float64
 		differ bool
 		// workedOutAt is when the paces were worked out last.
 		workedOutAt time.Time
@@ -352,7 +350,7 @@
 	spread := max(0, between.value(0, noisePrior))
 	byChance := variance * math.Sqrt(2*float64(len(l.means))) / (between.weight + noisePrior)
 	b.noise, b.spread = math.Sqrt(variance), math.Sqrt(spread)
-	b.differ = spread > leastSpread*leastSpread+sureBy*byChance
+	b.differ = spread > b.least*b.least+sureBy*byChance
 }
 
 // noisePrior is what is believed of workers beforehand, in runs.
@@ -391,14 +389,40 @@
 	}
 }
 
-// comparePace orders workers for a group: urgent work goes to quick workers, and other work leaves these to it.
+// comparePace orders workers for a group: quick ones first if it goes to these, else slow ones.
 func (g *group) comparePace(a, b *worker) int {
-	if g.job.job.Terms.Priority == 0 {
+	if g.quickFirst {
 		return int(a.pace.class - b.pace.class)
 	}
 	return int(b.pace.class - a.pace.class)
 }
 
+// goesToQuick says whether a group goes to quick workers first: urgent work does, and other work as long as it leaves
+// enough of their room to what urgent work has needed lately.
+func (p *pass) goesToQuick(g *group) bool {
+	if g.job.job.Terms.Priority == 0 {
+		return true
+	}
+	left := p.quickFree - g.takes.Accelerators*g.size
+	return float64(left) >= p.core.settings.QuickReserve*p.core.urgentUse
+}
+
+// noteUrgentUse takes over how many accelerators urgent work uses at present.
+func (c *Core) noteUrgentUse(now time.Time) {
+	used := 0
+	for _, j := range c.live {
+		if j.job.Terms.Priority != 0 {
+			continue
+		}
+		for _, g := range j.groups {
+			used += len(g.members) * g.takes.Accelerators
+		}
+	}
+	weight := 1 - decay(now.Sub(c.urgentUseAt))
+	c.urgentUse += weight * (float64(used) - c.urgentUse)
+	c.urgentUseAt = now
+}
+
 // forget forgets what is known of a worker that has changed.
 func (b *paceBook) forget(w *worker) {
 	b.runs = slices.DeleteFunc(b.runs, func(r pacedRun) bool { return r.worker == w })
--- a/pool/pass.go
+++ b/pool/pass.go
@@ -37,6 +37,8 @@
 		anyProven bool
 		// anyTrial says that a worker is set aside or on trial.
 		anyTrial bool
+		// quickFree are the free accelerators of workers that are not slower than usual.
+		quickFree int
 		// anySlow says that a worker takes much longer than others.
 		anySlow bool
 		// anyAlone says that a worker is left to a suspect.
@@ -148,6 +150,9 @@
 		p.doubtful++
 	}
 	p.anySlow = p.anySlow || w.pace.slow()
+	if w.pace.class <= 0 {
+		p.quickFree += max(0, p.free[w.slot].Accelerators)
+	}
 	p.anyTrial = p.anyTrial || w.health.probing || w.health.aside(p.now)
 	p.anyProven = p.anyProven || w.health.proven && !w.health.aside(p.now)
 }
--- a/pool/settings.go
+++ b/pool/settings.go
@@ -48,6 +48,12 @@
 	// DisplaceFactor is how much work of others may be lost for urgent work beyond a
 	// guarantee, in parts of that work itself.
 	DisplaceFactor float64
+	// LeastPaceSpread is by how much workers have to differ in the time that they take for it to matter, a
+	// standard deviation of logarithms: below a tenth a worker that packs better is worth more.
+	LeastPaceSpread float64
+	// QuickReserve is how many times the room that urgent work has used lately other work leaves free on workers that
+	// are not slower than usual, while there is room on slower ones.
+	QuickReserve float64
 	// RetainFor is how long room that urgent work has left is kept for other urgent work:
 	// about as long as an urgent task runs on average (2.5 s). It lowers the work that
 	// is thrown away by displacing, on a full pool of 54 to 68 workers by a sixth, and
@@ -81,9 +87,13 @@
 		RetryRefused:   time.Second,
 		FarFactor:      3,
 		DisplaceFactor: 1.5,
-		RetainFor:      2500 * time.Millisecond,
-		ForgetAfter:    2 * time.Minute,
-		KeepEnded:      10 * time.Minute,
+
+		LeastPaceSpread: 0.1,
+		QuickReserve:    8,
+
+		RetainFor:   2500 * time.Millisecond,
+		ForgetAfter: 2 * time.Minute,
+		KeepEnded:   10 * time.Minute,
 	}
 }
 
