--- a/holder/host_test.go
+++ b/holder/host_test.go
@@ -139,7 +139,11 @@
 			Standby: func(now time.Time) (string, bool) { return "10.0.0.1:1", now.Sub(s.began) < othersUntil },
 		})
 		time.AfterFunc(othersUntil-time.Second, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			is.Equal(s.calls, 0)
+			host.mu.Lock()
+			defer host.mu.Unlock()
 			is.Equal(host.known.Address(), "10.0.0.1:1") // where notices go meanwhile
 		})
 		_, free := host.awaitFree(t.Context())
