A gateway finds out that the store is silent to it without a caller's transaction

Cause: a gateway that is told of everything through a relay calls the store for callers alone. Before relays its own questions found out within a second that the store serves it no more; now a caller's transaction did, after 0.8 s, and with an outcome that was not known.

Change: when the store has not answered this gateway for 2 s it is asked for one row, for 0.4 s at most (a slow store takes 0.24), before a caller's call goes to it; relays, and gateways that no relay serves, are answered more often than that and ask nothing more.

Tests: TestTransactionDoesNotFindOutThatTheStoreIsSilent (the transaction goes by a relay within 0.8 s and never to the silent store; it fails without the mend), TestStoreThatServedIsNotAskedFirst.

--- a/relay/peers.go
+++ b/relay/peers.go
@@ -68,6 +68,13 @@
 	return slices.Clone(p.list)
 }
 
+// none says whether no relay is known.
+func (p *peers) none() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.list) == 0
+}
+
 // strongest returns the most that a relay other than one has of processors.
 func (p *peers) strongest(but string) float64 {
 	p.mu.Lock()
--- a/relay/store.go
+++ b/relay/store.go
@@ -29,6 +29,8 @@
 	// followWait is the longest that a question for changes waits at another gateway, for the
 	// same reason.
 	followWait = 500 * time.Millisecond
+	// findTimeout bounds the question whether the store serves this gateway: above what a slow store takes.
+	findTimeout = 400 * time.Millisecond
 	// firstProbe and lastProbe bound the pauses after which the store itself is tried while it turns this gateway
 	// away.
 	firstProbe = 200 * time.Millisecond
@@ -146,6 +148,11 @@
 	if page, done, err := s.tryPeers(ctx, opCommit, commitTimeout, via); done {
 		return page.Stamp, err
 	}
+	if s.findAway(ctx) {
+		if page, done, err := s.tryPeers(ctx, opCommit, commitTimeout, via); done {
+			return page.Stamp, err
+		}
+	}
 	stamp, err := s.direct.Commit(ctx, txn)
 	s.noteDirect(ctx, err)
 	if store.KindOf(err) != store.KindRefused {
@@ -180,6 +187,11 @@
 	if page, done, err := s.tryPeers(ctx, op, timeout, via); done {
 		return page, err
 	}
+	if s.findAway(ctx) {
+		if page, done, err := s.tryPeers(ctx, op, timeout, via); done {
+			return page, err
+		}
+	}
 	page, err := direct()
 	s.noteDirect(ctx, err)
 	if !turnedAway(err) || ctx.Err() != nil {
@@ -191,6 +203,22 @@
 	return page, err
 }
 
+// findAway says whether the store turns this gateway away, of which it is asked something small when that is not known: a
+// gateway that is told of everything through relays may not have called the store for long, and a transaction that goes
+// unanswered costs its caller most of the time that it has.
+func (s *Store) findAway(ctx context.Context) bool {
+	if !s.path.unknown(s.clock.Now()) || s.peers.none() {
+		return false
+	}
+	short, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	_, err := s.direct.Read(short, store.Range{Table: Table, Part: part, Limit: 1})
+	if ctx.Err() == nil {
+		s.note(err)
+	}
+	return !s.path.direct()
+}
+
 // turnedAway says whether an error means that the store did not serve the call.
 func turnedAway(err error) bool {
 	kind := store.KindOf(err)
@@ -203,7 +231,12 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if !s.path.note(!turnedAway(err)) {
+	s.note(err)
+}
+
+// note takes over whether the store served a call.
+func (s *Store) note(err error) {
+	if !s.path.note(s.clock.Now(), !turnedAway(err)) {
 		return
 	}
 	if err == nil {
--- a/relay/store_test.go
+++ b/relay/store_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,7 +142,7 @@
 		found, ok := store.ConflictRow(err, row.Key)
 		is.True(ok)
 		is.Equal(found, row)
-		_ = one.path.note(false)
+		_ = one.path.note(clock.Now(), false)
 	}
 }
 
@@ -152,6 +153,7 @@
 	one, oneDirect, _ := newGateway(t)
 	_, otherDirect, address := newGateway(t)
 	one.peers.set(at(address))
+	one.path.note(clock.Now(), true) // the store served it just now
 	oneDirect.setErr(store.KindUnsettled)
 	_, err := one.Commit(context.Background(), txn)
 	is.Equal(store.KindOf(err), store.KindUnsettled)
@@ -203,8 +205,8 @@
 		addresses = append(addresses, silent.Addr().String())
 	}
 	one.peers.set(at(addresses...))
-	one.path.note(false)
-	time.AfterFunc(readTimeout/2, func() { one.path.note(true) })
+	one.path.note(clock.Now(), false)
+	time.AfterFunc(readTimeout/2, func() { one.path.note(clock.Now(), true) })
 	began := time.Now()
 	_, err := one.Follow(context.Background(), "t", 3, time.Second)
 	is.NoErr(err)
@@ -268,6 +270,7 @@
 	one, oneDirect, _ := newGateway(t)
 	_, _, address := newGateway(t) // no relay
 	one.peers.set(at(address))
+	one.path.note(clock.Now(), true)
 	_, err := one.Feed().Follow(context.Background(), "op", 3, 10*time.Millisecond)
 	is.NoErr(err)
 	is.Equal(oneDirect.count(), 1) // asked instead
@@ -280,3 +283,56 @@
 	_, standing = one.Feed().Standby(now)
 	is.True(!standing) // nobody looks after the lease for it
 }
+
+// silentStore answers nothing while it is silent.
+type silentStore struct {
+	*fakeStore
+	silent atomic.Bool
+}
+
+func (s *silentStore) Commit(ctx context.Context, txn store.Txn) (store.Stamp, error) {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return store.Stamp{}, &store.Error{Op: "fake", Kind: store.KindUnsettled, Err: ctx.Err()}
+	}
+	return s.fakeStore.Commit(ctx, txn)
+}
+
+func (s *silentStore) Read(ctx context.Context, r store.Range) (store.Page, error) {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return store.Page{}, &store.Error{Op: "fake", Kind: store.KindUnsettled, Err: ctx.Err()}
+	}
+	return s.fakeStore.Read(ctx, r)
+}
+
+// A gateway that was told of everything through a relay learnt that the store had fallen silent to it by a caller's
+// transaction, whose outcome was then not known.
+func TestTransactionDoesNotFindOutThatTheStoreIsSilent(t *testing.T) {
+	is := is.New(t)
+	one, _, _ := newGateway(t)
+	_, otherDirect, address := newGateway(t)
+	one.peers.set(at(address))
+	silent := &silentStore{fakeStore: &fakeStore{}}
+	silent.silent.Store(true)
+	one.direct = silent
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	began := time.Now()
+	_, err := one.Commit(ctx, txn)
+	is.NoErr(err)
+	is.Equal(otherDirect.txns, []store.Txn{txn})
+	is.True(time.Since(began) < 2*findTimeout)
+	is.Equal(len(silent.txns), 0)
+}
+
+// Who was served just now is not asked first.
+func TestStoreThatServedIsNotAskedFirst(t *testing.T) {
+	is := is.New(t)
+	one, oneDirect, _ := newGateway(t)
+	one.peers.set(at("127.0.0.1:1"))
+	one.path.note(clock.Now(), true)
+	_, err := one.Commit(context.Background(), txn)
+	is.NoErr(err)
+	is.Equal(oneDirect.count(), 1)
+}
