--- a/holder/settings.go
+++ b/holder/settings.go
@@ -13,10 +13,8 @@
 	// times within HoldFor.
 	renewEvery = 450 * time.Millisecond
 
-	// lookEvery is how often a process that waits for a pool reads its lease. The row changes
-	// with each of the holder's transactions, some 30 a second under load: a feed of it woke all
-	// of 55 gateways each time and made nine tenths of all calls to the store (2,600 a second).
-	// The first of several that look finds a lapsed lease some 50 ms later than a feed would.
+	// lookEvery is how often a process that waits for a pool reads its lease. A feed of the row would
+	// wake it with each of the holder's transactions.
 	lookEvery = 250 * time.Millisecond
 	// handoverWait is how long the store holds the question back whether a pool was given up:
 	// well within the 20 s for which it keeps its history.
