Sight: what would make a waiting job fit, for whom room is held, how queues are served

Change: the line of a job that waits says its priority and due time, for how many of its tasks there would be room with what is kept for urgent work, with what is held for others, without work of lesser priority and without its own, for whom room is held and when each is expected to fit, and why free accelerators are free. A queue's service is observed by a pure book (pool/service.go): of what was asked lately, by rounds and by work, the share that was done in time or may be; what waits counts by the spare time that it has left. It is logged when it has changed by a tenth, each 2 s at most, and shown by hollyforkctl pools and the metrics. No decision uses it.

TestLogSaysWhatWouldMakeAJobFit, TestServiceOfQueuesIsObserved.

--- a/pool/core.go
+++ b/pool/core.go
@@ -32,6 +32,8 @@
 	usedAt     time.Time
 	// paces is what is known of how long workers take for their work.
 	paces paceBook
+	// service is how queues have been served lately.
+	service serviceBook
 	// urgentUse is how many accelerators urgent work has used lately, as of urgentUseAt.
 	urgentUse   float64
 	urgentUseAt time.Time
@@ -141,6 +143,7 @@
 		c.watchedSince = now
 	}
 	c.workOutPaces(now)
+	c.lookAtService(now)
 	for _, w := range c.workers {
 		c.tickWorker(now, w)
 	}
--- a/pool/event.go
+++ b/pool/event.go
@@ -22,6 +22,8 @@
 	EventProven EventKind = "worker proven"
 	// EventWaiting tells why nothing of a job is placed.
 	EventWaiting EventKind = "job waits"
+	// EventService tells how a queue is served, once that has changed.
+	EventService EventKind = "queue's service"
 	EventStray   EventKind = "stray run stopped"
 	// EventWorker tells that a worker is another instance, EventRecalled that a run is stopped there whose start
 	// may have been meant for the one before.
--- a/pool/group.go
+++ b/pool/group.go
@@ -261,6 +261,7 @@
 	}
 	g.done = true
 	g.doneAt = now
+	c.noteRoundEnded(now, g)
 	c.roomChanged = true
 	c.markDirty(g.job)
 	c.checkJob(now, g.job)
--- a/pool/hold.go
+++ b/pool/hold.go
@@ -19,7 +19,7 @@
 // hold keeps the room for a large group in which it will fit first, so that smaller ones
 // do not take it bit by bit. Room is held for a few groups at a time.
 func (p *pass) hold(g *group, d *prospect, plain bool) {
-	if p.holds >= maxHolds || !p.large(g) || plain && d.unholdable {
+	if len(p.holdsFor) >= maxHolds || !p.large(g) || plain && d.unholdable {
 		return
 	}
 	later := p.withReleasing()
@@ -31,8 +31,8 @@
 		d.unholdable = d.unholdable || plain
 		return
 	}
-	p.holds++
-	if p.holds == 1 || at.Before(p.heldUntil) {
+	p.holdsFor = append(p.holdsFor, holding{group: g, at: at})
+	if len(p.holdsFor) == 1 || at.Before(p.heldUntil) {
 		p.heldUntil = at
 	}
 	for _, w := range p.fit(g, d, later) {
@@ -68,7 +68,7 @@
 // unheld is the free room that a group may take: held room only if the group will have
 // ended before it is needed.
 func (p *pass) unheld(d *prospect) room {
-	if p.holds == 0 {
+	if len(p.holdsFor) == 0 {
 		return p.free
 	}
 	length := time.Duration(backfillMargin * float64(d.estimate))
--- a/pool/jobstate.go
+++ b/pool/jobstate.go
@@ -37,6 +37,8 @@
 		// waits is what was told last of why nothing of it is placed, at toldAt.
 		waits  string
 		toldAt time.Time
+		// shortage is what was told last of what would make it fit.
+		shortage string
 
 		// changes counts changes; committed is the count of the last commit.
 		changes   uint64
@@ -121,6 +123,7 @@
 	if state == Done {
 		return
 	}
+	c.noteJobEnded(j)
 	for _, g := range j.groups {
 		if g.placed() {
 			c.abort(now, g)
--- a/pool/pass.go
+++ b/pool/pass.go
@@ -27,8 +27,8 @@
 		releasing room
 		held      room
 		heldUntil time.Time
-		// holds counts the groups that room is held for.
-		holds int
+		// holdsFor are the groups that room is held for.
+		holdsFor []holding
 		// keeping are the workers with room that is kept for urgent work.
 		keeping []*worker
 		// smallest is the fewest accelerators that a worker has when it is whole.
--- a/pool/relax.go
+++ b/pool/relax.go
@@ -105,7 +105,7 @@
 
 // prefersNothing says whether a group would go to any worker with room as it is.
 func (p *pass) prefersNothing(g *group, d *prospect) bool {
-	return p.allSoundFor(g) && d.dataRack == "" && !d.oneRack && p.holds == 0 && len(p.keeping) == 0
+	return p.allSoundFor(g) && d.dataRack == "" && !d.oneRack && len(p.holdsFor) == 0 && len(p.keeping) == 0
 }
 
 // lifts says whether a relaxation goes beyond an objection to a worker.
--- /dev/null
+++ b/pool/shortage_test.go
@@ -0,0 +1,45 @@
+package pool
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/job"
+)
+
+// The log of a gang that waits tells apart what keeps its room: urgent work that has left, gangs that wait before it, work of
+// lesser priority and work of its own.
+func TestLogSaysWhatWouldMakeAJobFit(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 6)
+	w.run(300 * time.Millisecond)
+	submit := func(j job.Job, priority int) {
+		j.Terms.Priority = priority
+		w.submit(j)
+		w.run(50 * time.Millisecond)
+	}
+	submit(gang(1, 1, 8, time.Minute), 0)
+	submit(gang(2, 2, 8, time.Minute), 1)
+	submit(gang(3, 1, 8, time.Minute), 2)
+	submit(gang(4, 1, 8, 900*time.Millisecond), 0)
+	submit(gang(5, 1, 8, 2200*time.Millisecond), 1)
+	submit(gang(6, 1, 8, 20*time.Second), 1) // waits for the fifth, or for what the fourth will leave
+	submit(gang(7, 4, 8, 20*time.Second), 1)
+	w.run(1500 * time.Millisecond)
+	detail := w.lastDetail(EventWaiting)
+	t.Log(detail)
+	is.True(strings.Contains(detail, "priority 1, due in -"))
+	is.True(strings.Contains(detail, "room for 0 of 4 tasks, 0 with what is kept for urgent work, 1 with what is held for others, "+
+		"2 without work of lesser priority, 5 beside more urgent work alone"))
+	is.True(strings.Contains(detail, "held for 0000000000000006 (1 tasks of 8 accelerators, fits in 1.1"))
+	is.True(strings.Contains(detail, "free accelerators: 8 kept for urgent work"))
+	lacks := map[string]string{}
+	for _, j := range w.core.Snapshot(w.now).Live {
+		lacks[j.ID] = j.Lacks
+	}
+	is.True(strings.HasPrefix(lacks["0000000000000007"], "room for 0 of 4 tasks"))
+	is.Equal(lacks["0000000000000001"], "")
+}
--- a/pool/state.go
+++ b/pool/state.go
@@ -28,7 +28,9 @@
 		Lacking int `json:"lacking_accelerators"`
 		// PaceSpread is by how much the lengths that workers take differ, a standard deviation of logarithms.
 		PaceSpread float64          `json:"pace_spread"`
-		Workers    []WorkerSnapshot `json:"workers"`
+		// Queues are how queues are served.
+		Queues  []QueueSnapshot  `json:"queues"`
+		Workers []WorkerSnapshot `json:"workers"`
 		Live       []JobSnapshot    `json:"live_jobs"`
 		// Failed are the jobs that ended failed last, the newest first.
 		Failed []FailedSnapshot `json:"failed_jobs,omitempty"`
@@ -94,6 +96,8 @@
 		Crashes int `json:"crashes"`
 		// Waits says why nothing of the job is placed, by number of workers, as it was told last.
 		Waits string `json:"waits,omitempty"`
+		// Lacks says for how many of a gang's tasks there would be room if others gave up theirs, as it was told last.
+		Lacks string `json:"lacks,omitempty"`
 	}
 )
 
@@ -110,6 +114,7 @@
 		Free:          c.FreeRoom(now),
 		Lacking:       c.lackingAccelerators(now),
 		PaceSpread:    c.paces.spread,
+		Queues:        c.queueSnapshots(),
 	}
 	for _, j := range c.jobs {
 		s.Jobs[j.standing()]++
@@ -163,6 +168,7 @@
 		DueInMS:   j.job.Due().Sub(now).Milliseconds(),
 		Groups:    len(j.groups),
 		Waits:     j.waitsFor(),
+		Lacks:     j.lacks(),
 	}
 	for _, g := range j.groups {
 		s.Failures += g.failures
--- a/pool/waiting.go
+++ b/pool/waiting.go
@@ -36,14 +36,20 @@
 	p.core.toldWaitingAt = p.now
 	g.job.toldAt = p.now
 	g.job.waits = p.why(g)
+	g.job.shortage = p.shortageOf(g).String()
+	held := p.holdings()
+	if held != "" {
+		held = "; held for " + held
+	}
 	p.core.tell(Event{
 		Kind:  EventWaiting,
 		Job:   g.job.job.ID,
 		Step:  g.step,
 		First: g.first,
 		Run:   g.run,
-		Detail: fmt.Sprintf("for %s, %d tasks of %s, %d failures; workers: %s",
-			p.now.Sub(g.readySince).Round(time.Millisecond), g.size, g.spec().Shape, g.failures, g.job.waits),
+		Detail: fmt.Sprintf("for %s, priority %d, due in %s, %d tasks of %s, %d failures; workers: %s; %s%s; free accelerators: %s",
+			p.now.Sub(g.readySince).Round(time.Millisecond), g.job.job.Terms.Priority, g.due().Sub(p.now).Round(time.Millisecond),
+			g.size, g.spec().Shape, g.failures, g.job.waits, g.job.shortage, held, p.core.FreeRoom(p.now)),
 	})
 }
 
@@ -81,3 +87,11 @@
 	}
 	return j.waits
 }
+
+// lacks returns what the log said last of what would make a job fit; empty once a task is placed.
+func (j *jobState) lacks() string {
+	if slices.ContainsFunc(j.groups, (*group).placed) {
+		return ""
+	}
+	return j.shortage
+}
--- a/program/ctl_pools.go
+++ b/program/ctl_pools.go
@@ -111,6 +111,12 @@
 	if _, err := fmt.Fprintln(c.stdout); err != nil {
 		return err
 	}
+	if err := c.printTable(poolQueueRows(p.Queues)); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(c.stdout); err != nil {
+		return err
+	}
 	if err := c.printTable(poolJobRows(p.Live)); err != nil {
 		return err
 	}
@@ -199,6 +205,18 @@
 	}
 }
 
+// poolQueueRows shows how queues are served.
+func poolQueueRows(queues []pool.QueueSnapshot) []row {
+	rows := []row{{"QUEUE", "SERVICE", "WAITING", "OVERDUE", "IN TIME", "LATE", "FAILED", "CANCELLED"}}
+	for _, q := range queues {
+		rows = append(rows, row{
+			q.Queue, fmt.Sprintf("%.2f", q.Level), fmt.Sprint(q.Waiting), fmt.Sprint(q.Overdue),
+			fmt.Sprint(q.InTime), fmt.Sprint(q.Late), fmt.Sprint(q.Failed), fmt.Sprint(q.Cancelled),
+		})
+	}
+	return rows
+}
+
 func poolJobRows(jobs []pool.JobSnapshot) []row {
 	rows := []row{{"JOB", "QUEUE", "WORKSPACE", "STATE", "DONE", "PLACED", "FAILURES", "CRASHES", "DUE"}}
 	for _, j := range jobs {
@@ -217,7 +235,7 @@
 		if j.Waits == "" {
 			continue
 		}
-		if _, err := fmt.Fprintf(c.stdout, "\njob %s waits; workers: %s\n", j.ID, j.Waits); err != nil {
+		if _, err := fmt.Fprintf(c.stdout, "\njob %s waits; workers: %s\n  %s\n", j.ID, j.Waits, j.Lacks); err != nil {
 			return err
 		}
 	}
--- a/program/gatewayd/state.go
+++ b/program/gatewayd/state.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
@@ -107,6 +110,22 @@
 	}
 }
 
+// writeQueues writes how queues of the pools held are served. Which queues there are changes with the configuration.
+func (p *gatewayProcess) writeQueues(w io.Writer) {
+	for _, snapshot := range p.pools() {
+		for _, q := range snapshot.Queues {
+			labels := fmt.Sprintf("pool=%q,queue=%q", snapshot.Pool, q.Queue)
+			metrics.WriteGaugeFloat64(w, "hollyfork_queue_service_level{"+labels+"}", q.Level)
+			for state, count := range map[string]int{"waiting": q.Waiting, "overdue": q.Overdue} {
+				metrics.WriteGaugeUint64(w, fmt.Sprintf("hollyfork_queue_jobs{%s,state=%q}", labels, state), uint64(count)) // #nosec G115 -- a count
+			}
+			for outcome, count := range map[string]int{"in_time": q.InTime, "late": q.Late, "failed": q.Failed, "cancelled": q.Cancelled} {
+				metrics.WriteCounterUint64(w, fmt.Sprintf("hollyfork_queue_jobs_ended_total{%s,outcome=%q}", labels, outcome), uint64(count)) // #nosec G115 -- a count
+			}
+		}
+	}
+}
+
 func (p *gatewayProcess) serveAdmin(listener net.Listener) {
 	if listener == nil {
 		return
@@ -150,6 +169,7 @@
 	p.addFreeGauges()
 	p.addLackingGauge()
 	p.addPaceGauges()
+	p.metrics.RegisterMetricsWriter(p.writeQueues)
 	p.metrics.NewGauge("hollyfork_gateway_relay", func() float64 {
 		if p.relay != nil && p.relay.Feed().IsRelay() {
 			return 1
