--- a/pool/state.go
+++ b/pool/state.go
@@ -27,11 +27,11 @@
 		// Lacking are accelerators that workers had and have not at present.
 		Lacking int `json:"lacking_accelerators"`
 		// PaceSpread is by how much the lengths that workers take differ, a standard deviation of logarithms.
-		PaceSpread float64          `json:"pace_spread"`
+		PaceSpread float64 `json:"pace_spread"`
 		// Queues are how queues are served.
 		Queues  []QueueSnapshot  `json:"queues"`
 		Workers []WorkerSnapshot `json:"workers"`
-		Live       []JobSnapshot    `json:"live_jobs"`
+		Live    []JobSnapshot    `json:"live_jobs"`
 		// Failed are the jobs that ended failed last, the newest first.
 		Failed []FailedSnapshot `json:"failed_jobs,omitempty"`
 	}
