Large tasks borrow room that is kept for urgent work beyond what that needs

Cause: room that urgent work leaves was kept for 2.5 s from all other work, however little urgent work came. A reserve without a bound by the need that it is for.

Change: what is kept is kept from large tasks (half of a worker's accelerators or more, of work that can be in time) only as far as urgent work was given as many places of each size within as long as room is kept, those on the fullest workers first, so that whole workers are lent. Small tasks are kept off all of it as before.

--- a/pool/core.go
+++ b/pool/core.go
@@ -37,6 +37,8 @@
 	// urgentUse is how many accelerators urgent work has used lately, as of urgentUseAt.
 	urgentUse   float64
 	urgentUseAt time.Time
+	// urgentPlaces are what urgent work was given lately.
+	urgentPlaces recentPlaces
 	// toldWaitingAt is when the log last said why a job waits.
 	toldWaitingAt time.Time
 	// ordersDue says that there may be orders to give, beside those that are sent again.
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -267,6 +267,7 @@
 		}
 		if g.job.job.Terms.Priority == 0 {
 			w.useRetained(shape)
+			c.urgentPlaces.add(p.now, shape.Accelerators)
 		}
 		names[i] = w.agent
 	}
--- a/pool/pass.go
+++ b/pool/pass.go
@@ -75,6 +75,8 @@
 		target     bool
 		relaxation relaxation
 		sparesSlow bool
+		// borrows says that it may use room that is kept for urgent work beyond what that needs.
+		borrows bool
 		// round and step are those of groups for which more than room counts: how many others
 		// of the step a worker has, or what a policy says of it.
 		round *round
@@ -219,6 +221,7 @@
 		target:     step.Target > 0,
 		relaxation: g.relaxation,
 		sparesSlow: g.sparesSlow,
+		borrows:    p.borrows(g),
 	}
 	if step.MaxPerWorker > 0 || g.job.job.Terms.Advised {
 		d.round, d.step = g.round, g.step
--- a/pool/plain_displace_test.go
+++ b/pool/plain_displace_test.go
@@ -260,16 +260,42 @@
 	return later
 }
 
+// borrows says whether a group may use room that is kept for urgent work: each of its tasks takes half of the least worker or
+// more, and it can be in time.
+func (p *plainPass) borrows(g *group) bool {
+	for _, w := range p.workers {
+		if float64(w.most.Accelerators)*minHeld <= float64(g.spec().Shape.Accelerators) {
+			return !p.tooLate(g)
+		}
+	}
+	return false
+}
+
 // lent is the room out of some room that may be given to a group: what is kept for urgent work
-// is left out for others.
+// is left out for others, for one that borrows as many places of each size as urgent work was given within as long, on the
+// workers with the least free room.
 func (p *plainPass) lent(g *group, room map[*worker]job.Shape) map[*worker]job.Shape {
 	if g.job.job.Terms.Priority == 0 || len(p.keeping) == 0 {
 		return room
 	}
 	lent := maps.Clone(room)
-	for _, w := range p.keeping {
+	borrows := p.borrows(g)
+	places := map[int]int{}
+	for _, place := range p.core.urgentPlaces {
+		if p.now.Sub(place.at) <= p.core.settings.RetainFor {
+			places[place.accelerators]++
+		}
+	}
+	keeping := slices.Clone(p.keeping)
+	slices.SortFunc(keeping, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(p.free[a].Accelerators, p.free[b].Accelerators), strings.Compare(a.agent, b.agent))
+	})
+	for _, w := range keeping {
 		for _, r := range w.retained {
-			lent[w] = lent[w].Sub(r.shape)
+			if !borrows || places[r.shape.Accelerators] > 0 {
+				places[r.shape.Accelerators]--
+				lent[w] = lent[w].Sub(r.shape)
+			}
 		}
 	}
 	return lent
--- a/pool/plain_test.go
+++ b/pool/plain_test.go
@@ -137,8 +137,13 @@
 
 // givesWay says whether urgent work can't be in time any more, and is not overdue for ten times what it had.
 func (p *plainPass) givesWay(g *group) bool {
+	return p.rank(g) == 0 && p.tooLate(g)
+}
+
+// tooLate says whether work can't be in time any more, and is not overdue for ten times what it had.
+func (p *plainPass) tooLate(g *group) bool {
 	had := g.job.job.DueBy(g.round.number).Sub(g.job.job.From(g.round.number))
-	if p.rank(g) != 0 || p.now.Sub(g.due()) >= 10*had {
+	if p.now.Sub(g.due()) >= 10*had {
 		return false
 	}
 	for _, other := range g.job.groups {
@@ -183,6 +188,7 @@
 		p.free[w] = p.free[w].Sub(shape)
 		if g.job.job.Terms.Priority == 0 {
 			w.useRetained(shape)
+			c.urgentPlaces.add(p.now, shape.Accelerators)
 		}
 		names[i] = w.agent
 	}
--- a/pool/retain.go
+++ b/pool/retain.go
@@ -1,16 +1,46 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"hollyfork.example/hollyfork/job"
 )
 
-// retained is room that urgent work has left and that is not lent to other work for a while.
-type retained struct {
-	shape job.Shape
-	until time.Time
+type (
+	// retained is room that urgent work has left and that is not lent to other work for a while.
+	retained struct {
+		shape job.Shape
+		until time.Time
+	}
+
+	// recentPlaces are the sizes, in accelerators, of the tasks of urgent work that were placed lately, the oldest first.
+	recentPlaces []recentPlace
+
+	recentPlace struct {
+		at           time.Time
+		accelerators int
+	}
+)
+
+// add counts a task that was placed.
+func (r *recentPlaces) add(now time.Time, accelerators int) {
+	*r = append(*r, recentPlace{at: now, accelerators: accelerators})
+}
+
+// within counts the tasks that were placed within a time, by size, and forgets the others.
+func (r *recentPlaces) within(now time.Time, length time.Duration) map[int]int {
+	old := 0
+	for old < len(*r) && now.Sub((*r)[old].at) > length {
+		old++
+	}
+	*r = slices.Delete(*r, 0, old)
+	counts := map[int]int{}
+	for _, place := range *r {
+		counts[place.accelerators]++
+	}
+	return counts
 }
 
 // retain keeps the room of a task of priority 0 that has just left its worker.
@@ -44,13 +74,18 @@
 	return p.lent(d, p.unheld(d))
 }
 
-// lent is the room out of some room that may be given to a demand: what is kept for urgent
-// work is left out for others.
+// lent is the room out of some room that may be given to a demand: what is kept for urgent work is left out for others. Small
+// tasks are kept off all of it, since they would take it bit by bit and have to be displaced. Large tasks that can be in time are
+// kept off as many places of each size as urgent work has taken lately: that is what it takes for as long as room is kept.
 func (p *pass) lent(d *prospect, free room) room {
 	if d.priority == 0 || len(p.keeping) == 0 {
 		return free
 	}
 	lent := slices.Clone(free)
+	if d.borrows {
+		p.withhold(lent, p.core.urgentPlaces.within(p.now, p.core.settings.RetainFor))
+		return lent
+	}
 	for _, w := range p.keeping {
 		for _, r := range w.retained {
 			lent[w.slot] = lent[w.slot].Sub(r.shape)
@@ -58,3 +93,31 @@
 	}
 	return lent
 }
+
+// withhold leaves so many places of each size that are kept for urgent work out of some room, those on the workers with the
+// least free room first, so that whole workers are lent.
+func (p *pass) withhold(lent room, places map[int]int) {
+	fullest := slices.Clone(p.keeping)
+	slices.SortStableFunc(fullest, func(a, b *worker) int {
+		return cmp.Compare(p.free[a.slot].Accelerators, p.free[b.slot].Accelerators)
+	})
+	for _, w := range fullest {
+		for _, r := range w.retained {
+			if places[r.shape.Accelerators] > 0 {
+				places[r.shape.Accelerators]--
+				lent[w.slot] = lent[w.slot].Sub(r.shape)
+			}
+		}
+	}
+}
+
+// borrows says whether a group may use room that is kept for urgent work beyond what that needs: its tasks are large, and it can
+// be in time.
+func (p *pass) borrows(g *group) bool {
+	return g.job.job.Terms.Priority != 0 && p.largeTasks(g) && !g.round.givesWay(p.now, g.job.job)
+}
+
+// largeTasks says whether each task of a group takes a large part of a worker's accelerators.
+func (p *pass) largeTasks(g *group) bool {
+	return float64(p.smallest)*minHeld <= float64(g.spec().Shape.Accelerators)
+}
