Room is held for gangs that can be in time before it is held for ones that can't

Cause: room was held for the first four large gangs by when they are due, so first for those that are overdue, which are the widest and wait longest for room; what still could be in time waited beside it.

Change: while a large gang waits that can be in time, none is held for those that are too late. They are placed in their order when there is room, and are held for again when nobody in time waits, or once they are overdue for ten times what they had (as urgent work comes to its turn).

The plain decisions that the pool's own are compared with have the same rule.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -35,6 +35,7 @@
 	}
 	p := c.newPass(now)
 	p.order(rounds)
+	p.noteLarge(rounds)
 	for _, r := range rounds {
 		p.tryAll(r.ready)
 	}
--- a/pool/hold.go
+++ b/pool/hold.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 )
 
@@ -19,7 +20,7 @@
 // hold keeps the room for a large group in which it will fit first, so that smaller ones
 // do not take it bit by bit. Room is held for a few groups at a time.
 func (p *pass) hold(g *group, d *prospect, plain bool) {
-	if len(p.holdsFor) >= maxHolds || !p.large(g) || plain && d.unholdable {
+	if len(p.holdsFor) >= maxHolds || !p.large(g) || plain && d.unholdable || p.yields(g) {
 		return
 	}
 	later := p.withReleasing()
@@ -40,6 +41,25 @@
 	}
 }
 
+// yields says whether a group is left without held room, since it is too late in any case and others of which room may be held
+// are not.
+func (p *pass) yields(g *group) bool {
+	return p.largeInTime && g.round.givesWay(p.now, g.job.job)
+}
+
+// noteLarge notes whether room may be held for a group that can be in time.
+func (p *pass) noteLarge(rounds []readyRound) {
+	for _, r := range rounds {
+		if r.job.job.Terms.Priority == 0 || r.round.givesWay(p.now, r.job.job) {
+			continue
+		}
+		if slices.ContainsFunc(r.ready, p.large) {
+			p.largeInTime = true
+			return
+		}
+	}
+}
+
 // firstFit finds the first time at which a group fits as the runs under way end, and adds the
 // room of those that end until then.
 func (p *pass) firstFit(g *group, d *prospect, later room) (time.Time, bool) {
--- a/pool/pass.go
+++ b/pool/pass.go
@@ -29,6 +29,8 @@
 		heldUntil time.Time
 		// holdsFor are the groups that room is held for.
 		holdsFor []holding
+		// largeInTime says that a group waits that room may be held for, and that can be in time.
+		largeInTime bool
 		// keeping are the workers with room that is kept for urgent work.
 		keeping []*worker
 		// smallest is the fewest accelerators that a worker has when it is whole.
--- a/pool/plain_displace_test.go
+++ b/pool/plain_displace_test.go
@@ -171,7 +171,7 @@
 // hold keeps the room for a large group in which it will fit first, so that smaller ones
 // do not take it bit by bit. Room is held for a few groups at a time.
 func (p *plainPass) hold(g *group) {
-	if p.holds >= maxHolds || !p.large(g) {
+	if p.holds >= maxHolds || !p.large(g) || p.largeInTime && p.tooLate(g) {
 		return
 	}
 	room := p.withReleasing(nil)
--- a/pool/plain_test.go
+++ b/pool/plain_test.go
@@ -24,8 +24,9 @@
 	// held is room that is kept for a group that waits, until about heldUntil.
 	held      map[*worker]job.Shape
 	heldUntil time.Time
-	// holds counts the groups that room is held for.
-	holds int
+	// holds counts the groups that room is held for, largeInTime says that one waits that can be in time.
+	holds       int
+	largeInTime bool
 	// workers are those that may be given work, by name.
 	workers []*worker
 	// keeping are those of them with room that is kept for urgent work.
@@ -46,6 +47,9 @@
 	}
 	p := c.plainNewPass(now)
 	slices.SortFunc(ready, p.compare)
+	p.largeInTime = slices.ContainsFunc(ready, func(g *group) bool {
+		return g.job.job.Terms.Priority != 0 && p.large(g) && !p.tooLate(g)
+	})
 	for _, g := range ready {
 		p.try(g)
 	}
