--- a/model/outcome.go
+++ b/model/outcome.go
@@ -181,6 +181,24 @@
 	return earned / owed
 }
 
+// Least is the share of the value of its jobs that the kind earned which earned least: a mean over all kinds hides one that is
+// starved.
+func (o *Outcome) Least() float64 {
+	least := 1.0
+	for _, k := range o.Kinds {
+		least = min(least, k.Served())
+	}
+	return least
+}
+
+// Served is the share of the value of the kind's jobs that was served; 1 of none.
+func (k KindOutcome) Served() float64 {
+	if k.Owed == 0 {
+		return 1
+	}
+	return k.Earned / k.Owed
+}
+
 // WastedShare is the share of the seconds of accelerators in use that was spent on work that was lost.
 func (o *Outcome) WastedShare() float64 {
 	if o.Used == 0 {
--- a/program/lab/lab_test.go
+++ b/program/lab/lab_test.go
@@ -41,7 +41,7 @@
 	stdout, stderr, code := run(t, "compare", "-seeds", "3", "-set", "retain-for=0s, aside-after=3", "-csv", file, smallFile(t))
 	is.Equal(code, 0)
 	is.True(strings.Contains(stderr, "6 of 6"))
-	is.Equal(strings.Fields(strings.Split(stdout, "\n")[1]), []string{"worth", "1.000", "1.000", "+0.0000", "0.0000", "3"})
+	is.Equal(strings.Fields(strings.Split(stdout, "\n")[1]), []string{"worth", "1.000", "1.000", "+0.0000", "0.0000", "3", "1.000", "1.000"})
 	content, err := os.ReadFile(file)
 	is.NoErr(err)
 	is.Equal(strings.Count(string(content), "\n"), 4)
--- a/program/lab/report.go
+++ b/program/lab/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/csv"
 	"fmt"
+	"math"
 	"os"
 	"strconv"
 	"text/tabwriter"
@@ -31,6 +32,7 @@
 func figures() []figure {
 	return []figure{
 		{"worth", (*model.Outcome).Worth},
+		{"least kind", (*model.Outcome).Least},
 		{"wasted", (*model.Outcome).WastedShare},
 		{"in time", func(o *model.Outcome) float64 {
 			jobs, inTime := 0, 0
@@ -72,7 +74,7 @@
 		o := outcomes[i]
 		for _, k := range o.Kinds {
 			_, _ = fmt.Fprintf(table, "%s\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%s\t%s\n", c.name, c.Seed, k.Name, k.Jobs, k.InTime, k.Late, k.Failed, k.Never,
-				share(k.Earned, k.Owed), k.Wait(0.5).Round(time.Millisecond), k.Wait(0.9).Round(time.Millisecond))
+				k.Served(), k.Wait(0.5).Round(time.Millisecond), k.Wait(0.9).Round(time.Millisecond))
 		}
 		_, _ = fmt.Fprintf(table, "%s\t%d\tall: worth %.3f, of at most %.3f; wasted %.3f\n", c.name, c.Seed, o.Worth(), model.Bound(c.Load, c.Seed), o.WastedShare())
 		_, _ = fmt.Fprintf(table, "\t\taccelerators on average: %.1f in use; free %s\n", o.Taken, o.Free)
@@ -102,18 +104,13 @@
 	}
 	_, _ = fmt.Fprintln(l.stderr)
 	table := tabwriter.NewWriter(l.stdout, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "figure\tbefore\tafter\tdifference\tstandard error\tpairs")
+	_, _ = fmt.Fprintln(table, "figure\tbefore\tafter\tdifference\tstandard error\tpairs\tleast before\tleast after")
 	for _, f := range figures() {
-		mean := func(of func(model.Pair) *model.Outcome) float64 {
-			sum := 0.0
-			for _, p := range pairs {
-				sum += f.of(of(p))
-			}
-			return sum / float64(len(pairs))
-		}
+		before, leastBefore := meanAndLeast(pairs, func(p model.Pair) float64 { return f.of(p.Before) })
+		after, leastAfter := meanAndLeast(pairs, func(p model.Pair) float64 { return f.of(p.After) })
 		d := model.DifferenceOf(pairs, f.of)
-		_, _ = fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%+.4f\t%.4f\t%d\n", f.name,
-			mean(func(p model.Pair) *model.Outcome { return p.Before }), mean(func(p model.Pair) *model.Outcome { return p.After }), d.Mean, d.Error, d.Pairs)
+		_, _ = fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%+.4f\t%.4f\t%d\t%.3f\t%.3f\n", f.name,
+			before, after, d.Mean, d.Error, d.Pairs, leastBefore, leastAfter)
 	}
 	if err := table.Flush(); err != nil {
 		return err
@@ -123,6 +120,16 @@
 	}, " before", " after")
 }
 
+// meanAndLeast returns the mean of a figure over pairs, and the least of it.
+func meanAndLeast(pairs []model.Pair, of func(model.Pair) float64) (mean, least float64) {
+	least = math.Inf(1)
+	for _, p := range pairs {
+		mean += of(p) / float64(len(pairs))
+		least = min(least, of(p))
+	}
+	return mean, least
+}
+
 // writeCSV writes a line for each case with its figures, if a file for them is named. Each figure has a column for each
 // of the endings of its name.
 func (l *lab) writeCSV(cases []namedCase, figuresOf func(i int, f figure) []float64, endings ...string) error {
@@ -169,11 +176,3 @@
 	const digits = 6
 	return strconv.FormatFloat(value, 'f', digits, 64)
 }
-
-// share is a part of a whole, 1 where there is none.
-func share(part, whole float64) float64 {
-	if whole == 0 {
-		return 1
-	}
-	return part / whole
-}
