--- a/pool/decide.go
+++ b/pool/decide.go
@@ -103,9 +103,8 @@
 
 // order sorts rounds: what is guaranteed first, then by priority, then by when they should be
 // done. Urgent work that is too late in any case goes behind the rest of its priority for a while: in a
-// burst each such job made the next one late as well. On days with slow workers, failing workers,
-// bursts and none of these worth was 0.012 ± 0.006 higher (48 pairs). Work of lesser priority has
-// several times its length to wait, and isn't told apart.
+// burst each such job would make the next one late as well. Work of lesser priority has several times
+// its length to wait, and isn't told apart.
 func (p *pass) order(rounds []readyRound) {
 	for i := range rounds {
 		rounds[i].rank = p.rank(rounds[i].job)
--- a/pool/hold.go
+++ b/pool/hold.go
@@ -9,8 +9,7 @@
 	// minHeld is the part of a worker from which on a task is hard to place when others
 	// take what becomes free bit by bit.
 	minHeld = 0.5
-	// maxHolds is the most groups that room is held for at a time: on pools of 54 to 68 workers
-	// in which nine tenths of the accelerators are asked for, several wait at once.
+	// maxHolds is the most groups that room is held for at a time.
 	maxHolds = 4
 	// backfillMargin is how much longer than its caller's guess a task may take that is put
 	// into held room.
--- a/pool/service.go
+++ b/pool/service.go
@@ -15,6 +15,8 @@
 	// changed then.
 	tellServiceEvery = 2 * time.Second
 	tellServiceStep  = 0.1
+	// roundsAveraged is how many rounds back the average of the time that rounds have goes.
+	roundsAveraged = 8
 )
 
 type (
@@ -29,6 +31,8 @@
 		// asked and served are what has been done lately, and how much of it in time. Both count half after as long as
 		// the queue's jobs have on average.
 		asked, served amount
+		// open is what is under way, and expected how much of it may be done in time.
+		open, expected amount
 		// had is how long the rounds that have been done had on average.
 		had time.Duration
 		// level is the share of what was asked lately that was done in time or may still be, from 0 to 1. Half of it is by
@@ -50,8 +54,8 @@
 	}
 )
 
-func (a amount) add(rounds, work float64) amount {
-	return amount{rounds: a.rounds + rounds, work: a.work + work}
+func (a amount) plus(b amount) amount {
+	return amount{rounds: a.rounds + b.rounds, work: a.work + b.work}
 }
 
 func (a amount) times(x float64) amount {
@@ -88,16 +92,15 @@
 	if q.had == 0 {
 		q.had = had
 	}
-	const weight = 8 // of a new round in the average is one to so many
-	q.had += (had - q.had) / weight
-	work := r.work()
-	q.asked = q.asked.add(1, work)
+	q.had += (had - q.had) / roundsAveraged
+	one := amount{rounds: 1, work: r.work()}
+	q.asked = q.asked.plus(one)
 	if now.After(r.due) {
 		q.late++
 		return
 	}
 	q.inTime++
-	q.served = q.served.add(1, work)
+	q.served = q.served.plus(one)
 }
 
 // fade lets what was done count less with time.
@@ -117,35 +120,37 @@
 		return
 	}
 	c.service.at = now
-	asked, served := map[string]amount{}, map[string]amount{}
 	for _, q := range c.service.queues {
 		q.fade(passed)
 		q.waiting, q.overdue = 0, 0
+		q.open, q.expected = amount{}, amount{}
 	}
 	for _, j := range c.live {
-		if j.state.ended() {
-			continue
-		}
-		name := j.job.Queue
-		q := c.service.of(name)
-		for _, r := range j.rounds {
-			if r.done() || r.lasts() {
-				continue
-			}
-			work := r.work()
-			chance := r.prospect(now, j.job.DueBy(r.number).Sub(j.job.From(r.number)))
-			asked[name] = asked[name].add(1, work)
-			served[name] = served[name].add(chance, chance*work)
-			q.countRound(r, now)
+		if !j.state.ended() {
+			c.service.of(j.job.Queue).addOpen(now, j)
 		}
 	}
 	for name, q := range c.service.queues {
-		q.level = amount{q.served.rounds + served[name].rounds, q.served.work + served[name].work}.
-			shareOf(amount{q.asked.rounds + asked[name].rounds, q.asked.work + asked[name].work})
+		q.level = q.served.plus(q.expected).shareOf(q.asked.plus(q.open))
 		c.tellService(now, name, q)
 	}
 }
 
+// addOpen counts the rounds of a job that are under way.
+func (q *queueService) addOpen(now time.Time, j *jobState) {
+	for _, r := range j.rounds {
+		if r.done() || r.lasts() {
+			continue
+		}
+		work := r.work()
+		chance := r.prospect(now, j.job.DueBy(r.number).Sub(j.job.From(r.number)))
+		q.open = q.open.plus(amount{rounds: 1, work: work})
+		q.expected = q.expected.plus(amount{rounds: chance, work: chance * work})
+		q.countRound(r, now)
+	}
+}
+
+// countRound counts a round as waiting or overdue.
 func (q *queueService) countRound(r *round, now time.Time) {
 	if now.After(r.due) {
 		q.overdue++
@@ -165,8 +170,9 @@
 	}
 	q.told, q.toldAt = q.level, now
 	c.tell(Event{
-		Kind:   EventService,
-		Detail: fmt.Sprintf("queue %s: %.2f of what was asked lately was done in time or may be; %d wait, %d are overdue; since this holder began %d in time, %d late, %d failed", name, q.level, q.waiting, q.overdue, q.inTime, q.late, q.failed),
+		Kind: EventService,
+		Detail: fmt.Sprintf("queue %s: %.2f of what was asked lately was done in time or may be; %d wait, %d are overdue; "+
+			"since this holder began %d in time, %d late, %d failed", name, q.level, q.waiting, q.overdue, q.inTime, q.late, q.failed),
 	})
 }
 
@@ -259,21 +265,6 @@
 	return longest
 }
 
-// QueueSnapshot is how a queue is served.
-type QueueSnapshot struct {
-	Queue string `json:"queue"`
-	// Level is the share of what was asked lately that was done in time or may still be.
-	Level float64 `json:"level"`
-	// Waiting counts the jobs, or rounds of them, with tasks that could be placed and are not, Overdue those that are past their time.
-	Waiting int `json:"waiting"`
-	Overdue int `json:"overdue"`
-	// InTime, Late, Failed and Cancelled count those that this holder has seen end.
-	InTime    int `json:"in_time"`
-	Late      int `json:"late"`
-	Failed    int `json:"failed"`
-	Cancelled int `json:"cancelled"`
-}
-
 // queueSnapshots returns how queues are served, by name.
 func (c *Core) queueSnapshots() []QueueSnapshot {
 	list := make([]QueueSnapshot, 0, len(c.service.queues))
--- a/pool/service_test.go
+++ b/pool/service_test.go
@@ -69,7 +69,7 @@
 	q := queueService{had: 10 * time.Second, asked: amount{rounds: 8, work: 80}, served: amount{rounds: 8, work: 80}}
 	q.fade(10 * time.Second)
 	is.Equal(q.asked, amount{rounds: 4, work: 40})
-	q.asked = q.asked.add(4, 10)
+	q.asked = q.asked.plus(amount{rounds: 4, work: 10})
 	is.True(math.Abs(q.served.shareOf(q.asked)-(0.5+0.8)/2) < 1e-9)
 	is.Equal(amount{}.shareOf(amount{}), 1.0)
 }
--- a/pool/settings.go
+++ b/pool/settings.go
@@ -55,9 +55,8 @@
 	// are not slower than usual, while there is room on slower ones.
 	QuickReserve float64
 	// RetainFor is how long room that urgent work has left is kept for other urgent work:
-	// about as long as an urgent task runs on average (2.5 s). It lowers the work that
-	// is thrown away by displacing, on a full pool of 54 to 68 workers by a sixth, and
-	// raises worth there by 0.027 (85 pairs of plays without and with it).
+	// about as long as an urgent task runs on average. Given to others at once it would be
+	// taken back by displacing them.
 	RetainFor time.Duration
 	// EvacuateWithin is how long after an evacuation was requested a task may still be started
 	// in its data centre, as the operator states it; 0 when nothing is stated.
--- a/pool/state.go
+++ b/pool/state.go
@@ -36,6 +36,21 @@
 		Failed []FailedSnapshot `json:"failed_jobs,omitempty"`
 	}
 
+	// QueueSnapshot is how a queue is served.
+	QueueSnapshot struct {
+		Queue string `json:"queue"`
+		// Level is the share of what was asked lately that was done in time or may still be.
+		Level float64 `json:"level"`
+		// Waiting counts the jobs, or rounds of them, with tasks that could be placed and are not, Overdue those that are past their time.
+		Waiting int `json:"waiting"`
+		Overdue int `json:"overdue"`
+		// InTime, Late, Failed and Cancelled count those that this holder has seen end.
+		InTime    int `json:"in_time"`
+		Late      int `json:"late"`
+		Failed    int `json:"failed"`
+		Cancelled int `json:"cancelled"`
+	}
+
 	// FailedSnapshot says why a job ended failed.
 	FailedSnapshot struct {
 		ID        string `json:"id"`
