What urgent work was given is forgotten whether anybody looks at it or not

Cause: the list of places that urgent work was given lately was cut short only when a large task asked for it, so a pool without such tasks remembered all it ever placed. Found by reading the change anew.

Change: each pass forgets what is older than room is kept. No decision changes: what is counted is the same.

TestPlacesOfUrgentWorkAreForgotten fails without it: after 20 s of five tasks a second all are remembered. The comparison with the plain decisions passes.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -28,6 +28,7 @@
 	c.roomChanged = false
 	c.decidedAt = now
 	c.noteUrgentUse(now)
+	c.urgentPlaces.forget(now, c.settings.RetainFor)
 	rounds := c.waitingRounds(now)
 	if len(rounds) == 0 {
 		c.forgetWithheld()
--- a/pool/kept_test.go
+++ b/pool/kept_test.go
@@ -70,3 +70,15 @@
 	w.until("the wide one runs too", func() bool { return w.state(wide.ID) == Active })
 	is.True(w.state(narrow.ID) == Done)
 }
+
+// What urgent work was given is remembered for as long as room is kept, whether anybody looks at it or not.
+func TestPlacesOfUrgentWorkAreForgotten(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 4)
+	w.run(300 * time.Millisecond)
+	w.rush(4, 200*time.Millisecond)(20 * time.Second)
+	is.True(len(w.core.urgentPlaces) <= 14) // five a second for 2.5 s
+	is.Equal(w.core.urgentPlaces.bySize()[1], len(w.core.urgentPlaces))
+	w.run(5 * time.Second)
+	is.Equal(len(w.core.urgentPlaces), 0)
+}
--- a/pool/plain_displace_test.go
+++ b/pool/plain_displace_test.go
@@ -282,9 +282,7 @@
 	borrows := p.borrows(g)
 	places := map[int]int{}
 	for _, place := range p.core.urgentPlaces {
-		if p.now.Sub(place.at) <= p.core.settings.RetainFor {
-			places[place.accelerators]++
-		}
+		places[place.accelerators]++
 	}
 	keeping := slices.Clone(p.keeping)
 	slices.SortFunc(keeping, func(a, b *worker) int {
--- a/pool/plain_test.go
+++ b/pool/plain_test.go
@@ -41,6 +41,7 @@
 func (c *Core) plainDecide(now time.Time) {
 	c.roomChanged = false
 	c.decidedAt = now
+	c.urgentPlaces.forget(now, c.settings.RetainFor)
 	ready := c.plainReadyGroups()
 	if len(ready) == 0 {
 		return
--- a/pool/retain.go
+++ b/pool/retain.go
@@ -29,15 +29,19 @@
 	*r = append(*r, recentPlace{at: now, accelerators: accelerators})
 }
 
-// within counts the tasks that were placed within a time, by size, and forgets the others.
-func (r *recentPlaces) within(now time.Time, length time.Duration) map[int]int {
+// forget drops the tasks that were placed longer ago than a time.
+func (r *recentPlaces) forget(now time.Time, length time.Duration) {
 	old := 0
 	for old < len(*r) && now.Sub((*r)[old].at) > length {
 		old++
 	}
 	*r = slices.Delete(*r, 0, old)
+}
+
+// bySize counts the tasks by their accelerators.
+func (r recentPlaces) bySize() map[int]int {
 	counts := map[int]int{}
-	for _, place := range *r {
+	for _, place := range r {
 		counts[place.accelerators]++
 	}
 	return counts
@@ -83,7 +87,7 @@
 	}
 	lent := slices.Clone(free)
 	if d.borrows {
-		p.withhold(lent, p.core.urgentPlaces.within(p.now, p.core.settings.RetainFor))
+		p.withhold(lent, p.core.urgentPlaces.bySize())
 		return lent
 	}
 	for _, w := range p.keeping {
