No task is large on workers without accelerators

Cause: where workers have no accelerators half of the least worker's is none, so each task counted as large and was lent what is kept for urgent work, bit by bit.

TestNoTaskIsLargeOnWorkersWithoutAccelerators fails without it: the small task takes the room at once.

--- a/pool/kept_test.go
+++ b/pool/kept_test.go
@@ -82,3 +82,23 @@
 	w.run(5 * time.Second)
 	is.Equal(len(w.core.urgentPlaces), 0)
 }
+
+// Where workers have no accelerators each task would count as large, and take all that is kept bit by bit.
+func TestNoTaskIsLargeOnWorkersWithoutAccelerators(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1)
+	w.workers[0].capacity.Accelerators = 0
+	w.run(300 * time.Millisecond)
+	urgent := gang(1, 1, 0, rushLength)
+	urgent.Steps[0].Shape.CPUMillis = w.workers[0].capacity.CPUMillis
+	w.submit(urgent)
+	w.run(rushLength - 500*time.Millisecond)
+	small := queued(gang(2, 1, 0, longLength), "small", 3)
+	small.Terms.Priority = 1
+	w.submit(small)
+	w.until("the urgent one is done", func() bool { return w.state(urgent.ID) == Done })
+	w.run(500 * time.Millisecond)
+	is.Equal(w.state(small.ID), Queued)
+	w.run(DefaultSettings().RetainFor)
+	is.Equal(w.state(small.ID), Active)
+}
--- a/pool/plain_displace_test.go
+++ b/pool/plain_displace_test.go
@@ -264,7 +264,7 @@
 // more, and it can be in time.
 func (p *plainPass) borrows(g *group) bool {
 	for _, w := range p.workers {
-		if float64(w.most.Accelerators)*minHeld <= float64(g.spec().Shape.Accelerators) {
+		if w.most.Accelerators > 0 && float64(w.most.Accelerators)*minHeld <= float64(g.spec().Shape.Accelerators) {
 			return !p.tooLate(g)
 		}
 	}
--- a/pool/retain.go
+++ b/pool/retain.go
@@ -121,7 +121,8 @@
 	return g.job.job.Terms.Priority != 0 && p.largeTasks(g) && !g.round.givesWay(p.now, g.job.job)
 }
 
-// largeTasks says whether each task of a group takes a large part of a worker's accelerators.
+// largeTasks says whether each task of a group takes a large part of a worker's accelerators. Where workers have none, no task is
+// large.
 func (p *pass) largeTasks(g *group) bool {
-	return float64(p.smallest)*minHeld <= float64(g.spec().Shape.Accelerators)
+	return p.smallest > 0 && float64(p.smallest)*minHeld <= float64(g.spec().Shape.Accelerators)
 }
