pool, gatewayd: settings of optional scheduling decisions

Cause: the decisions that are being built for loaded pools must be off unless a deployment asks for them. Result: tests of settings, model and gatewayd pass; nothing reads the new settings yet.

--- a/model/setting.go
+++ b/model/setting.go
@@ -17,15 +17,17 @@
 	if !ok {
 		return s, settingError(fmt.Errorf("%q is not of the form name=value", text))
 	}
-	fields := reflect.ValueOf(&s).Elem()
 	var names []string
-	for i := range fields.NumField() {
-		field := hyphenated(fields.Type().Field(i).Name)
+	for _, f := range reflect.VisibleFields(reflect.TypeFor[pool.Settings]()) {
+		if f.Anonymous {
+			continue
+		}
+		field := hyphenated(f.Name)
 		names = append(names, field)
 		if field != name {
 			continue
 		}
-		if err := setField(fields.Field(i), value); err != nil {
+		if err := setField(reflect.ValueOf(&s).Elem().FieldByIndex(f.Index), value); err != nil {
 			return s, settingError(fmt.Errorf("%s: %w", name, err))
 		}
 		return s, nil
@@ -57,6 +59,12 @@
 			return fmt.Errorf("%q is not a number", text)
 		}
 		field.SetFloat(value)
+	case bool:
+		value, err := strconv.ParseBool(text)
+		if err != nil {
+			return fmt.Errorf("%q is neither true nor false", text)
+		}
+		field.SetBool(value)
 	default:
 		return fmt.Errorf("values of type %s can't be set", field.Type())
 	}
--- a/pool/settings.go
+++ b/pool/settings.go
@@ -65,6 +65,35 @@
 	ForgetAfter time.Duration
 	// KeepEnded is how long the state of an ended job is kept.
 	KeepEnded time.Duration
+	// Scheduling switches decisions on that DefaultSettings leaves off.
+	Scheduling
+}
+
+// Scheduling holds the settings of decisions that are optional. With the zero value a pool places each group as soon
+// as it fits, and takes callers' estimates as they are.
+type Scheduling struct {
+	// LearnLengths makes the pool predict run lengths from the observed accuracy of callers' estimates.
+	LearnLengths bool
+	// RememberPaces makes the pool keep a worker's pace across instances and holders.
+	RememberPaces bool
+	// ChooseStarts makes the pool start urgent groups now or later, by their chance of being in time, and
+	// keep promises of capacity.
+	ChooseStarts bool
+	// ProtectBackground makes the pool start background work where and when it is likely to end
+	// undisturbed, and select victims by the work that their stop loses.
+	ProtectBackground bool
+	// ObserveHeadroom makes the pool size urgent headroom by the observed need of urgent work.
+	ObserveHeadroom bool
+	// ShareCrowding makes urgent jobs of several workspaces that cannot all be in time share the capacity
+	// by weight. A workspace without an entry in WorkspaceWeights has weight 1.
+	ShareCrowding    bool
+	WorkspaceWeights map[string]float64
+	// StopTime is the longest time that a run takes to stop, CheckpointInterval the interval at which a
+	// task saves its progress, and RestoreTime the time that a resumed run needs before it makes progress;
+	// 0 if not known.
+	StopTime           time.Duration
+	CheckpointInterval time.Duration
+	RestoreTime        time.Duration
 }
 
 // DefaultSettings returns the settings for the platform.
--- a/program/gatewayd/main.go
+++ b/program/gatewayd/main.go
@@ -64,6 +64,7 @@
 	cpuSpeed *float64
 	// evacuateWithin is 0 if the operator sets no bound.
 	evacuateWithin *time.Duration
+	scheduling     schedulingOptions
 	logLevel       *string
 }
 
@@ -83,6 +84,7 @@
 		logLevel:      launch.LogLevel(s),
 
 		evacuateWithin: settings.Add(s, "gateway.evacuate-within", "0s", "time limit within which starts in a data centre cease after its evacuation was requested; 0s for no bound", settings.Duration(0, maxEvacuateWithin)),
+		scheduling:     addSchedulingOptions(s),
 	}
 	if code, done := launch.Parse(s, args, stdout, stderr); done {
 		return code
--- a/program/gatewayd/pools.go
+++ b/program/gatewayd/pools.go
@@ -59,6 +59,7 @@
 	}
 	poolSettings := pool.DefaultSettings()
 	poolSettings.EvacuateWithin = *p.options.evacuateWithin
+	poolSettings.Scheduling = p.options.scheduling.value()
 	host := holder.New(name, *p.options.name, p.advertisedAddress(), poolSettings, deps)
 	p.hosts[name] = host
 	p.running.Go(func() { host.Run(ctx) })
--- a/settings/example_test.go
+++ b/settings/example_test.go
@@ -32,3 +32,18 @@
 	// [agent] name: "Sapporo" is not 1 to 63 small letters, digits and inner hyphens
 	// 6s
 }
+
+func ExampleWeights() {
+	weights, err := settings.Weights("clinic=2, archive = 0.5")
+	fmt.Println(weights, err)
+	for _, text := range []string{"clinic", "clinic=0", "clinic=NaN", "clinic=1, clinic=2"} {
+		_, err := settings.Weights(text)
+		fmt.Println(err)
+	}
+	// Output:
+	// map[archive:0.5 clinic:2] <nil>
+	// "clinic" is not of the form NAME=WEIGHT
+	// weight of "clinic": "0" is not a number above 0
+	// weight of "clinic": "NaN" is not a number above 0
+	// "clinic" has two weights
+}
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"net/url"
 	"regexp"
@@ -123,8 +124,32 @@
 // PositiveFloat parses a number above 0.
 func PositiveFloat(text string) (float64, error) {
 	share, err := strconv.ParseFloat(text, 64)
-	if err != nil || share <= 0 {
+	if err != nil || math.IsNaN(share) || math.IsInf(share, 0) || share <= 0 {
 		return 0, fmt.Errorf("%q is not a number above 0", text)
 	}
 	return share, nil
 }
+
+// Weights parses positive weights by name, such as "one=2, other=0.5". The text may be empty.
+func Weights(text string) (map[string]float64, error) {
+	weights := map[string]float64{}
+	if strings.TrimSpace(text) == "" {
+		return weights, nil
+	}
+	for _, part := range strings.Split(text, ",") {
+		name, value, ok := strings.Cut(part, "=")
+		name = strings.TrimSpace(name)
+		if !ok || name == "" {
+			return nil, fmt.Errorf("%q is not of the form NAME=WEIGHT", strings.TrimSpace(part))
+		}
+		if _, twice := weights[name]; twice {
+			return nil, fmt.Errorf("%q has two weights", name)
+		}
+		weight, err := PositiveFloat(strings.TrimSpace(value))
+		if err != nil {
+			return nil, fmt.Errorf("weight of %q: %w", name, err)
+		}
+		weights[name] = weight
+	}
+	return weights, nil
+}
