entry: a status that was asked for before a job was sent does not forget the job

Cause: an entry counts the jobs that it sends to a hall until the hall's next status. A status that the hall made before such a job came, and that arrives after it was sent, took the job off the count, so that the entry sent further jobs to the full hall. A value read before an event was taken for one of after it. Change: a job is counted until a status is asked for after the hall's answer to it.

--- a/entry/balance.go
+++ b/entry/balance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/wire"
 )
 
@@ -44,6 +45,7 @@
 	if err != nil || reply.GetAccelerators() == 0 {
 		return
 	}
-	e.deps.System.Root.Send(e.catalog, jobSent{hall: to, accelerators: reply.GetAccelerators()})
+	moved := &sentJob{hall: to, accelerators: reply.GetAccelerators(), answeredAt: clock.Now()}
+	e.deps.System.Root.Send(e.catalog, jobSent{job: moved})
 	e.deps.Logger.Info().Str("from", from).Str("to", to).Int32("accelerators", reply.GetAccelerators()).Msg("entry: waiting jobs are moved to another hall")
 }
--- a/entry/catalog.go
+++ b/entry/catalog.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"maps"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -20,8 +19,8 @@
 	Config *wire.Configuration
 	// Halls maps the names of the halls that answered within maxStatusAge to their statuses.
 	Halls map[string]*wire.HallStatus
-	// Sent is the number of accelerators, by hall, of the jobs that this entry has sent there since the hall's last
-	// status.
+	// Sent is the number of accelerators, by hall, of the jobs that this entry has sent there and that the hall's last
+	// status may not contain.
 	Sent map[string]int32
 }
 
@@ -34,12 +33,17 @@
 		config *wire.Configuration
 	}
 	jobSent struct {
-		hall         string
-		accelerators int32
+		job *sentJob
+	}
+	// jobAnswered means that the hall has answered, or that its answer is not awaited any more.
+	jobAnswered struct {
+		job *sentJob
+		at  time.Time
 	}
 	statusRead struct {
-		hall   string
-		status *wire.HallStatus
+		hall    string
+		askedAt time.Time
+		status  *wire.HallStatus
 	}
 )
 
@@ -48,7 +52,7 @@
 type catalog struct {
 	config   *wire.Configuration
 	statuses map[string]timedStatus
-	sent     map[string]int32
+	sent     sentJobs
 }
 
 // timedStatus is a hall's status with the time at which it was received.
@@ -58,7 +62,7 @@
 }
 
 func newCatalog() actor.Actor {
-	return &catalog{statuses: map[string]timedStatus{}, sent: map[string]int32{}}
+	return &catalog{statuses: map[string]timedStatus{}, sent: newSentJobs()}
 }
 
 // Receive implements actor.Actor.
@@ -69,9 +73,11 @@
 		c.setConfig(m.config)
 	case statusRead:
 		c.statuses[m.hall] = timedStatus{status: m.status, at: now}
-		delete(c.sent, m.hall)
+		c.sent.dropContained(m.hall, m.askedAt)
 	case jobSent:
-		c.sent[m.hall] += m.accelerators
+		c.sent.add(m.job)
+	case jobAnswered:
+		m.job.answeredAt = m.at
 	case viewAsk:
 		m.Reply(c.view(now))
 	}
@@ -84,7 +90,7 @@
 }
 
 func (c *catalog) view(now time.Time) View {
-	view := View{Config: c.config, Halls: map[string]*wire.HallStatus{}, Sent: maps.Clone(c.sent)}
+	view := View{Config: c.config, Halls: map[string]*wire.HallStatus{}, Sent: c.sent.accelerators()}
 	for name, timed := range c.statuses {
 		if now.Sub(timed.at) < maxStatusAge {
 			view.Halls[name] = timed.status
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/api"
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/hall"
 	"hollyfork.example/hollyfork/mailbox"
 	"hollyfork.example/hollyfork/store"
@@ -166,12 +167,13 @@
 	ctx, cancel := context.WithTimeout(e.ctx, viewTimeout)
 	defer cancel()
 	request := &wire.HallStatusRequest{Entry: e.settings.Name, ConfigVersion: e.View().ConfigVersion()}
+	askedAt := clock.Now()
 	status, err := callHolder[wire.HallStatus](ctx, e.directory, name, "Status", request)
 	if err != nil {
 		e.deps.Logger.Debug().Str("hall", name).Err(err).Msg("entry: a hall did not answer")
 		return
 	}
-	e.deps.System.Root.Send(e.catalog, statusRead{hall: name, status: status})
+	e.deps.System.Root.Send(e.catalog, statusRead{hall: name, askedAt: askedAt, status: status})
 }
 
 // View returns the entry's current view. It is empty if the catalog does not answer within viewTimeout.
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"hollyfork.example/hollyfork/api"
+	"hollyfork.example/hollyfork/clock"
 	"hollyfork.example/hollyfork/hall"
 	"hollyfork.example/wire"
 )
@@ -84,8 +85,7 @@
 func (e *Entry) submit(ctx context.Context, view View, request *wire.SubmitRequest) (response, error) {
 	var last error
 	for _, name := range chooseHalls(view, e.settings.Halls, request.GetSpec()) {
-		e.deps.System.Root.Send(e.catalog, jobSent{hall: name, accelerators: accelerators(request.GetSpec())})
-		reply, err := callHolder[wire.SubmitReply](ctx, e.directory, name, "Submit", request)
+		reply, err := e.submitTo(ctx, name, request)
 		if err != nil {
 			last = err
 			continue
@@ -106,6 +106,15 @@
 	return response{}, last
 }
 
+// submitTo offers a job to a hall.
+func (e *Entry) submitTo(ctx context.Context, name string, request *wire.SubmitRequest) (*wire.SubmitReply, error) {
+	job := &sentJob{hall: name, accelerators: accelerators(request.GetSpec())}
+	e.deps.System.Root.Send(e.catalog, jobSent{job: job})
+	reply, err := callHolder[wire.SubmitReply](ctx, e.directory, name, "Submit", request)
+	e.deps.System.Root.Send(e.catalog, jobAnswered{job: job, at: clock.Now()})
+	return reply, err
+}
+
 func jobResponse(job *wire.Job, created bool) response {
 	status := http.StatusOK
 	if created {
--- /dev/null
+++ b/entry/sent_test.go
@@ -0,0 +1,30 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/wire"
+)
+
+// A status that was asked for before a job was sent made the entry forget the job, and send further ones to a full hall.
+func TestLateStatusDoesNotForgetSentJobs(t *testing.T) {
+	is := is.New(t)
+	e, _ := newTestEntry(t, 0)
+	root := e.deps.System.Root
+	asked := time.Now()
+	status := &wire.HallStatus{FreeAccelerators: 32}
+	job := &sentJob{hall: "sapporo", accelerators: 8}
+	root.Send(e.catalog, jobSent{job: job})
+	root.Send(e.catalog, statusRead{hall: "sapporo", askedAt: asked, status: status})
+	is.Equal(e.View().freeAccelerators("sapporo"), int32(24)) // not answered
+
+	root.Send(e.catalog, jobAnswered{job: job, at: asked.Add(time.Millisecond)})
+	root.Send(e.catalog, statusRead{hall: "sapporo", askedAt: asked, status: status})
+	is.Equal(e.View().freeAccelerators("sapporo"), int32(24)) // answered after the status was asked for
+
+	root.Send(e.catalog, statusRead{hall: "sapporo", askedAt: asked.Add(time.Second), status: status})
+	is.Equal(e.View().freeAccelerators("sapporo"), int32(32))
+}
