entry: every status that an entry reads counts, in the order of the questions

Cause: an entry that had read newer statuses for a caller's list of workers or halls threw them away, and went on with the older ones. Change: each status is recorded, without its workers; one that was asked for earlier never replaces a later one. Evidence: TestEarlierStatusDoesNotReplaceALaterOne; its cut is noticed.

--- a/entry/catalog.go
+++ b/entry/catalog.go
@@ -55,10 +55,11 @@
 	sent     sentJobs
 }
 
-// timedStatus is a hall's status with the time at which it was received.
+// timedStatus is a hall's status with the times at which it was asked for and received.
 type timedStatus struct {
-	status *wire.HallStatus
-	at     time.Time
+	status  *wire.HallStatus
+	askedAt time.Time
+	at      time.Time
 }
 
 func newCatalog() actor.Actor {
@@ -72,8 +73,7 @@
 	case configRead:
 		c.setConfig(m.config)
 	case statusRead:
-		c.statuses[m.hall] = timedStatus{status: m.status, at: now}
-		c.sent.dropContained(m.hall, m.askedAt)
+		c.setStatus(now, m)
 	case jobSent:
 		c.sent.add(m.job)
 	case jobAnswered:
@@ -89,6 +89,15 @@
 	}
 }
 
+// setStatus records a status, unless one that was asked for later has arrived before it.
+func (c *catalog) setStatus(now time.Time, m statusRead) {
+	if m.askedAt.Before(c.statuses[m.hall].askedAt) {
+		return
+	}
+	c.statuses[m.hall] = timedStatus{status: m.status, askedAt: m.askedAt, at: now}
+	c.sent.dropContained(m.hall, m.askedAt)
+}
+
 func (c *catalog) view(now time.Time) View {
 	view := View{Config: c.config, Halls: map[string]*wire.HallStatus{}, Sent: c.sent.accelerators()}
 	for name, timed := range c.statuses {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
 
 	"hollyfork.example/hollyfork/api"
 	"hollyfork.example/hollyfork/clock"
@@ -167,13 +168,24 @@
 	ctx, cancel := context.WithTimeout(e.ctx, viewTimeout)
 	defer cancel()
 	request := &wire.HallStatusRequest{Entry: e.settings.Name, ConfigVersion: e.View().ConfigVersion()}
+	if _, err := e.askStatus(ctx, name, request); err != nil {
+		e.deps.Logger.Debug().Str("hall", name).Err(err).Msg("entry: a hall did not answer")
+	}
+}
+
+// askStatus requests the status of a hall. The catalog records it without the workers.
+func (e *Entry) askStatus(ctx context.Context, name string, request *wire.HallStatusRequest) (*wire.HallStatus, error) {
 	askedAt := clock.Now()
 	status, err := callHolder[wire.HallStatus](ctx, e.directory, name, "Status", request)
-	if err != nil {
-		e.deps.Logger.Debug().Str("hall", name).Err(err).Msg("entry: a hall did not answer")
-		return
+	if err != nil || status.GetRefusal() != nil {
+		return status, err
 	}
-	e.deps.System.Root.Send(e.catalog, statusRead{hall: name, askedAt: askedAt, status: status})
+	workers := status.GetWorkers()
+	status.Workers = nil
+	recorded := proto.CloneOf(status)
+	status.Workers = workers
+	e.deps.System.Root.Send(e.catalog, statusRead{hall: name, askedAt: askedAt, status: recorded})
+	return status, nil
 }
 
 // View returns the entry's current view. It is empty if the catalog does not answer within viewTimeout.
--- a/entry/sent_test.go
+++ b/entry/sent_test.go
@@ -28,3 +28,13 @@
 	root.Send(e.catalog, statusRead{hall: "sapporo", askedAt: asked.Add(time.Second), status: status})
 	is.Equal(e.View().freeAccelerators("sapporo"), int32(32))
 }
+
+// A status that was asked for earlier replaced a later one.
+func TestEarlierStatusDoesNotReplaceALaterOne(t *testing.T) {
+	is := is.New(t)
+	e, _ := newTestEntry(t, 0)
+	root, asked := e.deps.System.Root, time.Now()
+	root.Send(e.catalog, statusRead{hall: "sapporo", askedAt: asked.Add(time.Second), status: &wire.HallStatus{FreeAccelerators: 32}})
+	root.Send(e.catalog, statusRead{hall: "sapporo", askedAt: asked, status: &wire.HallStatus{}})
+	is.Equal(e.View().freeAccelerators("sapporo"), int32(32))
+}
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -21,7 +21,7 @@
 	}
 	var mu sync.Mutex
 	e.eachHall(func(name string) {
-		status, err := callHolder[wire.HallStatus](ctx, e.directory, name, "Status", request)
+		status, err := e.askStatus(ctx, name, request)
 		mu.Lock()
 		defer mu.Unlock()
 		if err != nil || status.GetRefusal() != nil {
