store: a commit is dated by the first attempt that may have made it

Change: when a conflict shows that this transaction has taken effect before, the outcome is dated by its first attempt that wasn't refused. A holder's lease then ends 1.5 s after a time at which its row can't have been written yet, before anybody takes the pool. Cost: after lost answers that took longer than 1.5 s the holder's lease is valid again one transaction later; the next one is due at once.

Evidence: TestLeaseCountsFromTheAttemptThatMayHaveRenewedIt failed before and passes, its two cuts are noticed; store, platform/adapter, platform/standin and holder pass with -race.

--- a/store/guarded_commit.go
+++ b/store/guarded_commit.go
@@ -33,7 +33,7 @@
 // Outcome is the result of a committed transaction.
 type Outcome struct {
 	Stamp Stamp
-	// Sent is the start of the attempt whose answer confirmed the commit.
+	// Sent is no later than the commit: the start of the first attempt that may have committed.
 	Sent time.Time
 	// Version is the version of the guard's row after the commit.
 	Version uint64
@@ -46,17 +46,25 @@
 func CommitUntilResolved(ctx context.Context, s Store, guard Guard, txn Txn, onFailure func(error)) (Outcome, error) {
 	txn = addGuard(guard, txn)
 	retry := backoff.New(minRetryDelay, maxRetryDelay)
+	var first time.Time // the start of the first attempt that may have committed
 	for {
 		sent := clock.Now()
+		if first.IsZero() {
+			first = sent
+		}
 		stamp, err := s.Commit(ctx, txn)
 		if err == nil {
 			return Outcome{Stamp: stamp, Sent: sent, Version: stamp.Version}, nil
 		}
-		if KindOf(err) == KindConflict {
-			return resolveConflict(guard, sent, err)
-		}
-		if KindOf(err) == KindInvalid {
+		switch KindOf(err) {
+		case KindConflict:
+			return resolveConflict(guard, first, err)
+		case KindInvalid:
 			return Outcome{}, err
+		case KindRefused:
+			if first.Equal(sent) {
+				first = time.Time{}
+			}
 		}
 		if onFailure != nil {
 			onFailure(err)
@@ -74,14 +82,14 @@
 }
 
 // resolveConflict determines after a failed check whether this transaction has replaced the guard before,
-// another one has, or another check failed.
-func resolveConflict(guard Guard, sent time.Time, err error) (Outcome, error) {
+// another one has, or another check failed. The first attempt that may have committed was sent at the given time.
+func resolveConflict(guard Guard, first time.Time, err error) (Outcome, error) {
 	row, ok := ConflictRow(err, guard.Key)
 	switch {
 	case !ok || row.Version == guard.Version:
 		return Outcome{}, err
 	case row.Version > 0 && guard.Matches(row):
-		return Outcome{Stamp: Stamp{Version: row.Version}, Sent: sent, Version: row.Version}, nil
+		return Outcome{Stamp: Stamp{Version: row.Version}, Sent: first, Version: row.Version}, nil
 	default:
 		return Outcome{}, &Error{Op: "settle", Kind: KindGuardReplaced, Err: err}
 	}
