holder: failing test: a late timer ends leases that were renewed

What callers may see: two runs of one task, when a gateway is short of processor.

Cause: the actor handles its messages in order, but reads the time when it handles them. The links record replies and give leases by them at once, without the actor. History in ms: 0 reply of an agent, the actor counts its lease to 4,742; the agent is cut off. 4,300 the cut heals: the next reply arrives, the link renews the lease by it, to 8,800; its message waits behind others, a timer's among them. 4,750 the actor handles the timer, and counts all runs of the worker as lost although its agent goes on extending its lease; the reply is next in the queue. The longer the agent was silent, the shorter the delay of the actor that suffices: 0.45 s here, 4.3 s beside an agent that answers each 0.5 s. The actor also goes on deciding: its own lease is valid for 1.5 s after the last commit.

Change: a method for the timer's message, for the test.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -387,10 +387,14 @@
 
 func (h *Holder) runTicker() {
 	for backoff.Sleep(h.ctx, tickInterval) {
-		h.send(tick{})
+		h.sendTick()
 	}
 }
 
+func (h *Holder) sendTick() {
+	h.send(tick{})
+}
+
 // tickInterval is how often the holder checks for expired timers and for orders to send again.
 const tickInterval = 50 * time.Millisecond
 
--- /dev/null
+++ b/holder/late_message_test.go
@@ -0,0 +1,85 @@
+package holder
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+
+	"hollyfork.example/hollyfork/catalog"
+	"hollyfork.example/hollyfork/clock"
+	"hollyfork.example/hollyfork/clock/clocktest"
+	"hollyfork.example/hollyfork/mailbox"
+	"hollyfork.example/hollyfork/malformed"
+	"hollyfork.example/hollyfork/pool"
+	"hollyfork.example/hollyfork/process/actors"
+	"hollyfork.example/wire/poolpb"
+)
+
+// newSlowHolder returns a holder without a ticker and commits. When it handles a stall, it waits until it receives from
+// the channel.
+func newSlowHolder(t *testing.T, c clock.Clock) (*Holder, chan struct{}) {
+	t.Helper()
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	system := actors.NewSystem(logger)
+	host := New("pool", "name", "address", pool.DefaultSettings(), Deps{
+		Clock: c, System: system, Logger: logger, Malformed: malformed.New(logger, metrics.NewSet()),
+		Catalog: func() *catalog.Catalog { return &catalog.Catalog{} }, Evacuations: func() catalog.Evacuations { return catalog.Evacuations{} },
+	})
+	h := newHolder(host, &FencedWriter{epoch: 7}, &restoredPool{core: pool.New("pool", pool.DefaultSettings(), nil)}, c.Now())
+	h.committing = true
+	resume := make(chan struct{})
+	h.self = system.Root.Spawn(actor.PropsFromFunc(func(c actor.Context) {
+		switch c.Message().(type) {
+		case *actor.Started:
+		case stall:
+			<-resume
+		default:
+			h.Receive(c)
+		}
+	}))
+	t.Cleanup(h.cancel)
+	return h, resume
+}
+
+// stall makes the actor of newSlowHolder handle no further messages until it is resumed.
+type stall struct{}
+
+// onlyWorker returns the only worker that the holder knows.
+func (h *Holder) onlyWorker(t *testing.T) pool.WorkerSnapshot {
+	t.Helper()
+	snapshot, err := mailbox.Call[snapshotRequest, pool.Snapshot](h.root, h.self, snapshotRequest{}, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return snapshot.Workers[0]
+}
+
+// A holder short of processor handled its timer before the reply that was queued behind it, and counted the lease of an
+// agent as ended that it had renewed meanwhile.
+func TestLateTimerDoesNotEndALeaseThatWasRenewed(t *testing.T) {
+	is := is.New(t)
+	c := clocktest.Stopped(time.Unix(1000, 0))
+	h, resume := newSlowHolder(t, c)
+	l := newAgentLink(h, pool.AgentAddress{Agent: "a", Address: "127.0.0.1:1"})
+	h.links["a"] = l
+	l.deliver(&poolpb.SyncReply{Incarnation: "agent", LeaseToken: 1, Worker: &poolpb.WorkerState{Instance: "first", Listing: 1}})
+	is.Equal(h.onlyWorker(t).Instance, "first")
+
+	h.send(stall{})
+	c.Suspend(time.Second)
+	h.sendTick()
+	c.Suspend(3 * time.Second)
+	l.deliver(&poolpb.SyncReply{Incarnation: "agent", LeaseToken: 2}) // The next renewal counts the lease from this reading.
+	c.Suspend(time.Second)
+	resume <- struct{}{}
+	is.Equal(h.onlyWorker(t).Instance, "first")
+
+	c.Suspend(5 * time.Second)
+	h.sendTick()
+	is.Equal(h.onlyWorker(t).Instance, "")
+}
--- a/store/guarded_commit_test.go
+++ b/store/guarded_commit_test.go
@@ -19,7 +19,7 @@
 
 	refused, lost int
 	refusedAt     time.Time
-	row  store.Row
+	row           store.Row
 	// committedAt is when the row was written.
 	committedAt time.Time
 }
