holder: the timer counts leases as of the time at which it was due

Change: the timer's message carries its time, and leases, time-outs and rounds are judged as of it. A renewal that was sent before that time rests on a reply whose message is in front of the timer's. Decisions and the holder's own lease still take the present time. A lapse is noticed at the next timer, 50 ms later at most.

Evidence: TestLateTimerDoesNotEndALeaseThatWasRenewed failed before and passes, its cut is noticed; holder passes with -race.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -17,8 +17,10 @@
 
 // Messages of the holder's actor.
 type (
-	// tick is sent every tickInterval.
-	tick struct{}
+	// tick is sent every tickInterval, at the time at.
+	tick struct {
+		at time.Time
+	}
 	// placementDue is sent when a postponed placing pass is due.
 	placementDue struct{}
 	// stopRequest asks the holder to place no more work and to commit the decisions already made.
@@ -121,7 +123,8 @@
 		h.cancel()
 	case tick:
 		h.core.SetTimeOfDayOffset(clock.WallClockOffset(now))
-		h.core.Tick(now)
+		// Replies by which links have renewed leases before m.at come before the tick.
+		h.core.Tick(m.at)
 	case placementDue:
 		h.placementScheduled = false
 	case stopRequest:
@@ -392,7 +395,7 @@
 }
 
 func (h *Holder) sendTick() {
-	h.send(tick{})
+	h.send(tick{at: h.now()})
 }
 
 // tickInterval is how often the holder checks for expired timers and for orders to send again.
