holder: failing test: replies of an agent reach the holder out of order

What callers may see: runs lost that go on, and so two runs of one task, when a gateway is short of processor.

Cause: a reply is checked to be the newest, then its time is read and it is sent to the actor, in three steps without a lock. After an outage of the store two renewals of an agent are under way. History in ms: 0 the reply of one arrives and is the newest; its goroutine gets no processor. 200 the reply of the other arrives, is the newest, and is handled: another instance, with runs. 300 the first is handled: the ended instance counts as a new one, and the runs of the present one are lost. Or, without another instance: the lease counts from 0 again, where the agent holds one from 200.

--- a/holder/late_message_test.go
+++ b/holder/late_message_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,3 +85,51 @@
 	h.sendTick()
 	is.Equal(h.onlyWorker(t).Instance, "")
 }
+
+// stickyClock is a clock whose reading may take long.
+type stickyClock struct {
+	clock.Clock
+
+	// next is what the next reading waits for, or nil.
+	next atomic.Pointer[slowReading]
+}
+
+type slowReading struct {
+	begun, finish chan struct{}
+}
+
+func (c *stickyClock) Now() time.Time {
+	if r := c.next.Swap(nil); r != nil {
+		close(r.begun)
+		<-r.finish
+	}
+	return c.Clock.Now()
+}
+
+// Two renewals of an agent may be under way. A holder short of processor handled the later reply first, and then took
+// the earlier one, of an instance that had ended, for the worker's present state.
+func TestRepliesReachTheHolderInOrder(t *testing.T) {
+	is := is.New(t)
+	c := &stickyClock{Clock: clocktest.Stopped(time.Unix(1000, 0))}
+	h, _ := newSlowHolder(t, c)
+	l := newAgentLink(h, pool.AgentAddress{Agent: "a", Address: "127.0.0.1:1"})
+	reading := &slowReading{begun: make(chan struct{}), finish: make(chan struct{})}
+	c.next.Store(reading)
+	var replies sync.WaitGroup
+	replies.Go(func() {
+		l.deliver(&poolpb.SyncReply{Incarnation: "agent", LeaseToken: 1, Worker: &poolpb.WorkerState{Instance: "first", Listing: 1}})
+	})
+	<-reading.begun
+	later := make(chan struct{})
+	replies.Go(func() {
+		defer close(later)
+		l.deliver(&poolpb.SyncReply{Incarnation: "agent", LeaseToken: 2, Worker: &poolpb.WorkerState{Instance: "second", Listing: 2}})
+	})
+	select {
+	case <-later:
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(reading.finish)
+	replies.Wait()
+	is.Equal(h.onlyWorker(t).Instance, "second")
+}
