holder: replies of an agent reach the holder in order

Change: a link holds its lock from the check that a reply is the newest until the reply is in the actor's queue. So the holder gets replies in the order of the agent's clock, and a renewal counts only from a reply that is in the queue.

Evidence: TestRepliesReachTheHolderInOrder failed before and passes, its cut is noticed; holder passes with -race, five times.

--- a/holder/agent_link.go
+++ b/holder/agent_link.go
@@ -105,8 +105,11 @@
 
 // deliver hands a reply to the holder, unless a newer one came before it: replies to parallel renewals may
 // arrive out of order, and an older reply has an outdated state of the worker and reading of the agent's
-// clock.
+// clock. The lock is held until the reply is sent: replies reach the holder in order, and no renewal counts from a reply
+// that is not on its way to the holder.
 func (l *agentLink) deliver(reply *poolpb.SyncReply) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if !l.recordIfNewest(reply) {
 		l.holder.host.deps.Logger.Warn().Str("agent", l.agent).Str("incarnation", reply.GetIncarnation()).Uint64("report", reply.GetReport()).Msg("holder: ignored an out-of-order reply of an agent")
 		return
@@ -114,10 +117,8 @@
 	l.holder.send(syncResult{agent: l.agent, at: l.holder.now(), reply: reply})
 }
 
-// recordIfNewest reports whether a reply is newer than all earlier ones, and records it if so.
+// recordIfNewest reports whether a reply is newer than all earlier ones, and records it if so. The lock must be held.
 func (l *agentLink) recordIfNewest(reply *poolpb.SyncReply) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	switch incarnation := l.lastReply.GetIncarnation(); {
 	case l.pastIncarnations[reply.GetIncarnation()]:
 		return false
