sidecar: failing test: a leave message ends runs that go on

What callers see: two runs of one task, all tasks of a worker at one moment.

Cause: the agent takes a worker's leave message for the end of its process. The users' page says that a worker sends it and ends, and that without an acknowledgement it ends some seconds later. History in ms: 0 the message arrives at the agent, which tells the holder within 1; 5 the holder has committed the loss, 10 the tasks are placed, 15 they start on other workers. The agent's answer to the message is written by another goroutine: a process with 0.24 cores may wait 100 for its next share of processor, and a lost answer takes the worker seconds. Until then the runs go on.

--- a/sidecar/instances_test.go
+++ b/sidecar/instances_test.go
@@ -280,6 +280,26 @@
 	is.Equal(c.workerState().GetLapse(), poolpb.Lapse_LEFT)
 }
 
+// A worker sends its leave message before its process ends, and waits for the acknowledgement. If the message counted as
+// the end, the tasks would run elsewhere meanwhile.
+func TestLeaveMessageEndsNoRunBeforeTheProcessEnds(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	listing := Listing{Clock: time.Second, Running: []*poolpb.RunningTask{{Task: "a.0.0.0", Run: 1}}}
+	listAt(c, 0, listing)
+	before := c.reportNumber
+	c.HandleLeave(start, instanceNamed("first"))
+	is.True(!c.workerState().GetLapsed())
+	is.True(c.workerState().GetDraining())
+	is.True(c.reportNumber > before)
+	_, verdict := c.CheckStart(start, orderAt(c, instanceNamed("first"), 0))
+	is.Equal(verdict, poolpb.OrderResult_DRAINING)
+	c.HandlePollFailure(start, PollRequest{Instance: instanceNamed("first")}, c.pollNumber, KindUnanswered)
+	is.True(!c.workerState().GetLapsed())
+	c.HandlePollFailure(start, PollRequest{Instance: instanceNamed("first")}, c.pollNumber, KindNoWorker)
+	is.Equal(c.workerState().GetLapse(), poolpb.Lapse_LEFT)
+}
+
 // An instance cannot be verified if its worker reports another start time in each message. Such a worker is polled,
 // gets no starts, and does not make the agent's memory grow.
 func TestWorkerWithChangingStartTimeGetsNoStarts(t *testing.T) {
