sidecar: a leave message announces the end of a worker, and ends no run

Change: after a leave message the current instance counts as draining, and the next refused connection ends it, as it was for messages that may be of another instance. An unverified instance with the name of the current one stays unverified.

Tests: the two that took the message for the end now need the refused connection, one of them.

--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -292,13 +292,12 @@
 	}
 }
 
-// Leave applies a leave message of the worker, and polls the worker at once, since the message may be of another
-// instance than the current one.
+// Leave applies a leave message of the worker, and polls the worker at once, since only polls show when it has ended.
 func (a *Agent) Leave(id instance.ID) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.core.HandleLeave(a.now(), id)
-	a.logger.Info().Str("instance", id.String()).Str("known_instance", a.core.heartbeat.Instance.String()).Bool("certain", a.core.instanceEnded).Msg("agent: the worker has left")
+	a.logger.Info().Str("instance", id.String()).Str("known_instance", a.core.heartbeat.Instance.String()).Int("running", len(a.core.listing.Running)).Msg("agent: the worker says that it leaves")
 	a.notifyRenewals()
 	a.cancelPoll()
 	a.pollNow()
--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -161,6 +161,7 @@
 	c = newTestCore()
 	listAt(c, 0, Listing{Clock: 100 * time.Second})
 	c.HandleLeave(start, instanceNamed("first"))
+	c.HandlePollFailure(start, PollRequest{Instance: instanceNamed("first")}, c.pollNumber, KindNoWorker)
 	is.Equal(c.workerState().GetLapse(), poolpb.Lapse_LEFT)
 }
 
@@ -264,6 +265,7 @@
 	_, verdict := c.CheckStart(start, orderAt(c, instance.Parse("old"), 0))
 	is.Equal(verdict, poolpb.OrderResult_DRAINING)
 	c.HandleLeave(start, instance.Parse("old"))
+	c.HandlePollFailure(start, PollRequest{Instance: instance.Parse("old")}, c.pollNumber, KindNoWorker)
 	is.Equal(c.workerState().GetLapse(), poolpb.Lapse_LEFT)
 }
 
--- a/sidecar/instances.go
+++ b/sidecar/instances.go
@@ -206,22 +206,36 @@
 	}
 }
 
-// HandleLeave applies a leave message, with which the worker reports that it has ended. The message may arrive late,
-// and may lack the start time of the instance. It ends the current instance only if the IDs are equal. If the two IDs
-// may or may not be of the same instance, the agent records the time, and the next refused poll ends the current
-// instance.
+// HandleLeave applies a leave message, with which the worker reports that it ends. The message may arrive late, and may
+// lack the start time of the instance. The worker's process goes on until the message is acknowledged, or longer if the
+// acknowledgement is lost. So the message ends no run: the agent records its time, and the next refused poll ends the
+// current instance, whether the message is of that instance or only may be.
 func (c *Core) HandleLeave(now time.Time, id instance.ID) {
-	switch {
-	case id == c.heartbeat.Instance:
-		c.markEnded(now, poolpb.Lapse_LEFT)
-	case id.Matches(c.heartbeat.Instance):
+	if id.Matches(c.heartbeat.Instance) {
 		c.leaveReceivedAt = now
-	default:
-		c.unverified = slices.DeleteFunc(c.unverified, func(u unverifiedInstance) bool { return u.heartbeat.Instance == id })
+		if id == c.heartbeat.Instance && !c.heartbeat.Draining {
+			c.heartbeat.Draining = true
+			c.reportNumber++
+		}
+		return
 	}
+	c.leaveUnverified(id)
 	c.updateReady()
 }
 
+// leaveUnverified applies a leave message of an unverified instance. It is kept as draining if calls for the current
+// instance may still reach it.
+func (c *Core) leaveUnverified(id instance.ID) {
+	i := slices.IndexFunc(c.unverified, func(u unverifiedInstance) bool { return u.heartbeat.Instance == id })
+	switch {
+	case i < 0:
+	case id.SharesName(c.heartbeat.Instance):
+		c.unverified[i].heartbeat.Draining = true
+	default:
+		c.unverified = slices.Delete(c.unverified, i, i+1)
+	}
+}
+
 // markEnded records that nothing runs on the worker any more, and the reason. A more certain reason replaces
 // Lapse_SILENT.
 func (c *Core) markEnded(now time.Time, lapse poolpb.Lapse_Value) {
--- a/sidecar/lease_model_test.go
+++ b/sidecar/lease_model_test.go
@@ -265,10 +265,12 @@
 	return effect.Acknowledges()
 }
 
-// leave ends the worker, whose leave message arrives at once. Another instance starts.
+// leave makes the agent receive the worker's leave message, before the worker ends or when another instance has started.
 func (m *leaseModel) leave(t *rapid.T) {
 	id := m.worker.id
-	m.restartWorker(t)
+	if rapid.Bool().Draw(t, "ended") {
+		m.restartWorker(t)
+	}
 	m.agent.HandleLeave(m.now, id)
 	m.cancelPoll()
 }
--- a/sidecar/lease_worker_test.go
+++ b/sidecar/lease_worker_test.go
@@ -137,6 +137,14 @@
 	return effect
 }
 
+// rejection returns how the worker rejects a poll for an instance: as for another one, or for its epoch.
+func (w *leasedWorker) rejection(id instance.ID) Kind {
+	if id.SharesName(w.id) {
+		return KindRefused
+	}
+	return KindOtherInstance
+}
+
 func (w *leasedWorker) answerPoll(poll PollRequest, effect *callEffect) {
 	w.extend(poll.LeaseEnd)
 	w.ended = slices.DeleteFunc(w.ended, func(e *poolpb.EndedTask) bool {
