--- a/program/pooltest/instances_test.go
+++ b/program/pooltest/instances_test.go
@@ -40,3 +40,21 @@
 	}
 	c.CheckRuns()
 }
+
+// Guards against a leave message that is taken for the end of a worker's runs. The worker sends it while they go on, and
+// ends later. Their tasks were started elsewhere at once, beside them.
+func TestTasksOfAWorkerThatLeavesRunOnce(t *testing.T) {
+	t.Parallel()
+	c := cluster.NewWithInstances(t, 1, 3, fakes.InstanceConfig{Downtime: time.Minute, LeaveDelay: 500 * time.Millisecond})
+	leaving := c.Workers[0]
+	c.Submit(1, cluster.TasksJob(12, "3s"))
+	cluster.Eventually(t, "all tasks run", func() bool { return c.Runs.Running() == 12 })
+	before := leaving.Starts()
+	leaving.SetUnresponsive(true)
+	leaving.DrainAndLeave(0)
+	c.AwaitState(1, "done")
+	c.CheckRuns()
+	if before == 0 || c.Runs.StartCount() == 12 {
+		t.Errorf("%d tasks ran on the worker, and all tasks started %d times", before, c.Runs.StartCount())
+	}
+}
