sidecar: test that nothing starts on a worker whose process has ended

Cause: a row of docs/design/restarts.md that no test held: cutting the check went unnoticed. Where names recur the start would reach the next instance.

--- a/sidecar/incarnation_test.go
+++ b/sidecar/incarnation_test.go
@@ -50,6 +50,19 @@
 	is.Equal(verdict, poolpb.OrderResult_OK)
 }
 
+// The holder may order a start before it learns that the worker's process has ended. The next instance of that name would
+// carry it out, with a lease by another clock.
+func TestNoStartAfterTheWorkersProcessHasEnded(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	listAt(c, 0, Listing{Clock: 100 * time.Second})
+	for range refusalsUntilEnded {
+		c.HandlePollFailure(start.Add(time.Second), PollRequest{Instance: instanceNamed("first")}, c.pollNumber, KindNoWorker)
+	}
+	_, verdict := c.CheckStart(start.Add(time.Second), orderAt(c, instanceNamed("first"), time.Second))
+	is.Equal(verdict, poolpb.OrderResult_OTHER_INSTANCE)
+}
+
 // A clock reading is meaningless to another incarnation of the agent, since readings count from the agent's start.
 func TestStartForAnEarlierAgentIsRefused(t *testing.T) {
 	is := is.New(t)
