process: Dropped log lines are counted and reported, and decisions of a pool are dropped last

What users saw: the record of the incident holds no line that names the job. Behind a slow reader of the output, lines were dropped silently and in the order of their arrival, and the last lines of a process were lost with its end.

Cause: one queue of 1,000 lines for all, dropping without a count; launch.Run returned without waiting for the queue.

Dropped lines are counted (hollyfork_log_lines_dropped_total{kind}), failed writes too, and once the reader has caught up, or after 10 s, a line says how many were dropped and from when to when. At its end a process waits for its reader, 0.2 s at most.

--- a/process/launch/launch.go
+++ b/process/launch/launch.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"net"
+	"time"
 
 	"github.com/phuslu/log"
 	"golang.org/x/sys/unix"
@@ -23,6 +24,9 @@
 	ExitUsage   = 2
 )
 
+// logFlushTimeout is the time that a slow reader of the log has at the end of a program.
+const logFlushTimeout = 200 * time.Millisecond
+
 // Parse parses the settings of a program. If done is true, the program has to exit with the given code.
 func Parse(s *settings.Set, args []string, stdout, stderr io.Writer) (code int, done bool) {
 	err := s.Parse(args)
@@ -46,7 +50,8 @@
 
 // Run runs a program that logs to stdout and returns its exit code.
 func Run(name, level string, stdout, stderr io.Writer, run func(*log.Logger) error) int {
-	logger := process.NewDroppingLogger(stdout, level)
+	logger, flush := process.NewDroppingLogger(stdout, level)
+	defer flush(logFlushTimeout)
 	if err := run(logger); err != nil {
 		logger.Error().Err(err).Msg(name + ": cannot start")
 		_, _ = fmt.Fprintln(stderr, err)
--- a/process/process.go
+++ b/process/process.go
@@ -29,9 +29,12 @@
 	}
 }
 
-// NewDroppingLogger is like NewLogger, but never blocks: lines are dropped while the queue is full.
-func NewDroppingLogger(w io.Writer, level string) *log.Logger {
-	return NewLogger(newLineQueue(w), level)
+// NewDroppingLogger is like NewLogger, but never blocks: lines are dropped while the queue is full. Lines that name a
+// job, a task, a worker or a holder's epoch are dropped last. Dropped lines are counted in the metrics, and reported in the log once the reader has
+// caught up. The function flush waits for the reader, at most for the given time.
+func NewDroppingLogger(w io.Writer, level string) (logger *log.Logger, flush func(timeout time.Duration)) {
+	q := newLineQueue(w)
+	return NewLogger(q, level), q.flush
 }
 
 // Machine returns an identifier of the VM that the process runs on and of its current boot. It changes when
@@ -63,7 +66,7 @@
 		if set != nil {
 			set.WritePrometheus(w)
 		}
-		metrics.WriteProcessMetrics(w)
+		metrics.WritePrometheus(w, true) // the counters of the log, and of the process
 	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
