holder: Lines on runs name the task as its worker does, and a lost run says what was known

A worker and the record name a task ID.K.STEP.INDEX. The holder's lines had job, step and task apart, and K, the time of a repeated job, not at all.

Change: lines on a run have `task` (the whole name, with K), `run` and the holder's `epoch`, beside `job`; `step` and the number in `task` are gone. `run lost` has the agent's `incarnation`, `replied_ago_ms`, `listed_ago_ms` and `lease_left_ms` by the holder's count, so that a loss that the agent reported is told from one that the holder counted.

--- a/holder/host.go
+++ b/holder/host.go
@@ -216,7 +216,7 @@
 
 // hold runs a holder until the pool is lost or ctx is done.
 func (h *Host) hold(ctx context.Context, writer *FencedWriter, confirmedSentAt time.Time) {
-	loaded, err := h.load(ctx)
+	loaded, err := h.load(ctx, writer.Epoch())
 	if err != nil {
 		h.deps.Logger.Warn().Err(err).Str("pool", h.pool).Msg("holder: could not load the pool from the store")
 		h.release(writer)
--- a/holder/load.go
+++ b/holder/load.go
@@ -23,8 +23,9 @@
 	clocks pool.Clock
 }
 
-// load reads a pool from the store. States are read before jobs, so that the job of each state is read too.
-func (h *Host) load(ctx context.Context) (*restoredPool, error) {
+// load reads a pool from the store for a holder with an epoch. States are read before jobs, so that the job of each
+// state is read too.
+func (h *Host) load(ctx context.Context, epoch uint64) (*restoredPool, error) {
 	states, err := h.deps.Store.Read(ctx, store.Range{Table: pool.StateTable, Part: h.pool})
 	if err != nil {
 		return nil, &Error{Op: "read states", Kind: KindStore, Err: err}
@@ -35,7 +36,7 @@
 	}
 	now := h.deps.Clock.Now()
 	r := &restoredPool{
-		core:          pool.New(h.pool, h.settings, h.logEvent),
+		core:          pool.New(h.pool, h.settings, func(e pool.Event) { h.logEvent(epoch, e) }),
 		intakeVersion: intake.Stamp.Version,
 		clocks:        pool.Clock{Now: now, Store: intake.Stamp.Clock},
 	}
@@ -98,12 +99,16 @@
 	}
 }
 
-// logEvent counts and logs an event of the pool.
-func (h *Host) logEvent(e pool.Event) {
+// logEvent counts and logs an event of the pool. Lines on runs name the task as its worker does, and the epoch of the
+// holder that decided.
+func (h *Host) logEvent(epoch uint64, e pool.Event) {
 	h.deps.Metrics.GetOrCreateCounter(fmt.Sprintf(`hollyfork_pool_events_total{pool=%q,kind=%q}`, h.pool, e.Kind)).Inc()
 	entry := h.deps.Logger.Info().Str("pool", h.pool)
 	if e.Job != "" {
-		entry = entry.Str("job", string(e.Job)).Int("step", e.Step).Int("task", e.First).Int("run", e.Run)
+		entry = entry.Str("job", string(e.Job))
+	}
+	if e.Task.Job != "" {
+		entry = entry.Str("task", e.Task.String()).Int("run", e.Run).Uint64("epoch", epoch)
 	}
 	if e.Worker != "" {
 		entry = entry.Str("worker", e.Worker)
@@ -111,5 +116,9 @@
 	if e.Detail != "" {
 		entry = entry.Str("detail", e.Detail)
 	}
+	if c := e.Contact; c != nil {
+		entry = entry.Str("incarnation", c.Incarnation).Int64("replied_ago_ms", c.SinceReply.Milliseconds()).
+			Int64("listed_ago_ms", c.SinceListing.Milliseconds()).Int64("lease_left_ms", c.LeaseRemaining.Milliseconds())
+	}
 	entry.Msg("holder: " + string(e.Kind))
 }
--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -76,7 +76,7 @@
 		}
 		free = free.Add(m.group.taskShape)
 		g := m.group
-		c.emit(Event{Kind: EventStartRejected, Job: g.job.job.ID, Step: g.step, First: m.index, Run: g.run, Worker: w.agent, Detail: "the worker has less room than it had"})
+		c.emit(m.event(EventStartRejected, "the worker has less room than it had"))
 		c.abort(now, g)
 	}
 }
--- a/pool/core.go
+++ b/pool/core.go
@@ -196,7 +196,7 @@
 		c.abortEvacuated(now, g)
 	case g.hasUnknownRuns():
 	case !g.orderedAt.IsZero() && now.Sub(g.orderedAt) > c.settings.StartWithin:
-		c.emit(Event{Kind: EventStartRejected, Job: g.job.job.ID, Step: g.step, First: g.first, Run: g.run, Detail: "not all tasks started in time"})
+		c.emit(g.event(EventStartRejected, "not all tasks started in time"))
 		c.abort(now, g)
 	}
 }
--- a/pool/evacuate.go
+++ b/pool/evacuate.go
@@ -91,7 +91,7 @@
 // abortEvacuated aborts a run with a member that can no longer be started, so that the group is placed
 // elsewhere.
 func (c *Core) abortEvacuated(now time.Time, g *group) {
-	c.emit(Event{Kind: EventStartRejected, Job: g.job.job.ID, Step: g.step, First: g.first, Run: g.run, Detail: "its data centre is evacuated"})
+	c.emit(g.event(EventStartRejected, "its data centre is evacuated"))
 	c.abort(now, g)
 }
 
--- a/pool/event.go
+++ b/pool/event.go
@@ -1,6 +1,10 @@
 package pool
 
-import "hollyfork.example/hollyfork/job"
+import (
+	"time"
+
+	"hollyfork.example/hollyfork/job"
+)
 
 // Kinds of events.
 const (
@@ -50,13 +54,27 @@
 	Event struct {
 		Kind EventKind
 		Job  job.ID
-		Step int
-		// First is the index of the group's first task.
-		First  int
+		// Task is the task that the event is about, or the first one of its group; zero if the event is about the
+		// whole job or none.
+		Task   job.TaskID
 		Run    int
 		Worker string
 		// Detail gives the reason for the event or its inputs.
 		Detail string
+		// Contact is set for a lost run.
+		Contact *Contact
+	}
+
+	// Contact is what the pool knew of a worker and its agent when it considered a run as lost.
+	Contact struct {
+		// Incarnation is the agent's last known incarnation.
+		Incarnation string
+		// SinceReply and SinceListing are the times since the agent's last reply and since its last listing; negative if
+		// there was none.
+		SinceReply   time.Duration
+		SinceListing time.Duration
+		// LeaseRemaining is the time after which all leases of the worker have ended if its agent stays silent.
+		LeaseRemaining time.Duration
 	}
 
 	// Observer receives events. It must not block.
--- a/pool/group.go
+++ b/pool/group.go
@@ -148,6 +148,16 @@
 	return m.group.task(m.index)
 }
 
+// event returns an event about the group's run.
+func (g *group) event(kind EventKind, detail string) Event {
+	return Event{Kind: kind, Job: g.job.job.ID, Task: g.task(g.first), Run: g.run, Detail: detail}
+}
+
+// event returns an event about the member's run.
+func (m *member) event(kind EventKind, detail string) Event {
+	return Event{Kind: kind, Job: m.group.job.job.ID, Task: m.task(), Run: m.group.run, Worker: m.worker.agent, Detail: detail}
+}
+
 // due returns when the group's round should be done.
 func (g *group) due() time.Time {
 	return g.round.due
--- a/pool/health.go
+++ b/pool/health.go
@@ -95,7 +95,7 @@
 	if g.knownUntil(now).Sub(g.progressAt) < c.stallAfter(g) {
 		return
 	}
-	c.emit(Event{Kind: EventStalled, Job: g.job.job.ID, Step: g.step, First: g.first, Run: g.run, Detail: fmt.Sprintf("at %d%% since %s", g.percent, now.Sub(g.progressAt))})
+	c.emit(g.event(EventStalled, fmt.Sprintf("at %d%% since %s", g.percent, now.Sub(g.progressAt))))
 	g.stalls++
 	if g.stalls <= maxStallsBlamed {
 		c.quarantineStalled(now, g)
--- a/pool/instance.go
+++ b/pool/instance.go
@@ -92,7 +92,7 @@
 	m.phase = memberStopping
 	m.revoked = true
 	c.ordersDue = true
-	c.emit(Event{Kind: EventRevoked, Job: m.group.job.job.ID, Step: m.group.step, First: m.index, Run: m.group.run, Worker: m.worker.agent, Detail: id.String()})
+	c.emit(m.event(EventRevoked, id.String()))
 	if m.group.placed() && !m.group.ending {
 		c.abort(now, m.group)
 	}
--- a/pool/leave.go
+++ b/pool/leave.go
@@ -41,10 +41,7 @@
 	if !ends.After(leaves) {
 		return
 	}
-	c.emit(Event{
-		Kind: EventMovedOffLeaving, Job: g.job.job.ID, Step: g.step, First: g.first, Run: g.run,
-		Detail: fmt.Sprintf("at %d%%, would end %s after a worker leaves", g.percent, ends.Sub(leaves).Round(time.Millisecond)),
-	})
+	c.emit(g.event(EventMovedOffLeaving, fmt.Sprintf("at %d%%, would end %s after a worker leaves", g.percent, ends.Sub(leaves).Round(time.Millisecond))))
 	c.abort(now, g)
 }
 
--- a/pool/order.go
+++ b/pool/order.go
@@ -171,7 +171,7 @@
 		return
 	}
 	g := m.group
-	c.emit(Event{Kind: EventStartRejected, Job: g.job.job.ID, Step: g.step, First: m.index, Run: g.run, Worker: m.worker.agent, Detail: resultNames[result]})
+	c.emit(m.event(EventStartRejected, resultNames[result]))
 	switch result {
 	case ResultRefused:
 		c.quarantine(now, m.worker, c.settings.RetryRefused, "it refuses starts")
--- a/pool/preempt.go
+++ b/pool/preempt.go
@@ -258,14 +258,7 @@
 				p.releasing[m.worker.slot] = p.releasing[m.worker.slot].Add(v.taskShape)
 			}
 		}
-		p.core.emit(Event{
-			Kind:   EventPreempted,
-			Job:    v.job.job.ID,
-			Step:   v.step,
-			First:  v.first,
-			Run:    v.run,
-			Detail: "for job " + string(g.job.job.ID),
-		})
+		p.core.emit(v.event(EventPreempted, "for job "+string(g.job.job.ID)))
 		p.core.abort(p.now, v)
 	}
 	if places := p.fit(g, d, p.freeAndReleasing()); places != nil {
--- a/pool/reference_preempt_test.go
+++ b/pool/reference_preempt_test.go
@@ -151,14 +151,7 @@
 				p.releasing[m.worker] = p.releasing[m.worker].Add(v.spec().Demand())
 			}
 		}
-		p.core.emit(Event{
-			Kind:   EventPreempted,
-			Job:    v.job.job.ID,
-			Step:   v.step,
-			First:  v.first,
-			Run:    v.run,
-			Detail: "for job " + string(g.job.job.ID),
-		})
+		p.core.emit(v.event(EventPreempted, "for job "+string(g.job.job.ID)))
 		p.core.abort(p.now, v)
 	}
 	if places := p.fit(g, p.freeAndReleasing(nil)); places != nil {
--- a/pool/reference_test.go
+++ b/pool/reference_test.go
@@ -202,8 +202,7 @@
 	c.emit(Event{
 		Kind:   EventPlaced,
 		Job:    g.job.job.ID,
-		Step:   g.step,
-		First:  g.first,
+		Task:   g.task(g.first),
 		Run:    g.run,
 		Worker: strings.Join(names, " "),
 		Detail: fmt.Sprintf("priority %d, %d tasks of %s, expected to take %s, due in %s, waited %s",
--- a/pool/report.go
+++ b/pool/report.go
@@ -41,6 +41,7 @@
 		return
 	}
 	w.listing = r.Listing
+	w.listedAt = now
 	c.recordEnds(now, w, r.Ended)
 	c.reconcile(now, w, r)
 }
@@ -146,7 +147,7 @@
 	if m.startedAt.IsZero() && !m.restored && g.resumeFrom == "" {
 		m.startedAt = now
 	}
-	c.emit(Event{Kind: EventStarted, Job: g.job.job.ID, Step: g.step, First: m.index, Run: g.run, Worker: m.worker.agent, Detail: m.instance.String()})
+	c.emit(m.event(EventStarted, m.instance.String()))
 	g.job.started = true
 	if g.running() {
 		g.runningSince = now
@@ -174,7 +175,7 @@
 		}
 		w.orphans[key] = o
 		c.ordersDue = true
-		c.emit(Event{Kind: EventOrphanStopped, Job: key.task.Job, Step: key.task.Step, First: key.task.Index, Run: key.run, Worker: w.agent})
+		c.emit(Event{Kind: EventOrphanStopped, Job: key.task.Job, Task: key.task, Run: key.run, Worker: w.agent})
 	}
 }
 
@@ -212,7 +213,7 @@
 	}
 	m := g.findMember(e.Task.Index)
 	current := m != nil && m.worker == w && e.Run == g.run && m.phase != memberGone
-	c.emit(Event{Kind: EventRunEnded, Job: j.job.ID, Step: g.step, First: e.Task.Index, Run: e.Run, Worker: w.agent, Detail: endNames[e.Kind]})
+	c.emit(Event{Kind: EventRunEnded, Job: j.job.ID, Task: e.Task, Run: e.Run, Worker: w.agent, Detail: endNames[e.Kind]})
 	if !g.done {
 		c.recordSaved(g, e.Saved)
 	}
--- a/pool/waiting.go
+++ b/pool/waiting.go
@@ -41,11 +41,10 @@
 		reserved = "; held for " + reserved
 	}
 	p.core.emit(Event{
-		Kind:  EventWaiting,
-		Job:   g.job.job.ID,
-		Step:  g.step,
-		First: g.first,
-		Run:   g.run,
+		Kind: EventWaiting,
+		Job:  g.job.job.ID,
+		Task: g.task(g.first),
+		Run:  g.run,
 		Detail: fmt.Sprintf("for %s, priority %d, due in %s, %d tasks of %s, %d failures; workers: %s; %s%s; free accelerators: %s",
 			p.now.Sub(g.readySince).Round(time.Millisecond), g.job.job.Terms.Priority, g.due().Sub(p.now).Round(time.Millisecond),
 			g.size, g.spec().Shape, g.failures, g.job.waitReason, g.job.shortage, reserved, p.core.FreeAccelerators(p.now)),
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -53,8 +53,10 @@
 		// knownSince is when this holder first learned of the agent.
 		knownSince time.Time
 		// listing is the number of the last processed listing of the agent; 0 if none was processed
-		// since the agent or the worker was restarted, or its runs were lost.
-		listing uint64
+		// since the agent or the worker was restarted, or its runs were lost. listedAt is when a listing was
+		// last processed.
+		listing  uint64
+		listedAt time.Time
 
 		members []*member
 		// orphans are the runs on the worker that match no member.
@@ -294,7 +296,9 @@
 // memberLost records that a member's run has certainly ended although no end of it will be reported.
 func (c *Core) memberLost(now time.Time, m *member, reason string) {
 	g := m.group
-	c.emit(Event{Kind: EventRunLost, Job: g.job.job.ID, Step: g.step, First: m.index, Run: g.run, Worker: m.worker.agent, Detail: reason})
+	lost := m.event(EventRunLost, reason)
+	lost.Contact = m.worker.contact(now)
+	c.emit(lost)
 	c.recordSaved(g, m.saved)
 	c.releaseMember(now, m)
 	if g.placed() && !g.ending {
@@ -302,6 +306,22 @@
 	}
 }
 
+// contact returns what is known of the worker and its agent, for events.
+func (w *worker) contact(now time.Time) *Contact {
+	since := func(at time.Time) time.Duration {
+		if at.IsZero() {
+			return -time.Millisecond
+		}
+		return now.Sub(at)
+	}
+	return &Contact{
+		Incarnation:    w.incarnation,
+		SinceReply:     since(w.lastReplyAt),
+		SinceListing:   since(w.listedAt),
+		LeaseRemaining: w.leaseEnd.Sub(now),
+	}
+}
+
 // recordSaved records the progress token from which the group's next run resumes.
 func (c *Core) recordSaved(g *group, saved string) {
 	if saved != "" && g.spec().Checkpoint {
