sidecar: An agent's log tells the story of a run alone

Change, a line for each start, stop and end, and none for a poll or renewal: - `order handled` has the holder's `epoch`, the lease's end by the worker's clock that a start gave (`due_ms`), and `took_ms`; - `run ended`, once for each end that the worker lists; - `all runs of the worker are considered ended` has the `reason`, the `runs` (TASK/RUN, 16 at most), the agent's `incarnation`, the `epoch`, since when the worker is silent (`silent_for`), how long its lease may last after its last listing with those of earlier agents (`lease_for`, `earlier_lease`), and the agent's own lease (`agent_lease_left`); - `another instance of the worker answers` has the agent's age and incarnation, the runs that it found and those of the instance before; - `an earlier holder was refused`, once for each such holder.

--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -51,6 +51,13 @@
 	changed chan struct{}
 	// loggedReady is the value of reportedReady that was logged last: whether the agent carries out starts.
 	loggedReady bool
+	// loggedEnd is the number of the last ended run of the current instance that was logged, and refusedEpoch the epoch
+	// of the last refused holder that was.
+	loggedEnd    uint64
+	refusedEpoch uint64
+	// silentSince is when the first poll was sent that the current instance has not answered since its last listing;
+	// zero if it has answered.
+	silentSince time.Time
 	// lastSync is the time of the last renewal by a holder.
 	lastSync time.Time
 	// wake ends the wait before the next poll.
@@ -108,7 +115,8 @@
 	a.mu.Lock()
 	poll, number, ok := a.core.NextPoll(a.now())
 	if a.core.LapseUnseenWorker(a.now()) {
-		a.logger.Warn().Msg("agent: no instance of the worker has answered; the leases of its runs have lapsed")
+		a.logger.Warn().Str("incarnation", a.core.incarnation).Dur("agent_age", a.now().Sub(a.core.startedAt)).Uint64("epoch", a.core.epoch).
+			Msg("agent: no instance of the worker has answered; the leases of its runs have lapsed")
 		a.notifyRenewals()
 	}
 	ctx, cancel := context.WithTimeout(ctx, poll.Wait+pollTimeout)
@@ -130,14 +138,16 @@
 		return 0 // The poll was cancelled in order to poll again at once.
 	}
 	if err != nil {
+		if a.silentSince.IsZero() && poll.Instance == a.core.heartbeat.Instance {
+			a.silentSince = startedAt
+		}
 		wasSilent := a.core.silent
 		changed := a.core.HandlePollFailure(now, poll, number, KindOf(err))
 		if a.core.silent && !wasSilent {
 			a.logLease(a.logger.Info().Err(err), now, poll).Msg("agent: the worker does not answer")
 		}
 		if changed {
-			a.metrics.GetOrCreateCounter(fmt.Sprintf(`hollyfork_sidecar_lapses_total{reason=%q}`, a.core.lapse)).Inc()
-			a.logLease(a.logger.Warn().Err(err), now, poll).Msg("agent: all runs of the worker are considered ended")
+			a.logLapse(now, poll, err)
 			a.notifyRenewals()
 		}
 		if a.core.reportedReady != a.loggedReady {
@@ -151,16 +161,19 @@
 
 // handleListing applies the answer to a poll, and stops overdue runs and revoked starts. The lock must be held.
 func (a *Agent) handleListing(ctx context.Context, now time.Time, poll PollRequest, number uint64, listing Listing) {
-	previous := a.core.heartbeat
+	previous, former := a.core.heartbeat, a.core.listing
 	if a.core.HandleListing(now, poll, number, listing) {
 		a.notifyRenewals()
 	}
 	current := a.core.heartbeat.Instance
 	if current != previous.Instance {
-		a.metrics.GetOrCreateCounter("hollyfork_sidecar_instances_total").Inc()
-		a.logger.Info().Str("instance", current.String()).Time("born", current.StartTime()).Str("former", previous.Instance.String()).
-			Bool("former_draining", previous.Draining).Int("running", len(listing.Running)).Int("ended", len(listing.Ended)).Msg("agent: another instance of the worker answers")
+		a.loggedEnd = 0
+		a.logInstanceChange(now, previous, former)
+	}
+	if !a.core.silent {
+		a.silentSince = time.Time{}
 	}
+	a.logEnds()
 	ctx = context.WithoutCancel(ctx)
 	if overdue := a.core.TakeOverdueRuns(); len(overdue) > 0 {
 		go a.stopAll(ctx, current, poll.Epoch, "stop a run whose lease has ended", overdue)
@@ -206,11 +219,12 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	results := make([]poolpb.OrderResult_Value, len(runs))
+	sentAt := a.clock.Now()
 	var work []func()
 	for i, run := range runs {
 		work = append(work, func() {
 			result, err := a.worker.Stop(ctx, StopRequest{Instance: current, Epoch: epoch, Order: run})
-			a.logOrder(order, run.GetTask(), run.GetRun(), result, err)
+			a.logOrder(handledOrder{order: order, task: run.GetTask(), run: run.GetRun(), epoch: epoch, result: result, err: err, sentAt: sentAt})
 			results[i] = result
 		})
 	}
@@ -224,14 +238,6 @@
 	return unanswered
 }
 
-// logLease adds to a log entry what the agent knows of its worker's lease after a poll that was not answered. The lock
-// must be held.
-func (a *Agent) logLease(entry *log.Entry, now time.Time, poll PollRequest) *log.Entry {
-	lease := a.core.leaseSummary(now)
-	return entry.Str("instance", poll.Instance.String()).Dur("agent_age", lease.agentAge).Dur("listed_ago", lease.sinceListing).
-		Dur("extended_by", lease.extendedBy).Dur("poll_extends_by", a.core.extensionOf(poll)).Int("running", len(a.core.listing.Running))
-}
-
 // notifyRenewals sends the delayed replies to renewals, since the report has changed. It logs a change of readiness.
 // The lock must be held.
 func (a *Agent) notifyRenewals() {
@@ -298,7 +304,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.core.HandleLeave(a.now(), id)
-	a.logger.Info().Str("instance", id.String()).Str("known_instance", a.core.heartbeat.Instance.String()).Bool("certain", a.core.instanceEnded).Msg("agent: the worker has left")
+	a.logLeave(id)
 	a.notifyRenewals()
 	a.cancelPoll()
 	a.pollNow()
@@ -356,6 +362,7 @@
 	defer a.mu.Unlock()
 	epoch, committed := a.core.epoch, a.core.committed
 	if a.core.Sync(request) {
+		a.logEarlierHolder(request.GetEpoch(), "renewal")
 		return true, nil
 	}
 	a.lastSync = now
--- a/sidecar/lease.go
+++ b/sidecar/lease.go
@@ -34,6 +34,10 @@
 		// agent has extended the worker's lease. Both are 0 if there was none.
 		sinceListing time.Duration
 		extendedBy   time.Duration
+		// earlier is what is known of other leases, and longest the time after that listing up to which the worker's
+		// lease may last, other leases included.
+		earlier string
+		longest time.Duration
 	}
 )
 
@@ -113,6 +117,8 @@
 	if c.listingNumber > 0 {
 		summary.sinceListing = now.Sub(c.listedAt)
 		summary.extendedBy = max(0, c.extendedTo-c.listing.Clock)
+		summary.earlier = nameOfLease(c.earlierLease)
+		summary.longest = max(0, c.workerLeaseEnd()-c.listing.Clock)
 	}
 	return summary
 }
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -52,6 +51,9 @@
 	a.mu.Lock()
 	stale := a.core.ObserveEpoch(request.GetEpoch())
 	reply.Epoch = a.core.epoch
+	if stale {
+		a.logEarlierHolder(request.GetEpoch(), "order")
+	}
 	a.mu.Unlock()
 	if stale {
 		reply.OldEpoch = true
@@ -100,10 +102,12 @@
 		a.core.StartSent(a.now(), order)
 	}
 	a.mu.Unlock()
+	handled := handledOrder{order: "start", task: order.GetTask(), run: order.GetRun(), epoch: request.GetEpoch(), result: verdict}
 	if verdict != poolpb.OrderResult_OK {
-		a.logOrder("start", order.GetTask(), order.GetRun(), verdict, nil)
+		a.logOrder(handled)
 		return verdict
 	}
+	handled.leaseEnd, handled.sentAt = leaseEnd, a.clock.Now()
 	result, err := a.worker.Start(ctx, StartRequest{
 		Instance: instance.Parse(request.GetInstance()),
 		Epoch:    request.GetEpoch(),
@@ -113,25 +117,18 @@
 	a.mu.Lock()
 	a.core.StartAnswered(order, result)
 	a.mu.Unlock()
-	a.logOrder("start", order.GetTask(), order.GetRun(), result, err)
+	handled.result, handled.err = result, err
+	a.logOrder(handled)
 	return result
 }
 
 func (a *Agent) stop(ctx context.Context, request *poolpb.OrderRequest, order *poolpb.StopOrder) poolpb.OrderResult_Value {
+	sentAt := a.clock.Now()
 	result, err := a.worker.Stop(ctx, StopRequest{
 		Instance: instance.Parse(request.GetInstance()),
 		Epoch:    request.GetEpoch(),
 		Order:    order,
 	})
-	a.logOrder("stop", order.GetTask(), order.GetRun(), result, err)
+	a.logOrder(handledOrder{order: "stop", task: order.GetTask(), run: order.GetRun(), epoch: request.GetEpoch(), result: result, err: err, sentAt: sentAt})
 	return result
 }
-
-func (a *Agent) logOrder(order, task string, run int32, result poolpb.OrderResult_Value, err error) {
-	a.metrics.GetOrCreateCounter(fmt.Sprintf(`hollyfork_sidecar_orders_total{order=%q,result=%q}`, order, result)).Inc()
-	entry := a.logger.Info()
-	if err != nil {
-		entry = a.logger.Warn().Err(err)
-	}
-	entry.Str("order", order).Str("task", task).Int32("run", run).Str("result", result.String()).Msg("agent: order handled")
-}
