Processes say when they ran late, and holders when their lease had lapsed

A pause was logged from 0.5 s on, and surely from 1 s on only. Leases, polls and orders are counted in fractions of a second: a process that is short of CPU for 0.3 s left nothing that tells it from a worker that doesn't answer.

A holder whose lease had lapsed says for how long once it is confirmed again; orders without a reply name their runs (16 at most) and epoch. Nothing else depends on any of it.

--- a/holder/agent_link.go
+++ b/holder/agent_link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 
 	syncMethod  = ServiceName + ".Sync"
 	orderMethod = ServiceName + ".Order"
+
+	// maxLoggedRuns limits the runs that a line names.
+	maxLoggedRuns = 16
 )
 
 // agentLink renews an agent's lease and fetches its reports.
@@ -193,8 +197,22 @@
 	defer cancel()
 	reply, err := rpc.Call[poolpb.OrderReply](ctx, l.client, orderMethod, orderRequest(epoch, orders))
 	if err != nil {
-		l.holder.host.deps.Logger.Warn().Err(err).Str("agent", l.agent).Int("starts", len(orders.Starts)).Int("stops", len(orders.Stops)).Msg("holder: no reply to orders; their outcome is unknown")
+		l.holder.host.deps.Logger.Warn().Err(err).Str("agent", l.agent).Int("starts", len(orders.Starts)).Int("stops", len(orders.Stops)).
+			Uint64("epoch", epoch).Strs("runs", orderedRuns(orders)).Msg("holder: no reply to orders; their outcome is unknown")
 		return &poolpb.OrderReply{}
 	}
 	return reply
 }
+
+// orderedRuns returns the names of the runs that orders are for, at most maxLoggedRuns: those to start, then those to
+// stop.
+func orderedRuns(orders pool.Orders) []string {
+	names := []string{}
+	for _, s := range orders.Starts {
+		names = append(names, s.Task.String()+"/"+strconv.Itoa(s.Run))
+	}
+	for _, s := range orders.Stops {
+		names = append(names, s.Task.String()+"/"+strconv.Itoa(s.Run))
+	}
+	return names[:min(len(names), maxLoggedRuns)]
+}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -193,7 +193,13 @@
 // leaseValid reports whether the store confirmed the lease recently enough to act on it. It is safe for
 // concurrent use.
 func (h *Holder) leaseValid(now time.Time) bool {
-	return now.Before(h.timeBase.Add(time.Duration(h.confirmedSentAt.Load())).Add(LeaseValidity))
+	return now.Before(h.leaseEnd())
+}
+
+// leaseEnd returns until when the holder acts on its lease if the store doesn't confirm it again. It is safe for
+// concurrent use.
+func (h *Holder) leaseEnd() time.Time {
+	return h.timeBase.Add(time.Duration(h.confirmedSentAt.Load())).Add(LeaseValidity)
 }
 
 // commit begins the next transaction if there is a batch to write or the lease is due for renewal.
@@ -243,9 +249,10 @@
 		}
 		return
 	}
-	wasValid := h.leaseValid(now)
+	wasValid, lapsedFor := h.leaseValid(now), now.Sub(h.leaseEnd())
 	h.confirmedSentAt.Store(int64(m.sent.Sub(h.timeBase)))
 	if !wasValid {
+		h.host.deps.Logger.Warn().Str("pool", h.host.pool).Uint64("epoch", h.writer.Epoch()).Dur("lapsed_for", lapsedFor).Msg("holder: its lease had lapsed and is confirmed again")
 		h.renewAgentLeases()
 	}
 	if m.batch {
--- a/holder/log_test.go
+++ b/holder/log_test.go
@@ -42,3 +42,30 @@
 	})
 	is.True(strings.Contains(line, `"incarnation":"2kq9","replied_ago_ms":20,"listed_ago_ms":900,"lease_left_ms":4000`))
 }
+
+// Guards against orders without a reply of which nobody can tell the runs.
+func TestUnansweredOrdersNameTheirRuns(t *testing.T) {
+	is := is.New(t)
+	orders := pool.Orders{Stops: []pool.Stop{{Task: job.TaskID{Job: "5c0e7a21d94b36f8"}, Run: 1}}}
+	for i := range 20 {
+		orders.Starts = append(orders.Starts, pool.Start{Task: job.TaskID{Job: "5c0e7a21d94b36f8", Round: 3, Index: i}, Run: 2})
+	}
+	names := orderedRuns(orders)
+	is.Equal(len(names), maxLoggedRuns)
+	is.Equal(names[15], "5c0e7a21d94b36f8.3.0.15/2")
+	orders.Starts = nil
+	is.Equal(orderedRuns(orders), []string{"5c0e7a21d94b36f8.0.0.0/1"})
+}
+
+// Guards against a holder that gave no orders for a time and whose log doesn't say so.
+func TestLapseOfTheHoldersLeaseIsLogged(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	h := newTestHolder(t, LeaseValidity+time.Second)
+	h.host.deps.Logger = process.NewLogger(&out, "info")
+	h.handleCommitResult(h.now(), commitResult{sent: h.now()})
+	is.True(strings.Contains(out.String(), `"epoch":7,"lapsed_for":10`)) // 1 s, in milliseconds
+	is.Equal(strings.Count(out.String(), "its lease had lapsed and is confirmed again"), 1)
+	h.handleCommitResult(h.now(), commitResult{sent: h.now()})
+	is.Equal(strings.Count(out.String(), "its lease had lapsed and is confirmed again"), 1)
+}
--- a/program/gatewayd/main.go
+++ b/program/gatewayd/main.go
@@ -20,6 +20,7 @@
 	"hollyfork.example/hollyfork/holder"
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/platform/adapter"
+	"hollyfork.example/hollyfork/process"
 	"hollyfork.example/hollyfork/process/launch"
 	"hollyfork.example/hollyfork/relay"
 	"hollyfork.example/hollyfork/settings"
@@ -140,6 +141,7 @@
 	defer stopFollowing()
 	go p.follower.Run(followCtx)
 	go clock.WatchPauses(followCtx, clock.System{}, func(pause clock.Pause) { p.handlePause(pause, client) })
+	go process.LogDelays(followCtx, "gateway", logger)
 	p.serveAdmin(listeners[2])
 	go serve(listeners[1], adapter.ReadyHandler(func() bool { return p.gateway.Ready(clock.Now()) }))
 	callers := &http.Server{
--- a/program/sidecard/main.go
+++ b/program/sidecard/main.go
@@ -106,6 +106,7 @@
 		logger.Warn().Dur("for", pause.Duration).Dur("suspended", pause.Suspended).Dur("lease_left", agent.State(clock.Now()).LeaseRemaining).Msg("agent: process was paused")
 		worker.CloseIdleConnections()
 	})
+	go process.LogDelays(ctx, "agent", logger)
 	logger.Info().Str("name", *o.name).Str("pool", *o.pool).Str("worker", *o.workerAddress).Str("incarnation", agent.State(clock.Now()).Incarnation).Msg("agent: started")
 	agent.Run(ctx)
 	logger.Info().Msg("agent: stopping")
