--- a/program/pooltest/log_test.go
+++ b/program/pooltest/log_test.go
@@ -1,6 +1,7 @@
 package pooltest
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"os"
@@ -46,3 +47,39 @@
 	is.True(strings.Contains(output, "log lines were dropped"))
 	is.True(strings.Contains(output, "gateway: stopped"))
 }
+
+// grepLogs returns the messages of the lines that contain a text, of one process after the other.
+func grepLogs(text string, programs ...*cluster.Program) []string {
+	var messages []string
+	for _, p := range programs {
+		for line := range strings.Lines(p.Output()) {
+			entry := struct{ Message string }{}
+			if strings.Contains(line, text) && json.Unmarshal([]byte(line), &entry) == nil {
+				messages = append(messages, entry.Message)
+			}
+		}
+	}
+	return messages
+}
+
+// Guards against a task of which no log holds a line: the incident's record names ID.K.STEP.INDEX, and a search for it
+// found none of ten gateways' lines.
+func TestTaskIsFoundByItsNameInAllLogs(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(t, 1, 2)
+	name := strings.TrimPrefix(cluster.JobPath(1), cluster.Prefix) + ".0.0.0"
+	c.Submit(1, strings.Replace(cluster.TasksJob(1, "2s"), `"est_ms":500`, `"est_ms":60000`, 1))
+	cluster.Eventually(t, "the task runs", func() bool { return c.Runs.Running() == 1 })
+	lost, next := 0, 1
+	if c.Workers[0].RunningCount() == 0 {
+		lost, next = 1, 0
+	}
+	c.Workers[lost].SetUnresponsive(true)
+	c.AwaitState(1, "done")
+	c.CheckRuns()
+	is.Equal(grepLogs(name, c.Gateways[0]), []string{
+		"holder: placed", "holder: started", "holder: run lost", "holder: placed", "holder: started", "holder: run ended",
+	})
+	is.Equal(grepLogs(name, c.Sidecars[lost]), []string{"agent: order handled", "agent: all runs of the worker are considered ended"})
+	is.Equal(grepLogs(name, c.Sidecars[next]), []string{"agent: order handled", "agent: run ended"})
+}
