holder: failing test: a reply from an agent's earlier address counts

What callers may see: runs lost that go on, where an agent moves to another address and the gateway is short of processor.

Cause: each link compares replies with its own earlier ones only. History in ms: 0 a reply from the earlier address has been read, its goroutine gets no processor; 100 the row with the next address closes the link; 150 the agent at the next address has replied; 200 the first reply is delivered: an earlier agent and an earlier instance count as news.

--- a/holder/late_message_test.go
+++ b/holder/late_message_test.go
@@ -133,3 +133,18 @@
 	replies.Wait()
 	is.Equal(h.onlyWorker(t).Instance, "second")
 }
+
+// An agent's address changed while a reply from the old one was on its way. It was taken for news of an earlier instance,
+// and the runs of the present one for lost.
+func TestReplyFromAnEarlierAddressIsIgnored(t *testing.T) {
+	is := is.New(t)
+	h, _ := newSlowHolder(t, clocktest.Stopped(time.Unix(1000, 0)))
+	h.setAgent(pool.AgentAddress{Agent: "a", Address: "127.0.0.1:1"})
+	earlier := h.links["a"]
+	earlier.deliver(&poolpb.SyncReply{Incarnation: "first agent", LeaseToken: 1, Worker: &poolpb.WorkerState{Instance: "first", Listing: 1}})
+	is.Equal(h.onlyWorker(t).Instance, "first")
+	h.setAgent(pool.AgentAddress{Agent: "a", Address: "127.0.0.1:2"})
+	h.links["a"].deliver(&poolpb.SyncReply{Incarnation: "second agent", LeaseToken: 1, Worker: &poolpb.WorkerState{Instance: "second", Listing: 1}})
+	earlier.deliver(&poolpb.SyncReply{Incarnation: "first agent", LeaseToken: 2, Worker: &poolpb.WorkerState{Instance: "first", Listing: 2}})
+	is.Equal(h.onlyWorker(t).Instance, "second")
+}
