holder: a link that is given up delivers no replies

Change: closing a link ends its deliveries, under the lock under which replies are handed over; those before it are in the holder's queue already.

Evidence: TestReplyFromAnEarlierAddressIsIgnored failed before and passes, its cut is noticed; holder passes with -race, three times.

--- a/holder/agent_link.go
+++ b/holder/agent_link.go
@@ -38,6 +38,8 @@
 	pastIncarnations map[string]bool
 	// wantFullReport is true if the agent must send a report although the holder has seen its last one.
 	wantFullReport bool
+	// closed is true once the holder has given the link up.
+	closed bool
 }
 
 func newAgentLink(h *Holder, a pool.AgentAddress) *agentLink {
@@ -51,7 +53,11 @@
 	}
 }
 
+// close gives the link up: no reply is delivered any more.
 func (l *agentLink) close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
 	_ = l.client.Close()
 }
 
@@ -110,6 +116,9 @@
 func (l *agentLink) deliver(reply *poolpb.SyncReply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed {
+		return
+	}
 	if !l.recordIfNewest(reply) {
 		l.holder.host.deps.Logger.Warn().Str("agent", l.agent).Str("incarnation", reply.GetIncarnation()).Uint64("report", reply.GetReport()).Msg("holder: ignored an out-of-order reply of an agent")
 		return
