--- a/sidecar/incarnation_test.go
+++ b/sidecar/incarnation_test.go
@@ -249,3 +249,20 @@
 		})
 	})
 }
+
+// A holder that has seen the reports of an earlier incarnation must not take the present one's for unchanged, even if
+// their numbers are equal.
+func TestReplyIsWholeForAHolderThatKnowsAnEarlierAgent(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	seen := &poolpb.SyncRequest{Epoch: 7, Incarnation: c.incarnation, SeenReport: c.ReportNumber()}
+	is.True(c.Reply(start, seen).GetWorker() == nil)
+	seen.Incarnation = "another"
+	is.True(c.Reply(start, seen).GetWorker() != nil)
+}
+
+// Two incarnations with one name would take each other's orders and leases.
+func TestIncarnationsHaveDifferentNames(t *testing.T) {
+	first, second := newIncarnation(), newIncarnation()
+	is.New(t).True(first != second)
+}
