program/cluster: run the programs of another build

No caller saw this.

The flag -programs of every test that starts clusters names a directory with hollyfork-gateway or hollyfork-sidecar or both, which replace this build's at each launch. A directory with neither fails the test, so that a wrong path does not pass as a result; the log names the programs found.

--- a/program/cluster/cluster.go
+++ b/program/cluster/cluster.go
@@ -90,6 +90,7 @@
 
 func start(t testing.TB, gateways, workers int, advice *fakes.AdviceService, instances fakes.InstanceConfig) *Cluster {
 	t.Helper()
+	reportPrograms(t)
 	c := &Cluster{t: t, Store: fakes.NewStore(time.Now()), Runs: fakes.NewRecorder(Attempts), Fleet: fakes.NewFleet(), Advice: advice}
 	if advice != nil {
 		service := httptest.NewServer(advice)
--- a/program/cluster/program.go
+++ b/program/cluster/program.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"flag"
 	"fmt"
 	"io"
+	"io/fs"
 	"net/http"
 	"os"
 	"os/exec"
@@ -21,6 +24,8 @@
 // callTimeout bounds the time for which a caller waits for a response.
 const callTimeout = 3 * time.Second
 
+var programs = flag.String("programs", "", "absolute path of a directory with hollyfork-gateway or hollyfork-sidecar, or both, of another build, which clusters run in place of this one")
+
 // Program is one process of the system.
 type Program struct {
 	// Proxies are the proxies in the process's connections to the store and from the holder.
@@ -79,11 +84,11 @@
 // Launch starts the process. It can be called again after the process was killed.
 func (p *Program) Launch() {
 	p.t.Helper()
-	executable, err := os.Executable()
+	executable, err := executableOf(p.kind)
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	//nolint:gosec // The test binary itself, which Main turns into the program.
+	//nolint:gosec // The test binary itself, which Main turns into the program, or a program of another build.
 	p.command = exec.CommandContext(context.Background(), executable, "-config", p.config)
 	p.command.Env = append(os.Environ(), programVariable+"="+p.kind)
 	p.command.Stdout = p.output
@@ -97,6 +102,31 @@
 	p.down = false
 }
 
+// executableOf returns the path of the executable for a kind of program: that of another build if the flag programs
+// names a directory that contains it, otherwise the test binary.
+func executableOf(kind string) (string, error) {
+	if *programs != "" {
+		path := filepath.Join(*programs, "hollyfork-"+kind)
+		if _, err := os.Stat(path); !errors.Is(err, fs.ErrNotExist) {
+			return path, err
+		}
+	}
+	return os.Executable()
+}
+
+// reportPrograms logs the executables of another build. It fails the test if the flag programs names none.
+func reportPrograms(t testing.TB) {
+	t.Helper()
+	if *programs == "" {
+		return
+	}
+	found, err := filepath.Glob(filepath.Join(*programs, "hollyfork-*"))
+	if err != nil || len(found) == 0 {
+		t.Fatalf("no program of another build in %q: %v", *programs, err)
+	}
+	t.Logf("programs of another build: %s", strings.Join(found, ", "))
+}
+
 // Running reports whether the process was launched and neither killed nor stopped since.
 func (p *Program) Running() bool {
 	return !p.down
