program/soak: restarted agents beside workers that answer one poll and then none

Why real processes seldom break: the holder's second renewal, the first that names the new agent, arrives within milliseconds of the first, and the second poll follows 100 ms after the first listing; it then extends the lease, which hides the fault. It shows only if that renewal is late, the second poll stays unanswered, and the worker stays unanswered until its runs have begun elsewhere.

TestNoSecondRunBesideRestartedAgents brings that about from outside: agents of one data centre after the other are killed or stopped in series that overlap, up to three times each; the worker of a new agent answers one poll and then nothing for 1.5 to 3 s (less than a lease; half of the calls are carried out at once, half 2 to 12 s later); for three of four series the connections from holders are slow (150 ms each way); beside that a holder is killed, orders are late, or a data centre is silent. Tasks last 3 to 8 s. The checks are those of the other soaks, and each job has to be done. Stand-in workers get StallAfterPoll. The plans and draws of TestSeries are as before.

--- a/program/soak/doc.go
+++ b/program/soak/doc.go
@@ -12,4 +12,6 @@
 // In TestSeries the faults come in series, beside orders to workers that are carried out late. With more processes:
 //
 //	go test ./program/soak -run Series -first 1000 -gateways 8 -workers 180
+//
+// In TestNoSecondRunBesideRestartedAgents agents are restarted in series, and their workers leave calls unanswered.
 package soak
--- a/program/soak/series_test.go
+++ b/program/soak/series_test.go
@@ -35,7 +35,10 @@
 	seriesRun struct {
 		*seedRun
 
-		plan []action
+		// period is the time in which faults are injected and clients submit jobs, and jobCount the number of jobs.
+		period   time.Duration
+		jobCount int
+		plan     []action
 		// states are the states of the processes that are not up.
 		states map[*cluster.Program]syscall.Signal
 	}
@@ -71,26 +74,38 @@
 	random := rand.New(rand.NewPCG(seed, seed))
 	random.IntN(2) // It chose whether names recur; the plans of earlier seeds stay as they were.
 	instances := fakes.InstanceConfig{ReuseID: namesRecur, Downtime: time.Duration(20+random.IntN(3000)) * time.Millisecond}
+	s := newSeriesRun(t, seed, random, instances)
+	s.period, s.jobCount, s.faultKinds = seriesPeriod, seriesJobs, allFaults
+	for range seriesCount {
+		s.planSeries(s.drawUpTo(seriesPeriod))
+	}
+	s.run(s.randomJob)
+}
+
+func newSeriesRun(t *testing.T, seed uint64, random *rand.Rand, instances fakes.InstanceConfig) *seriesRun {
+	t.Helper()
 	s := &seriesRun{
 		seedRun: &seedRun{
 			Cluster: cluster.NewWithInstances(t, *gateways, *workers, instances), t: t, random: random, extraRandom: random,
-			gangJobs: map[int]bool{}, faultKinds: allFaults,
+			gangJobs: map[int]bool{},
 		},
 		states: map[*cluster.Program]syscall.Signal{},
 	}
 	for _, w := range s.Workers {
 		w.SetSeed(seed)
 	}
-	for range seriesCount {
-		s.planSeries(s.drawUpTo(seriesPeriod))
-	}
+	return s
+}
+
+// run carries out the plan while clients submit jobs. Then it ends all faults and checks the jobs and runs.
+func (s *seriesRun) run(newJob func() string) {
 	slices.SortStableFunc(s.plan, func(a, b action) int { return int(a.at - b.at) })
 	var running sync.WaitGroup
 	start := time.Now()
 	for number := range clientCount {
 		jobs := map[int]string{}
-		for id := 1 + number; id <= seriesJobs; id += clientCount {
-			jobs[id] = s.randomJob()
+		for id := 1 + number; id <= s.jobCount; id += clientCount {
+			jobs[id] = newJob()
 			s.RegisterJob(id, jobs[id])
 			s.gangJobs[id] = strings.Contains(jobs[id], `"gang":true`)
 			s.accepted = append(s.accepted, id)
@@ -105,7 +120,7 @@
 	repaired := time.Now()
 	running.Wait()
 	s.check()
-	t.Logf("faults for %s, jobs done %s later", repaired.Sub(start).Round(time.Second), time.Since(repaired).Round(time.Millisecond))
+	s.t.Logf("faults for %s, jobs done %s later", repaired.Sub(start).Round(time.Second), time.Since(repaired).Round(time.Millisecond))
 }
 
 // planSeries plans a series that begins at a time.
@@ -220,6 +235,7 @@
 	for _, w := range s.Workers {
 		w.SetFaults(fakes.WorkerFaults{})
 		w.SetUnresponsive(false)
+		w.StallAfterPoll(0)
 		w.SetAccelerators(time.Now(), workerAccelerators)
 	}
 }
@@ -235,7 +251,7 @@
 		}
 		return status, content
 	}
-	for id := 1 + number; id <= seriesJobs; id += clientCount {
+	for id := 1 + number; id <= s.jobCount; id += clientCount {
 		deadline := time.Now().Add(settleTimeout)
 		for status := 0; status != http.StatusOK; time.Sleep(retryInterval) {
 			if status, _ = call(http.MethodPost, id, jobs[id]); time.Now().After(deadline) {
@@ -243,7 +259,7 @@
 				return
 			}
 		}
-		for next := time.Now().Add(seriesPeriod * clientCount / seriesJobs); time.Now().Before(next); time.Sleep(retryInterval) {
+		for next := time.Now().Add(s.period * clientCount / time.Duration(s.jobCount)); time.Now().Before(next); time.Sleep(retryInterval) {
 			if _, content := call(http.MethodGet, id, ""); content == `{"state":"done"}` {
 				s.Runs.NoteDone(jobName(id))
 			}
