program/soak: cuts of around a lease's length, late deliveries, paused holders, slow processes

The open hypotheses of the incident (a paused or starved holder, a cut network that delivers late, the processor short on all sides, workers that end while an end is under way) had no check in real processes: the soak could neither cut an agent from its worker nor hold a message back.

TestCuts overlaps them, seeded, around the lengths of the leases: agents cut off from holders and the store for AgentLease +-1 s, workers cut off from agents for that or for the worker's longest lease, both ways or one way, by data centre, by half or singly; gateways without the store and paused holders for LeaseValidity, TakeoverAfter or AgentLease; agents paused or restarted; all processes stopped for half or more of each 250 ms; workers that crash while they list ends. Tasks of 3 to 8 s, gangs with several tasks a worker.

--- /dev/null
+++ b/program/soak/cuts_test.go
@@ -0,0 +1,272 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"hollyfork.example/hollyfork/holder"
+	"hollyfork.example/hollyfork/platform/fakes"
+	"hollyfork.example/hollyfork/pool"
+	"hollyfork.example/hollyfork/program/cluster"
+)
+
+// The test in this file aims at the moment when a run is considered lost while it goes on. Agents are cut off from
+// holders, workers from agents, and gateways from the store, each for around the length of the lease that then ends.
+// Links deliver late what they have held back. Meanwhile holders are paused for around their lease, agents are
+// stopped, all processes are slow at once, and workers end while the ends of their runs are under way. The tasks are
+// longer than the leases.
+
+const (
+	// longestWorkerLease is the longest lease that a worker accepts, including the drift of its clock.
+	longestWorkerLease = 6300 * time.Millisecond
+	// cutSpread is how much longer or shorter than a lease a cut is.
+	cutSpread = time.Second
+	// sliceLength is the time in which slow processes run once.
+	sliceLength = 250 * time.Millisecond
+	// dyingFor is how long workers are observed for runs that have just ended.
+	dyingFor = 3 * time.Second
+	// dyingCount is the number of workers that end in this time at most.
+	dyingCount = 3
+)
+
+// cutCount is the number of cuts of a seed. They overlap.
+var cutCount = flag.Int("cuts", 5, "number of cuts of a seed of TestCuts")
+
+// cutModes are the ways in which links are cut.
+var cutModes = []fakes.Mode{fakes.Hold, fakes.HoldRequests, fakes.HoldResponses, fakes.Blackhole, fakes.BlackholeResponses, fakes.Reset}
+
+// cutsRun is the run of one seed.
+type cutsRun struct {
+	*seriesRun
+}
+
+func TestCuts(t *testing.T) {
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runCuts(t, seed)
+		})
+	}
+}
+
+func runCuts(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, seed))
+	instances := fakes.InstanceConfig{Downtime: time.Duration(20+random.IntN(3000)) * time.Millisecond}
+	s := &cutsRun{&seriesRun{
+		seedRun: &seedRun{
+			Cluster: cluster.NewWithInstances(t, *gateways, *workers, instances), t: t, random: random, extraRandom: random,
+			gangJobs: map[int]bool{}, faultKinds: allFaults,
+		},
+		states: map[*cluster.Program]syscall.Signal{},
+	}}
+	for range *cutCount {
+		s.planCut(time.Second + s.drawUpTo(seriesPeriod-longestWorkerLease))
+	}
+	slices.SortStableFunc(s.plan, func(a, b action) int { return int(a.at - b.at) })
+	var running sync.WaitGroup
+	start := time.Now()
+	for number := range clientCount {
+		jobs := map[int]string{}
+		for id := 1 + number; id <= seriesJobs; id += clientCount {
+			jobs[id] = s.longJob()
+			s.RegisterJob(id, jobs[id])
+			s.gangJobs[id] = strings.Contains(jobs[id], `"gang":true`)
+			s.accepted = append(s.accepted, id)
+		}
+		running.Go(func() { s.client(number, jobs) })
+	}
+	for _, a := range s.plan {
+		time.Sleep(time.Until(start.Add(a.at)))
+		a.do()
+	}
+	s.endFaults()
+	s.healLinks()
+	running.Wait()
+	s.check()
+	s.logLosses()
+}
+
+// longJob returns a job whose tasks run longer than the holder's lease, several of them on one worker.
+func (s *cutsRun) longJob() string {
+	length := (3*time.Second + s.drawUpTo(5*time.Second)).String()
+	if s.random.IntN(2) == 0 {
+		return cluster.GangJob(2+s.random.IntN(3), 1, length)
+	}
+	return cluster.TasksJob(1+s.random.IntN(3), length)
+}
+
+// planCut plans faults that meet around the end of leases that the agents of some workers have at a time.
+func (s *cutsRun) planCut(at time.Duration) {
+	lease := pool.DefaultSettings().AgentLease
+	group := s.drawGroup()
+	if s.chance(0.7) {
+		from, to, mode := s.drawCut(at, lease)
+		s.planForGroup(group, from, to, func(n int) { s.Sidecars[n].Proxies[0].SetMode(mode) }, func(n int) { s.Sidecars[n].Proxies[0].SetMode(fakes.Pass) })
+	}
+	if s.chance(0.5) {
+		from, to, mode := s.drawCut(at, []time.Duration{lease, longestWorkerLease}[s.random.IntN(2)])
+		s.planForGroup(group, from, to, func(n int) { s.Workers[n].SetLink(mode) }, func(n int) { s.Workers[n].SetLink(fakes.Pass) })
+	}
+	if s.chance(0.3) {
+		from, to, mode := s.drawCut(at, lease)
+		s.planForGroup(group, from, to, func(n int) { s.Sidecars[n].Proxies[1].SetMode(mode) }, func(n int) { s.Sidecars[n].Proxies[1].SetMode(fakes.Pass) })
+	}
+	if s.chance(0.5) {
+		s.planPause(at+s.drawUpTo(lease+cutSpread), func() *cluster.Program { return s.Gateways[max(0, s.Holder())] })
+	}
+	if s.chance(0.3) {
+		s.planStoreCut(at + s.drawUpTo(lease))
+	}
+	if s.chance(0.3) {
+		s.planAgentStops(group, at+s.drawUpTo(lease))
+	}
+	if s.chance(0.3) {
+		s.planSlowProcesses(at + s.drawUpTo(lease))
+	}
+	if s.chance(0.3) {
+		s.plan = append(s.plan, action{at + s.drawUpTo(lease), func() { go s.endWorkersAtEndsOfRuns() }})
+	}
+}
+
+// drawGroup returns the numbers of the workers that a cut concerns: those of a data centre, about half, or one.
+func (s *cutsRun) drawGroup() []int {
+	kind, dataCentre, single := s.random.IntN(5), s.random.IntN(2), s.random.IntN(*workers)
+	var group []int
+	for n := range *workers {
+		switch {
+		case kind < 2 && cluster.DataCentre(n) == cluster.DataCentre(dataCentre), kind == 4 && n == single, kind > 1 && kind < 4 && s.random.IntN(2) == 0:
+			group = append(group, n)
+		}
+	}
+	return group
+}
+
+// drawCut returns the start, the end and the mode of a cut that begins about at a time and lasts about as long as a
+// lease.
+func (s *cutsRun) drawCut(at, lease time.Duration) (from, to time.Duration, mode fakes.Mode) {
+	from = at + s.drawUpTo(cutSpread)
+	return from, from + s.drawAround(lease), cutModes[s.random.IntN(len(cutModes))]
+}
+
+// drawAround returns a time that is at most cutSpread longer or shorter than a lease.
+func (s *cutsRun) drawAround(lease time.Duration) time.Duration {
+	return lease - cutSpread + s.drawUpTo(2*cutSpread)
+}
+
+func (s *cutsRun) chance(probability float64) bool {
+	return s.random.Float64() < probability
+}
+
+func (s *cutsRun) planForGroup(group []int, from, to time.Duration, do, undo func(number int)) {
+	for _, n := range group {
+		s.plan = append(s.plan, action{from, func() { do(n) }}, action{to, func() { undo(n) }})
+	}
+}
+
+// planPause pauses a process for around the holder's lease, the time until a takeover, or the lease of an agent.
+func (s *cutsRun) planPause(at time.Duration, process func() *cluster.Program) {
+	lease := []time.Duration{holder.LeaseValidity, holder.TakeoverAfter, pool.DefaultSettings().AgentLease}[s.random.IntN(3)]
+	var p *cluster.Program
+	s.plan = append(s.plan,
+		action{at, func() { p = process(); s.signal(p, syscall.SIGSTOP) }},
+		action{at + s.drawAround(lease), func() { s.bringUp(p) }})
+}
+
+// planStoreCut cuts about half of the gateways off from the store for around the holder's lease.
+func (s *cutsRun) planStoreCut(at time.Duration) {
+	for _, g := range s.Gateways {
+		if s.random.IntN(2) == 0 {
+			continue
+		}
+		from, to, mode := s.drawCut(at, []time.Duration{holder.LeaseValidity, holder.TakeoverAfter}[s.random.IntN(2)])
+		s.plan = append(s.plan, action{from, func() { g.Proxies[0].SetMode(mode) }}, action{to, func() { g.Proxies[0].SetMode(fakes.Pass) }})
+	}
+}
+
+// planAgentStops pauses the agents of a group for around their lease, or restarts them.
+func (s *cutsRun) planAgentStops(group []int, at time.Duration) {
+	signal := []syscall.Signal{syscall.SIGSTOP, syscall.SIGTERM, syscall.SIGKILL}[s.random.IntN(3)]
+	length := 100*time.Millisecond + s.drawUpTo(time.Second)
+	if signal == syscall.SIGSTOP {
+		length = s.drawAround(pool.DefaultSettings().AgentLease)
+	}
+	s.planForGroup(group, at, at+length, func(n int) { s.signal(s.Sidecars[n], signal) }, func(n int) { s.bringUp(s.Sidecars[n]) })
+}
+
+// planSlowProcesses lets all processes run only for a part of each sliceLength.
+func (s *cutsRun) planSlowProcesses(at time.Duration) {
+	stopped := sliceLength/2 + s.drawUpTo(sliceLength/2)
+	for range 4 + s.random.IntN(20) {
+		s.plan = append(s.plan, action{at, s.pauseAll}, action{at + stopped, s.continueAll})
+		at += sliceLength
+	}
+}
+
+// pauseAll pauses all processes that are up.
+func (s *cutsRun) pauseAll() {
+	var pausing sync.WaitGroup
+	for _, p := range slices.Concat(s.Gateways, s.Sidecars) {
+		if _, down := s.states[p]; !down {
+			s.states[p] = syscall.SIGSTOP
+			pausing.Go(func() { p.Signal(syscall.SIGSTOP) })
+		}
+	}
+	pausing.Wait()
+}
+
+// continueAll continues all processes that are paused.
+func (s *cutsRun) continueAll() {
+	for _, p := range slices.Concat(s.Gateways, s.Sidecars) {
+		if s.states[p] == syscall.SIGSTOP {
+			s.bringUp(p)
+		}
+	}
+}
+
+// endWorkersAtEndsOfRuns ends some workers that list ends of runs which nobody has acknowledged yet.
+func (s *cutsRun) endWorkersAtEndsOfRuns() {
+	ended := 0
+	for until := time.Now().Add(dyingFor); time.Now().Before(until) && ended < dyingCount; time.Sleep(10 * time.Millisecond) {
+		for _, w := range s.Workers {
+			if w.Up() && w.UnacknowledgedEnds() > 0 && ended < dyingCount {
+				w.Crash()
+				ended++
+			}
+		}
+	}
+}
+
+// healLinks ends all cuts.
+func (s *cutsRun) healLinks() {
+	for _, p := range slices.Concat(s.Gateways, s.Sidecars) {
+		for _, proxy := range p.Proxies {
+			proxy.SetMode(fakes.Pass)
+		}
+	}
+	for _, w := range s.Workers {
+		w.SetLink(fakes.Pass)
+	}
+}
+
+// logLosses logs how often the faults led to the moments at which this test aims.
+func (s *cutsRun) logLosses() {
+	counts := map[string]int{}
+	for _, p := range slices.Concat(s.Gateways, s.Sidecars) {
+		for line := range strings.SplitSeq(p.Output(), "\n") {
+			for _, message := range []string{"all runs of the worker are considered ended", "its lease has lapsed", "run lost", "holds the pool", "stray run stopped"} {
+				if strings.Contains(line, message) {
+					counts[message]++
+				}
+			}
+		}
+	}
+	s.t.Logf("lines of the logs: %v", counts)
+}
