program/soak: late deliveries after a cut, cuts from one holder alone, slow clocks

Connections that were open in a cut can now deliver what they held up to 3 s after new connections pass (as retransmission does). Agents can be cut off from the present holder alone, or from all other gateways while that one has no store.

--- a/program/soak/cuts_test.go
+++ b/program/soak/cuts_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -26,8 +27,12 @@
 const (
 	// longestWorkerLease is the longest lease that a worker accepts, including the drift of its clock.
 	longestWorkerLease = 6300 * time.Millisecond
+	// slowClockRate is the speed of the slowest clock that the platform allows.
+	slowClockRate = 0.98
 	// cutSpread is how much longer or shorter than a lease a cut is.
 	cutSpread = time.Second
+	// maxHeldFor is how long after a cut connections deliver what they have held back.
+	maxHeldFor = 3 * time.Second
 	// sliceLength is the time in which slow processes run once.
 	sliceLength = 250 * time.Millisecond
 	// dyingFor is how long workers are observed for runs that have just ended.
@@ -60,6 +65,9 @@
 func runCuts(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, seed))
 	instances := fakes.InstanceConfig{Downtime: time.Duration(20+random.IntN(3000)) * time.Millisecond}
+	if random.IntN(2) == 0 {
+		instances.ClockRate = slowClockRate
+	}
 	s := &cutsRun{&seriesRun{
 		seedRun: &seedRun{
 			Cluster: cluster.NewWithInstances(t, *gateways, *workers, instances), t: t, random: random, extraRandom: random,
@@ -108,16 +116,16 @@
 	lease := pool.DefaultSettings().AgentLease
 	group := s.drawGroup()
 	if s.chance(0.7) {
-		from, to, mode := s.drawCut(at, lease)
-		s.planForGroup(group, from, to, func(n int) { s.Sidecars[n].Proxies[0].SetMode(mode) }, func(n int) { s.Sidecars[n].Proxies[0].SetMode(fakes.Pass) })
+		s.planProxyCut(group, 0, at, lease)
 	}
 	if s.chance(0.5) {
-		from, to, mode := s.drawCut(at, []time.Duration{lease, longestWorkerLease}[s.random.IntN(2)])
-		s.planForGroup(group, from, to, func(n int) { s.Workers[n].SetLink(mode) }, func(n int) { s.Workers[n].SetLink(fakes.Pass) })
+		s.planWorkerCut(group, at, []time.Duration{lease, longestWorkerLease}[s.random.IntN(2)])
 	}
 	if s.chance(0.3) {
-		from, to, mode := s.drawCut(at, lease)
-		s.planForGroup(group, from, to, func(n int) { s.Sidecars[n].Proxies[1].SetMode(mode) }, func(n int) { s.Sidecars[n].Proxies[1].SetMode(fakes.Pass) })
+		s.planProxyCut(group, 1, at, lease)
+	}
+	if s.chance(0.4) {
+		s.planHolderCut(group, at+s.drawUpTo(lease))
 	}
 	if s.chance(0.5) {
 		s.planPause(at+s.drawUpTo(lease+cutSpread), func() *cluster.Program { return s.Gateways[max(0, s.Holder())] })
@@ -136,6 +144,62 @@
 	}
 }
 
+// planProxyCut cuts the agents of a group off, by one of their proxies.
+func (s *cutsRun) planProxyCut(group []int, proxy int, at, lease time.Duration) {
+	from, to, mode := s.drawCut(at, lease)
+	heldFor := s.drawHeldFor()
+	s.planForGroup(group, from, to,
+		func(n int) { s.Sidecars[n].Proxies[proxy].SetMode(mode) },
+		func(n int) { s.Sidecars[n].Proxies[proxy].Heal(heldFor) })
+}
+
+// planWorkerCut cuts the workers of a group off from their agents.
+func (s *cutsRun) planWorkerCut(group []int, at, lease time.Duration) {
+	from, to, mode := s.drawCut(at, lease)
+	heldFor := s.drawHeldFor()
+	s.planForGroup(group, from, to, func(n int) { s.Workers[n].SetLink(mode) }, func(n int) { s.Workers[n].HealLink(heldFor) })
+}
+
+// planHolderCut cuts the agents of a group off from the gateway that is the holder then, or from all others while that
+// one is cut off from the store. In the second case another gateway takes the pool over, and does not reach the agents
+// that the former holder reaches.
+func (s *cutsRun) planHolderCut(group []int, at time.Duration) {
+	lease := pool.DefaultSettings().AgentLease
+	mode := cutModes[s.random.IntN(len(cutModes))]
+	heldFor := s.drawHeldFor()
+	fromOthers := s.random.IntN(3) > 0
+	length := s.drawAround(lease)
+	if fromOthers {
+		length += holder.TakeoverAfter + lease/2
+	}
+	var cutOff *cluster.Program
+	s.plan = append(s.plan, action{at, func() {
+		cutOff = s.Gateways[max(0, s.Holder())]
+		isHolder := cutOff.Owns()
+		isCut := isHolder
+		if fromOthers {
+			cutOff.Proxies[0].SetMode(mode)
+			isCut = func(client net.Addr) bool { return !isHolder(client) }
+		}
+		for _, n := range group {
+			s.Sidecars[n].Proxies[0].CutClients(mode, isCut)
+		}
+	}}, action{at + length, func() {
+		cutOff.Proxies[0].Heal(heldFor)
+		for _, n := range group {
+			s.Sidecars[n].Proxies[0].Heal(heldFor)
+		}
+	}})
+}
+
+// drawHeldFor returns for how long connections go on holding back what they have held back during a cut.
+func (s *cutsRun) drawHeldFor() time.Duration {
+	if s.random.IntN(2) == 0 {
+		return 0
+	}
+	return s.drawUpTo(maxHeldFor)
+}
+
 // drawGroup returns the numbers of the workers that a cut concerns: those of a data centre, about half, or one.
 func (s *cutsRun) drawGroup() []int {
 	kind, dataCentre, single := s.random.IntN(5), s.random.IntN(2), s.random.IntN(*workers)
@@ -187,7 +251,8 @@
 			continue
 		}
 		from, to, mode := s.drawCut(at, []time.Duration{holder.LeaseValidity, holder.TakeoverAfter}[s.random.IntN(2)])
-		s.plan = append(s.plan, action{from, func() { g.Proxies[0].SetMode(mode) }}, action{to, func() { g.Proxies[0].SetMode(fakes.Pass) }})
+		heldFor := s.drawHeldFor()
+		s.plan = append(s.plan, action{from, func() { g.Proxies[0].SetMode(mode) }}, action{to, func() { g.Proxies[0].Heal(heldFor) }})
 	}
 }
 
