clock: one loop watches for delays and pauses

The loop is watch now; both only judge what it tells. Tests of clock and process pass with -race, unchanged.

--- a/clock/watch.go
+++ b/clock/watch.go
@@ -38,27 +38,17 @@
 // WatchDelays calls onDelays after delays of the process, at most once a second, until ctx is done. It notices delays
 // from delayThreshold on, and surely those that are delayInterval longer. It is meant for logs.
 func WatchDelays(ctx context.Context, c Clock, onDelays func(Delays)) {
-	ticker := time.NewTicker(delayInterval)
-	defer ticker.Stop()
-	last, suspended := c.Now(), c.Suspended()
 	reportedAt := time.Time{}
 	unreported := Delays{}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+	watch(ctx, c, delayInterval, func(now time.Time, late, suspended time.Duration) {
+		if late >= delayThreshold {
+			unreported = unreported.with(late, suspended)
 		}
-		now, total := c.Now(), c.Suspended()
-		if late := now.Sub(last) - delayInterval; late >= delayThreshold {
-			unreported = unreported.with(late, total-suspended)
-		}
-		last, suspended = now, total
 		if unreported.Count > 0 && now.Sub(reportedAt) >= delayReportInterval {
 			onDelays(unreported)
 			unreported, reportedAt = Delays{}, now
 		}
-	}
+	})
 }
 
 func (d Delays) with(late, suspended time.Duration) Delays {
@@ -69,7 +59,17 @@
 // was frozen, until ctx is done. Leases and deadlines account for pauses without it. It is meant for
 // connections, which may have broken, and for logs.
 func WatchPauses(ctx context.Context, c Clock, onPause func(Pause)) {
-	ticker := time.NewTicker(checkInterval)
+	watch(ctx, c, checkInterval, func(_ time.Time, late, suspended time.Duration) {
+		if late >= pauseThreshold {
+			onPause(Pause{Duration: late, Suspended: suspended})
+		}
+	})
+}
+
+// watch calls check at each interval until ctx is done, with the time by which the call is late and the time for which
+// the VM was suspended since the call before.
+func watch(ctx context.Context, c Clock, interval time.Duration, check func(now time.Time, late, suspended time.Duration)) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	last, suspended := c.Now(), c.Suspended()
 	for {
@@ -79,9 +79,7 @@
 		case <-ticker.C:
 		}
 		now, total := c.Now(), c.Suspended()
-		if late := now.Sub(last) - checkInterval; late >= pauseThreshold {
-			onPause(Pause{Duration: late, Suspended: total - suspended})
-		}
+		check(now, now.Sub(last)-interval, total-suspended)
 		last, suspended = now, total
 	}
 }
