hall: failing test: a late reply of a replaced VM's agent loses a part

Two renewals of one agent may be under way (agentLink.renewNow), and between the reading of a reply and its delivery to the actor any time may pass. HandleSyncReply takes the reply of an agent that has a successor for a new VM: the job on the present VM stops without a revoke, its part counts as lost at the lease end of that moment, while the agent's lease is renewed further. If the worker is then cut off, both runs go on.

Evidence: go test ./hall -run LateReplyFromAReplacedVM: the job is STOPPING ("The VM of worker w0 was replaced."); its second run begins 13 s before the first ends.

--- a/hall/restart_test.go
+++ b/hall/restart_test.go
@@ -384,3 +384,33 @@
 	s.run(5 * time.Minute)
 	s.checkOneAtATime(t)
 }
+
+// A reply of the agent on a replaced VM that arrives after one of its successor isn't taken for a replacement of the new VM.
+func TestLateReplyFromAReplacedVMLosesNoPart(t *testing.T) {
+	is := is.New(t)
+	s := newSim(2, 8)
+	s.run(2 * time.Second)
+	core := s.newestHolder().core
+	requests, late := map[string]*wire.SyncRequest{}, map[string]*wire.SyncReply{}
+	for _, n := range s.nodes {
+		requests[n.vm.Name] = core.NextSync(s.now, n.vm.Name)
+		late[n.vm.Name], _ = n.core.Sync(s.now, requests[n.vm.Name])
+		s.replaceVM(n)
+	}
+	s.run(5 * time.Second)
+	spec := gangSpec(1, 8)
+	spec.Repeatable = true
+	spec.Command = []string{"run", "2m"}
+	s.submit("transcode", spec)
+	s.run(5 * time.Second)
+	worker := s.row("transcode").GetPlacement()[0].GetWorker()
+	core.HandleSyncReply(s.now, worker, requests[worker], late[worker])
+	s.run(15 * time.Second)
+	if s.row("transcode").GetState() != wire.JobState_RUNNING {
+		t.Errorf("the job is %v: %s", s.row("transcode").GetState(), s.row("transcode").GetReason())
+	}
+	s.node(worker).partitioned = true
+	s.run(5 * time.Minute)
+	s.checkOneAtATime(t)
+	is.Equal(s.row("transcode").GetState(), wire.JobState_FINISHED)
+}
