hall: a late reply of an agent's earlier incarnation is ignored

Callers would have seen a job stopped ("The VM of worker w0 was replaced") though its worker goes on, and, if the worker is then cut off, a second run beside the first.

Cause: the holder took each reply of another incarnation than the known one for a newer one.

Change: a reply of another incarnation counts only if its renewal was sent when the present one was known, which the request itself says. An earlier agent can't answer such a request; a later one answers the next. So nothing has to be remembered, and a wrong choice can't last.

--- a/hall/agent_record.go
+++ b/hall/agent_record.go
@@ -175,13 +175,18 @@
 	}
 }
 
-// HandleSyncReply applies an agent's reply to a renewal. The reply is nil if none arrived.
+// HandleSyncReply applies an agent's reply to a renewal. The reply is nil if none arrived. A reply of another incarnation
+// than the known one is ignored if the renewal was sent before that one was known: it may be of an earlier one, and says
+// nothing about the agent's present VM and attempts. The reply to the next renewal tells.
 func (c *Core) HandleSyncReply(now time.Time, worker string, request *wire.SyncRequest, reply *wire.SyncReply) {
 	a, ok := c.agents[worker]
 	if !ok || reply == nil || reply.GetRefusal() != nil {
 		return
 	}
 	sameIncarnation := a.incarnation == reply.GetIncarnation()
+	if !sameIncarnation && request.GetIncarnation() != a.incarnation {
+		return
+	}
 	if a.machine != reply.GetMachine() {
 		a.machine = reply.GetMachine()
 		c.stopPartsOfOtherVMs(now, a)
