holder: failing test: an agent is not heard after a late reply of the one before

Callers would see the runs of a worker lost and the worker unused until its agent or the holder restarts.

Two renewals over a link may be under way (run, renew), and any time may pass between the reading of a reply and its delivery. If the first reply that a new holder delivers is of an agent, and the second one of the agent before it, which this holder has never heard, then the present agent's incarnation goes into pastIncarnations: all its replies are ignored from then on, and renewals carry a reading of a clock that is gone.

Evidence: go test ./holder -run AgentIsHeardAfter: the holder knows the instance "first", not "second".

--- a/holder/late_message_test.go
+++ b/holder/late_message_test.go
@@ -148,3 +148,15 @@
 	earlier.deliver(&poolpb.SyncReply{Incarnation: "first agent", LeaseToken: 2, Worker: &poolpb.WorkerState{Instance: "first", Listing: 2}})
 	is.Equal(h.onlyWorker(t).Instance, "second")
 }
+
+// The first two replies over a new link came in reverse, from an agent and from the one before it. The present agent counted
+// as past from then on: its replies were ignored, and its worker stayed unused.
+func TestAgentIsHeardAfterALateReplyOfTheOneBefore(t *testing.T) {
+	is := is.New(t)
+	h, _ := newSlowHolder(t, clocktest.Stopped(time.Unix(1000, 0)))
+	l := newAgentLink(h, pool.AgentAddress{Agent: "a", Address: "127.0.0.1:1"})
+	l.deliver(&poolpb.SyncReply{Incarnation: "second agent", LeaseToken: 1, Worker: &poolpb.WorkerState{Instance: "second", Listing: 1}})
+	l.deliver(&poolpb.SyncReply{Incarnation: "first agent", LeaseToken: 9, Worker: &poolpb.WorkerState{Instance: "first", Listing: 9}})
+	l.deliver(&poolpb.SyncReply{Incarnation: "second agent", LeaseToken: 2, Worker: &poolpb.WorkerState{Instance: "second", Listing: 2}})
+	is.Equal(h.onlyWorker(t).Instance, "second")
+}
