holder: an agent is heard after a late reply of the one before

Callers would have seen the runs of a worker lost, and the worker unused until its agent or the holder restarts.

Which of two agents is the later one was guessed from the order in which their replies were delivered, and the guess was kept for good.

Change: the renewal itself tells. A reply of another incarnation than the last one counts only if its renewal was sent when that one was known: an agent of before can't answer such a renewal, and one of after answers the next. The set of past incarnations goes, and a wrong choice lasts one renewal.

Tests: those that deliver replies now name the incarnation in the renewal, as production code does; what they check is the same.

--- a/holder/agent_link.go
+++ b/holder/agent_link.go
@@ -37,9 +37,8 @@
 	// the store.
 	instance  instance.ID
 	committed uint64
-	// lastReply is the agent's newest reply, pastIncarnations the set of the agent's earlier incarnations.
-	lastReply        *poolpb.SyncReply
-	pastIncarnations map[string]bool
+	// lastReply is the agent's newest reply.
+	lastReply *poolpb.SyncReply
 	// wantFullReport is true if the agent must send a report although the holder has seen its last one.
 	wantFullReport bool
 	// closed is true once the holder has given the link up.
@@ -48,12 +47,11 @@
 
 func newAgentLink(h *Holder, a pool.AgentAddress) *agentLink {
 	return &agentLink{
-		holder:           h,
-		agent:            a.Agent,
-		address:          a.Address,
-		client:           rpc.NewClient(a.Address, h.host.deps.Traffic),
-		lastReply:        &poolpb.SyncReply{},
-		pastIncarnations: map[string]bool{},
+		holder:    h,
+		agent:     a.Agent,
+		address:   a.Address,
+		client:    rpc.NewClient(a.Address, h.host.deps.Traffic),
+		lastReply: &poolpb.SyncReply{},
 	}
 }
 
@@ -79,7 +77,7 @@
 	reachable := true
 	retry := backoff.New(minAgentRetryDelay, maxAgentRetryDelay)
 	for ctx.Err() == nil {
-		reply, err := l.sync(ctx, l.holder.renewalWait())
+		known, reply, err := l.sync(ctx, l.holder.renewalWait())
 		if ctx.Err() != nil {
 			return
 		}
@@ -95,7 +93,7 @@
 			continue
 		}
 		retry.Reset()
-		l.deliver(reply)
+		l.deliver(known, reply)
 	}
 }
 
@@ -108,36 +106,35 @@
 // renew renews the agent's lease at once, in parallel to the renewal whose reply the agent delays. It ignores
 // failures, since run retries.
 func (l *agentLink) renew(ctx context.Context) {
-	if reply, err := l.sync(ctx, 0); err == nil {
-		l.deliver(reply)
+	if known, reply, err := l.sync(ctx, 0); err == nil {
+		l.deliver(known, reply)
 	}
 }
 
 // deliver hands a reply to the holder, unless a newer one came before it: replies to parallel renewals may
 // arrive out of order, and an older reply has an outdated state of the worker and reading of the agent's
-// clock. The lock is held until the reply is sent: replies reach the holder in order, and no renewal counts from a reply
-// that is not on its way to the holder.
-func (l *agentLink) deliver(reply *poolpb.SyncReply) {
+// clock. known is the agent's incarnation in the renewal. The lock is held until the reply is sent: replies reach the
+// holder in order, and no renewal counts from a reply that is not on its way to the holder.
+func (l *agentLink) deliver(known string, reply *poolpb.SyncReply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
 		return
 	}
-	if !l.recordIfNewest(reply) {
+	if !l.recordIfNewest(known, reply) {
 		l.holder.host.deps.Logger.Warn().Str("agent", l.agent).Str("incarnation", reply.GetIncarnation()).Uint64("report", reply.GetReport()).Msg("holder: ignored an out-of-order reply of an agent")
 		return
 	}
 	l.holder.send(syncResult{agent: l.agent, at: l.holder.now(), reply: reply})
 }
 
-// recordIfNewest reports whether a reply is newer than all earlier ones, and records it if so. The lock must be held.
-func (l *agentLink) recordIfNewest(reply *poolpb.SyncReply) bool {
-	switch incarnation := l.lastReply.GetIncarnation(); {
-	case l.pastIncarnations[reply.GetIncarnation()]:
-		return false
-	case reply.GetIncarnation() != incarnation:
-		l.pastIncarnations[incarnation] = incarnation != ""
-	case reply.GetLeaseToken() <= l.lastReply.GetLeaseToken():
+// recordIfNewest reports whether a reply is newer than all earlier ones, and records it if so. A reply of another
+// incarnation than the last one is newer only if its renewal was sent when that one was known: an agent of before can't
+// answer such a renewal, and one of after answers the next. The lock must be held.
+func (l *agentLink) recordIfNewest(known string, reply *poolpb.SyncReply) bool {
+	last := l.lastReply
+	isSame := reply.GetIncarnation() == last.GetIncarnation()
+	if isSame && reply.GetLeaseToken() <= last.GetLeaseToken() || !isSame && known != last.GetIncarnation() {
 		return false
 	}
 	l.lastReply = reply
@@ -172,9 +169,9 @@
 	logger.Warn().Err(err).Str("agent", l.agent).Str("address", l.address).Msg("holder: agent is unreachable")
 }
 
-// sync sends one renewal. The agent may delay its reply by the wait while its report is unchanged. The renewal
-// grants a lease only while the holder's own is valid.
-func (l *agentLink) sync(ctx context.Context, wait time.Duration) (*poolpb.SyncReply, error) {
+// sync sends one renewal, and returns the incarnation of the agent that was known then. The agent may delay its reply by
+// the wait while its report is unchanged. The renewal grants a lease only while the holder's own is valid.
+func (l *agentLink) sync(ctx context.Context, wait time.Duration) (known string, reply *poolpb.SyncReply, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+syncTimeout)
 	defer cancel()
 	l.mu.Lock()
@@ -194,7 +191,8 @@
 	if l.holder.leaseValid(l.holder.now()) {
 		request.LeaseMs = int32(l.holder.host.settings.AgentLease.Milliseconds())
 	}
-	return rpc.Call[poolpb.SyncReply](ctx, l.client, syncMethod, request)
+	reply, err = rpc.Call[poolpb.SyncReply](ctx, l.client, syncMethod, request)
+	return request.GetIncarnation(), reply, err
 }
 
 // order sends orders to the agent, unless the holder's lease is no longer valid. After a failed call the
--- a/holder/agent_link_test.go
+++ b/holder/agent_link_test.go
@@ -55,10 +55,10 @@
 func TestLateRepliesAreIgnored(t *testing.T) {
 	is := is.New(t)
 	l := newAgentLink(newTestHolder(t, 0), pool.AgentAddress{Agent: "a", Address: "127.0.0.1:1"})
-	is.True(l.recordIfNewest(&poolpb.SyncReply{Incarnation: "first", LeaseToken: 5}))
-	is.True(!l.recordIfNewest(&poolpb.SyncReply{Incarnation: "first", LeaseToken: 4}))
-	is.True(l.recordIfNewest(&poolpb.SyncReply{Incarnation: "second", LeaseToken: 1}))
-	is.True(!l.recordIfNewest(&poolpb.SyncReply{Incarnation: "first", LeaseToken: 9}))
+	is.True(l.recordIfNewest("", &poolpb.SyncReply{Incarnation: "first", LeaseToken: 5}))
+	is.True(!l.recordIfNewest("first", &poolpb.SyncReply{Incarnation: "first", LeaseToken: 4}))
+	is.True(l.recordIfNewest("first", &poolpb.SyncReply{Incarnation: "second", LeaseToken: 1}))
+	is.True(!l.recordIfNewest("first", &poolpb.SyncReply{Incarnation: "first", LeaseToken: 9}))
 	is.Equal(l.lastReply.GetIncarnation(), "second")
 }
 
@@ -110,9 +110,9 @@
 	h.links["a"] = l
 	now := h.now()
 	renew := func(at time.Time) {
-		reply, err := l.sync(context.Background(), 0)
+		known, reply, err := l.sync(context.Background(), 0)
 		is.NoErr(err)
-		is.True(l.recordIfNewest(reply))
+		is.True(l.recordIfNewest(known, reply))
 		h.handleSyncResult(syncResult{agent: "a", at: at, reply: reply})
 	}
 	renew(now)
@@ -142,9 +142,9 @@
 	h.links["a"] = l
 	now := h.now()
 	renew := func() {
-		reply, err := l.sync(context.Background(), 0)
+		known, reply, err := l.sync(context.Background(), 0)
 		is.NoErr(err)
-		is.True(l.recordIfNewest(reply))
+		is.True(l.recordIfNewest(known, reply))
 		h.handleSyncResult(syncResult{agent: "a", at: now, reply: reply})
 	}
 	renew()
@@ -162,7 +162,7 @@
 	is := is.New(t)
 	l := newAgentLink(newTestHolder(t, 0), pool.AgentAddress{Agent: "a", Address: "127.0.0.1:1"})
 	answer := func(token int64, w *poolpb.WorkerState) {
-		is.True(l.recordIfNewest(&poolpb.SyncReply{Incarnation: "agent", LeaseToken: token, Report: 5, Worker: w}))
+		is.True(l.recordIfNewest(l.lastReply.GetIncarnation(), &poolpb.SyncReply{Incarnation: "agent", LeaseToken: token, Report: 5, Worker: w}))
 	}
 	answer(1, &poolpb.WorkerState{Instance: "first"})
 	is.Equal(l.seenReport(), uint64(5))
--- a/holder/late_message_test.go
+++ b/holder/late_message_test.go
@@ -69,14 +69,14 @@
 	h, resume := newSlowHolder(t, c)
 	l := newAgentLink(h, pool.AgentAddress{Agent: "a", Address: "127.0.0.1:1"})
 	h.links["a"] = l
-	l.deliver(&poolpb.SyncReply{Incarnation: "agent", LeaseToken: 1, Worker: &poolpb.WorkerState{Instance: "first", Listing: 1}})
+	l.deliver("", &poolpb.SyncReply{Incarnation: "agent", LeaseToken: 1, Worker: &poolpb.WorkerState{Instance: "first", Listing: 1}})
 	is.Equal(h.onlyWorker(t).Instance, "first")
 
 	h.send(stall{})
 	c.Suspend(time.Second)
 	h.sendTick()
 	c.Suspend(3 * time.Second)
-	l.deliver(&poolpb.SyncReply{Incarnation: "agent", LeaseToken: 2}) // The next renewal counts the lease from this reading.
+	l.deliver("agent", &poolpb.SyncReply{Incarnation: "agent", LeaseToken: 2}) // The next renewal counts the lease from this reading.
 	c.Suspend(time.Second)
 	resume <- struct{}{}
 	is.Equal(h.onlyWorker(t).Instance, "first")
@@ -117,13 +117,13 @@
 	c.next.Store(reading)
 	var replies sync.WaitGroup
 	replies.Go(func() {
-		l.deliver(&poolpb.SyncReply{Incarnation: "agent", LeaseToken: 1, Worker: &poolpb.WorkerState{Instance: "first", Listing: 1}})
+		l.deliver("", &poolpb.SyncReply{Incarnation: "agent", LeaseToken: 1, Worker: &poolpb.WorkerState{Instance: "first", Listing: 1}})
 	})
 	<-reading.begun
 	later := make(chan struct{})
 	replies.Go(func() {
 		defer close(later)
-		l.deliver(&poolpb.SyncReply{Incarnation: "agent", LeaseToken: 2, Worker: &poolpb.WorkerState{Instance: "second", Listing: 2}})
+		l.deliver("agent", &poolpb.SyncReply{Incarnation: "agent", LeaseToken: 2, Worker: &poolpb.WorkerState{Instance: "second", Listing: 2}})
 	})
 	select {
 	case <-later:
@@ -141,11 +141,11 @@
 	h, _ := newSlowHolder(t, clocktest.Stopped(time.Unix(1000, 0)))
 	h.setAgent(pool.AgentAddress{Agent: "a", Address: "127.0.0.1:1"})
 	earlier := h.links["a"]
-	earlier.deliver(&poolpb.SyncReply{Incarnation: "first agent", LeaseToken: 1, Worker: &poolpb.WorkerState{Instance: "first", Listing: 1}})
+	earlier.deliver("", &poolpb.SyncReply{Incarnation: "first agent", LeaseToken: 1, Worker: &poolpb.WorkerState{Instance: "first", Listing: 1}})
 	is.Equal(h.onlyWorker(t).Instance, "first")
 	h.setAgent(pool.AgentAddress{Agent: "a", Address: "127.0.0.1:2"})
-	h.links["a"].deliver(&poolpb.SyncReply{Incarnation: "second agent", LeaseToken: 1, Worker: &poolpb.WorkerState{Instance: "second", Listing: 1}})
-	earlier.deliver(&poolpb.SyncReply{Incarnation: "first agent", LeaseToken: 2, Worker: &poolpb.WorkerState{Instance: "first", Listing: 2}})
+	h.links["a"].deliver("", &poolpb.SyncReply{Incarnation: "second agent", LeaseToken: 1, Worker: &poolpb.WorkerState{Instance: "second", Listing: 1}})
+	earlier.deliver("first agent", &poolpb.SyncReply{Incarnation: "first agent", LeaseToken: 2, Worker: &poolpb.WorkerState{Instance: "first", Listing: 2}})
 	is.Equal(h.onlyWorker(t).Instance, "second")
 }
 
@@ -155,8 +155,8 @@
 	is := is.New(t)
 	h, _ := newSlowHolder(t, clocktest.Stopped(time.Unix(1000, 0)))
 	l := newAgentLink(h, pool.AgentAddress{Agent: "a", Address: "127.0.0.1:1"})
-	l.deliver(&poolpb.SyncReply{Incarnation: "second agent", LeaseToken: 1, Worker: &poolpb.WorkerState{Instance: "second", Listing: 1}})
-	l.deliver(&poolpb.SyncReply{Incarnation: "first agent", LeaseToken: 9, Worker: &poolpb.WorkerState{Instance: "first", Listing: 9}})
-	l.deliver(&poolpb.SyncReply{Incarnation: "second agent", LeaseToken: 2, Worker: &poolpb.WorkerState{Instance: "second", Listing: 2}})
+	l.deliver("", &poolpb.SyncReply{Incarnation: "second agent", LeaseToken: 1, Worker: &poolpb.WorkerState{Instance: "second", Listing: 1}})
+	l.deliver("", &poolpb.SyncReply{Incarnation: "first agent", LeaseToken: 9, Worker: &poolpb.WorkerState{Instance: "first", Listing: 9}})
+	l.deliver("second agent", &poolpb.SyncReply{Incarnation: "second agent", LeaseToken: 2, Worker: &poolpb.WorkerState{Instance: "second", Listing: 2}})
 	is.Equal(h.onlyWorker(t).Instance, "second")
 }
