sidecar: A lapse names the starts that no listing has shown

Seen in pooltest TestTaskIsFoundByItsNameInAllLogs beside other work (load 39): the worker fell silent between a start and the next listing, and the agent's line on the lapse had `runs` [], so a search for the task found its start alone. TestLapseNamesRunsThatWereNotListedYet plays it and failed before. Such starts have a field of their own, `unlisted_starts`, as the worker may have refused them.

--- a/sidecar/log.go
+++ b/sidecar/log.go
@@ -42,6 +42,18 @@
 	return names
 }
 
+// unlistedStarts returns the names of runs whose starts were sent and that no listing has contained, at most
+// maxLoggedRuns. The worker may have refused some of them.
+func (c *Core) unlistedStarts() []string {
+	names := []string{}
+	for _, s := range c.pendingStarts {
+		if !s.listed && len(names) < maxLoggedRuns {
+			names = append(names, runName(s.task, s.run))
+		}
+	}
+	return names
+}
+
 // nameOfLease returns a word for what is known of earlier leases.
 func nameOfLease(l earlierLease) string {
 	switch l.(type) {
@@ -106,13 +118,13 @@
 	a.metrics.GetOrCreateCounter(fmt.Sprintf(`hollyfork_sidecar_lapses_total{reason=%q}`, a.core.lapse)).Inc()
 	a.logLease(a.logger.Warn().Err(err), now, poll).Str("reason", a.core.lapse.String()).Dur("silent_for", now.Sub(a.silentSince)).
 		Dur("agent_lease_left", a.core.leaseRemaining(now)).Str("incarnation", a.core.incarnation).Uint64("epoch", a.core.epoch).
-		Strs("runs", a.core.listing.runNames()).Msg("agent: all runs of the worker are considered ended")
+		Strs("runs", a.core.listing.runNames()).Strs("unlisted_starts", a.core.unlistedStarts()).Msg("agent: all runs of the worker are considered ended")
 }
 
 // logLeave logs a leave message of the worker. The lock must be held.
 func (a *Agent) logLeave(id instance.ID) {
 	a.logger.Info().Str("instance", id.String()).Str("known_instance", a.core.heartbeat.Instance.String()).Bool("certain", a.core.instanceEnded).
-		Strs("runs", a.core.listing.runNames()).Msg("agent: the worker has left")
+		Strs("runs", a.core.listing.runNames()).Strs("unlisted_starts", a.core.unlistedStarts()).Msg("agent: the worker has left")
 }
 
 // logEarlierHolder logs that the call of a holder of an earlier epoch was refused, once for each such holder in turn.
--- a/sidecar/log_test.go
+++ b/sidecar/log_test.go
@@ -163,3 +163,32 @@
 		is.Equal(refused["known_epoch"], 7.0)
 	})
 }
+
+// Guards against a lapse that doesn't name the runs that no listing has contained yet. The worker fell silent between a
+// start and the next listing, once under load:
+//
+//	agent: order handled, "order":"start","result":"OK"
+//	agent: all runs of the worker are considered ended, "runs":[]
+//
+// They have a field of their own, as the worker may have refused them.
+func TestLapseNamesRunsThatWereNotListedYet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newLoggedAgent(t)
+		a.worker.listing.Running = nil
+		a.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 2})
+		a.pollOnce(t.Context())
+		request := orderAt(a.core, instanceNamed("first"), 0)
+		request.Epoch = 7
+		request.Starts = []*poolpb.StartOrder{{Task: "5c0e7a21d94b36f8.3.1.17", Run: 2}}
+		is.NoErr(a.Service().Order(request, &poolpb.OrderReply{}))
+		a.worker.silent = true
+		for !a.core.instanceEnded {
+			a.pollOnce(t.Context())
+			time.Sleep(retryInterval)
+		}
+		lapse, _ := a.line("all runs of the worker are considered ended")
+		is.Equal(lapse["runs"], []any{})
+		is.Equal(lapse["unlisted_starts"], []any{"5c0e7a21d94b36f8.3.1.17/2"})
+	})
+}
