program/soak: jobs in proportion to the workers beside restarted agents

No caller saw this. With 24 jobs a cluster of 59 workers was nearly idle. Each worker now counts for five jobs.

--- a/program/soak/restarted_agents_test.go
+++ b/program/soak/restarted_agents_test.go
@@ -17,11 +17,11 @@
 // The agent's first renewal hides this, unless it arrives after the second poll.
 
 const (
-	// restartsPeriod is the time in which series of restarts begin, restartSeriesCount their number, and longJobs the
-	// number of jobs that clients submit meanwhile: some 40% of the capacity of eight workers.
+	// restartsPeriod is the time in which series of restarts begin, restartSeriesCount their number, and
+	// longJobsPerWorker the number of jobs per worker that clients submit meanwhile, for two thirds of the capacity.
 	restartsPeriod     = 20 * time.Second
 	restartSeriesCount = 6
-	longJobs           = 24
+	longJobsPerWorker  = 5
 	// minStall and maxStall bound the time for which workers do not answer. It exceeds the timeout of a poll and is
 	// shorter than leases.
 	minStall = 1500 * time.Millisecond
@@ -46,7 +46,7 @@
 	t.Helper()
 	random := rand.New(rand.NewPCG(seed, seed))
 	s := newSeriesRun(t, seed, random, fakes.InstanceConfig{})
-	s.period, s.jobCount, s.faultKinds = restartsPeriod, longJobs, firstRunFault
+	s.period, s.jobCount, s.faultKinds = restartsPeriod, longJobsPerWorker**workers, firstRunFault
 	for i := range restartSeriesCount {
 		at := 2*time.Second + time.Duration(i)*restartsPeriod/restartSeriesCount
 		s.planAgentRestarts(at+s.drawUpTo(time.Second), cluster.DataCentre(i))
