program/soak: scenes of TestCuts aim at takeovers, former holders, late orders, young agents

Each cut is now one of four scenes: the holder ends while agents are cut off; agents reach one holder alone; orders come after their lease; restarted agents get no answers. The other faults come beside it. A third of the early tasks outlast a takeover and a lease. -relays=false makes a gateway without the store a holder without it.

--- a/program/cluster/cluster.go
+++ b/program/cluster/cluster.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -38,6 +39,9 @@
 	sidecarProgram  = "sidecar"
 )
 
+// Without relays a gateway that is cut off from the store has no other way to it.
+var relays = flag.Bool("relays", true, "whether gateways of a cluster relay calls to the store for each other")
+
 // Cluster is the whole system as separate processes. Create it with New, NewWithInstances or NewAdvised.
 type Cluster struct {
 	Store    *fakes.Store
@@ -174,8 +178,12 @@
 	c.t.Helper()
 	callers, admin := c.freeAddress(), c.freeAddress()
 	toStore := c.proxy(c.storeAddress)
+	relay := ""
+	if *relays {
+		relay = c.freeAddress()
+	}
 	config := fmt.Sprintf("[gateway]\nname = gateway-%d\ncallers = %s\nready = %s\nrelay = %s\nmetrics = %s\nevacuate-within = 5s\n\n[platform]\nstore = %s\nadvice = %s\n",
-		number, callers, c.freeAddress(), c.freeAddress(), admin, toStore.Address(), c.adviceAddress)
+		number, callers, c.freeAddress(), relay, admin, toStore.Address(), c.adviceAddress)
 	p := c.start(gatewayProgram, number, config)
 	p.address = callers
 	p.admin = admin
--- a/program/soak/cuts_test.go
+++ b/program/soak/cuts_test.go
@@ -31,6 +31,9 @@
 	slowClockRate = 0.98
 	// cutSpread is how much longer or shorter than a lease a cut is.
 	cutSpread = time.Second
+	// takeoverAndLease is about the time until another holder has taken over and considers the runs of agents as lost
+	// that it does not reach.
+	takeoverAndLease = 7 * time.Second
 	// maxHeldFor is how long after a cut connections deliver what they have held back.
 	maxHeldFor = 3 * time.Second
 	// sliceLength is the time in which slow processes run once.
@@ -84,7 +87,7 @@
 	for number := range clientCount {
 		jobs := map[int]string{}
 		for id := 1 + number; id <= seriesJobs; id += clientCount {
-			jobs[id] = s.longJob()
+			jobs[id] = s.longJob(id)
 			s.RegisterJob(id, jobs[id])
 			s.gangJobs[id] = strings.Contains(jobs[id], `"gang":true`)
 			s.accepted = append(s.accepted, id)
@@ -102,45 +105,51 @@
 	s.logLosses()
 }
 
-// longJob returns a job whose tasks run longer than the holder's lease, several of them on one worker.
-func (s *cutsRun) longJob() string {
-	length := (3*time.Second + s.drawUpTo(5*time.Second)).String()
+// longJob returns a job whose tasks run longer than the holder's lease, several of them on one worker. Some of the
+// first jobs are so long that they go on while a holder takes over and then waits for the leases of agents.
+func (s *cutsRun) longJob(id int) string {
+	length := 3*time.Second + s.drawUpTo(5*time.Second)
+	if id <= seriesJobs/2 && s.random.IntN(3) == 0 {
+		length += takeoverAndLease
+	}
 	if s.random.IntN(2) == 0 {
-		return cluster.GangJob(2+s.random.IntN(3), 1, length)
+		return cluster.GangJob(2+s.random.IntN(3), 1, length.String())
 	}
-	return cluster.TasksJob(1+s.random.IntN(3), length)
+	return cluster.TasksJob(1+s.random.IntN(3), length.String())
 }
 
-// planCut plans faults that meet around the end of leases that the agents of some workers have at a time.
+// planCut plans faults that meet around the end of leases that the agents of some workers have at a time: one scene,
+// and some faults beside it.
 func (s *cutsRun) planCut(at time.Duration) {
 	lease := pool.DefaultSettings().AgentLease
 	group := s.drawGroup()
-	if s.chance(0.7) {
+	switch s.random.IntN(4) {
+	case 0: // The next holder has not reached the agents yet when their leases end.
 		s.planProxyCut(group, 0, at, lease)
+		s.planHolderEnd(at + s.drawUpTo(lease/2))
+	case 1:
+		s.planHolderCut(group, at)
+	case 2: // Orders arrive after the leases with which they were given.
+		s.planProxyCut(group, 0, at, lease)
+	case 3: // A restarted agent gets no answers.
+		s.planAgentStops(group, at)
+		s.planWorkerCut(group, at+s.drawUpTo(cutSpread), []time.Duration{lease, longestWorkerLease}[s.random.IntN(2)])
 	}
-	if s.chance(0.5) {
-		s.planWorkerCut(group, at, []time.Duration{lease, longestWorkerLease}[s.random.IntN(2)])
-	}
-	if s.chance(0.3) {
-		s.planProxyCut(group, 1, at, lease)
-	}
-	if s.chance(0.4) {
-		s.planHolderCut(group, at+s.drawUpTo(lease))
-	}
-	if s.chance(0.5) {
-		s.planPause(at+s.drawUpTo(lease+cutSpread), func() *cluster.Program { return s.Gateways[max(0, s.Holder())] })
-	}
-	if s.chance(0.3) {
-		s.planStoreCut(at + s.drawUpTo(lease))
-	}
-	if s.chance(0.3) {
-		s.planAgentStops(group, at+s.drawUpTo(lease))
-	}
-	if s.chance(0.3) {
-		s.planSlowProcesses(at + s.drawUpTo(lease))
+	beside := []func(){
+		func() { s.planWorkerCut(group, at, lease) },
+		func() { s.planProxyCut(group, 1, at, lease) },
+		func() { s.planHolderEnd(at + s.drawUpTo(lease+cutSpread)) },
+		func() { s.planStoreCut(at + s.drawUpTo(lease)) },
+		func() { s.planAgentStops(group, at+s.drawUpTo(lease)) },
+		func() { s.planSlowProcesses(at + s.drawUpTo(lease)) },
+		func() {
+			s.plan = append(s.plan, action{at + s.drawUpTo(lease), func() { go s.endWorkersAtEndsOfRuns() }})
+		},
 	}
-	if s.chance(0.3) {
-		s.plan = append(s.plan, action{at + s.drawUpTo(lease), func() { go s.endWorkersAtEndsOfRuns() }})
+	for _, plan := range beside {
+		if s.random.IntN(4) == 0 {
+			plan()
+		}
 	}
 }
 
@@ -170,7 +179,7 @@
 	fromOthers := s.random.IntN(3) > 0
 	length := s.drawAround(lease)
 	if fromOthers {
-		length += holder.TakeoverAfter + lease/2
+		length += holder.TakeoverAfter + lease
 	}
 	var cutOff *cluster.Program
 	s.plan = append(s.plan, action{at, func() {
@@ -225,23 +234,24 @@
 	return lease - cutSpread + s.drawUpTo(2*cutSpread)
 }
 
-func (s *cutsRun) chance(probability float64) bool {
-	return s.random.Float64() < probability
-}
-
 func (s *cutsRun) planForGroup(group []int, from, to time.Duration, do, undo func(number int)) {
 	for _, n := range group {
 		s.plan = append(s.plan, action{from, func() { do(n) }}, action{to, func() { undo(n) }})
 	}
 }
 
-// planPause pauses a process for around the holder's lease, the time until a takeover, or the lease of an agent.
-func (s *cutsRun) planPause(at time.Duration, process func() *cluster.Program) {
+// planHolderEnd kills the holder, or pauses it for around its lease, the time until a takeover, or the lease of an
+// agent.
+func (s *cutsRun) planHolderEnd(at time.Duration) {
 	lease := []time.Duration{holder.LeaseValidity, holder.TakeoverAfter, pool.DefaultSettings().AgentLease}[s.random.IntN(3)]
+	signal, length := syscall.SIGSTOP, s.drawAround(lease)
+	if s.random.IntN(3) == 0 {
+		signal, length = syscall.SIGKILL, 100*time.Millisecond+s.drawUpTo(cutSpread)
+	}
 	var p *cluster.Program
 	s.plan = append(s.plan,
-		action{at, func() { p = process(); s.signal(p, syscall.SIGSTOP) }},
-		action{at + s.drawAround(lease), func() { s.bringUp(p) }})
+		action{at, func() { p = s.Gateways[max(0, s.Holder())]; s.signal(p, signal) }},
+		action{at + length, func() { s.bringUp(p) }})
 }
 
 // planStoreCut cuts about half of the gateways off from the store for around the holder's lease.
