holder: a link that is given up ends

Operators saw "holder: agent is unreachable" for an agent that has a new address and is well, and each change of address left a goroutine that tried again each 0.2 to 0.8 s until the holder ended.

Cause: close closed the client, but run went on until the holder's context was done. Change: run ends once the link is closed, and reports nothing.

--- a/holder/agent_link.go
+++ b/holder/agent_link.go
@@ -71,14 +71,21 @@
 	l.committed = number
 }
 
-// run renews the agent's lease until ctx is done.
+// isClosed reports whether the holder has given the link up.
+func (l *agentLink) isClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
+
+// run renews the agent's lease until ctx is done or the link is closed.
 func (l *agentLink) run(ctx context.Context) {
 	defer l.close()
 	reachable := true
 	retry := backoff.New(minAgentRetryDelay, maxAgentRetryDelay)
 	for ctx.Err() == nil {
 		known, reply, err := l.sync(ctx, l.holder.renewalWait())
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || l.isClosed() {
 			return
 		}
 		if (err == nil) != reachable {
--- a/holder/agent_link_test.go
+++ b/holder/agent_link_test.go
@@ -228,3 +228,20 @@
 	is.Equal(renewalSpacing(1200), maxSyncWait)
 	is.Equal(renewalSpacing(10000), maxSyncWait)
 }
+
+// The link to an earlier address of an agent went on trying to reach it, and reported that the agent is unreachable.
+func TestGivenUpLinkEnds(t *testing.T) {
+	h := newTestHolder(t, 0)
+	l := newAgentLink(h, pool.AgentAddress{Agent: "a", Address: "127.0.0.1:1"})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		l.run(h.ctx)
+	}()
+	l.close()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Error("the link is still open")
+	}
+}
