--- a/pool/decide_test.go
+++ b/pool/decide_test.go
@@ -143,7 +143,7 @@
 func recordDecisions(c *Core, decide func(*Core)) []string {
 	var list []string
 	c.observer = func(e Event) {
-		list = append(list, fmt.Sprintf("%s %s on %s %s", e.Kind, e.Task, e.Worker, e.Detail))
+		list = append(list, fmt.Sprintf("%s %s %s on %s %s", e.Kind, e.Job, e.Task, e.Worker, e.Detail))
 	}
 	decide(c)
 	c.observer = nil
