holder, store: say from when a lease counts

The comments of Acquire, Commit, confirmedSentAt and Outcome.Sent still spoke of the transaction that was confirmed; since the time may be that of an earlier attempt.

--- a/holder/fenced_writer.go
+++ b/holder/fenced_writer.go
@@ -27,8 +27,9 @@
 	onRetry func(error)
 }
 
-// Acquire takes a pool, given the version of its lease's row. It also returns when the confirmed transaction
-// was sent. The function onRetry is called with the error of each failed try of a transaction.
+// Acquire takes a pool, given the version of its lease's row. It also returns a time no later than the commit
+// (store.Outcome.Sent), from which the lease counts. The function onRetry is called with the error of each failed
+// try of a transaction.
 func Acquire(ctx context.Context, s store.Store, poolName, name, address string, version uint64, onRetry func(error)) (*FencedWriter, time.Time, error) {
 	w := &FencedWriter{store: s, pool: poolName, name: name, address: address, version: version, onRetry: onRetry}
 	sent, err := w.write(ctx, nil, false)
@@ -45,7 +46,7 @@
 }
 
 // Commit writes rows and renews the lease in one transaction. It retries until the outcome is known or ctx is
-// done. It returns when the successful try was sent.
+// done. It returns a time no later than the commit, from which the lease counts.
 func (w *FencedWriter) Commit(ctx context.Context, writes []store.Write) (time.Time, error) {
 	return w.write(ctx, writes, false)
 }
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -73,8 +73,8 @@
 	links map[string]*agentLink
 	// renewalSpacing is how long agents delay their replies to renewals, in nanoseconds.
 	renewalSpacing atomic.Int64
-	// confirmedSentAt is when the last transaction that the store confirmed was sent, in nanoseconds since
-	// timeBase.
+	// confirmedSentAt is the time from which the lease counts, no later than the last transaction that the store
+	// confirmed, in nanoseconds since timeBase.
 	confirmedSentAt atomic.Int64
 	timeBase        time.Time
 	// committing is true while a transaction is in flight. commitBeganAt is when the last one began.
--- a/store/guarded_commit.go
+++ b/store/guarded_commit.go
@@ -33,7 +33,8 @@
 // Outcome is the result of a committed transaction.
 type Outcome struct {
 	Stamp Stamp
-	// Sent is no later than the commit: the start of the first attempt that may have committed.
+	// Sent is no later than the commit: the start of the attempt that committed or, if it is not known which one did, of
+	// the first that may have.
 	Sent time.Time
 	// Version is the version of the guard's row after the commit.
 	Version uint64
