hall: a late reply does not make a leaving worker available

Callers saw nothing but a later start: the job was placed on a worker that leaves, whose agent refused it.

Cause: of two renewals that overlap, the reply to the first may arrive last, and its value of leaving replaced the newer one until the next renewal. Change: it counts only if the agent's reading in it is not older than the newest known.

--- a/hall/agent_record.go
+++ b/hall/agent_record.go
@@ -195,12 +195,14 @@
 		a.adoptIncarnation(reply)
 	}
 	// Replies can overtake each other, but the agent's token never decreases.
+	if reply.GetLeaseToken() >= a.leaseToken {
+		a.leaving = reply.GetLeaving()
+	}
 	if reply.GetLeaseToken() > a.leaseToken {
 		a.leaseToken = reply.GetLeaseToken()
 		a.leaseTokenAt = now
 	}
 	a.configVersion = max(a.configVersion, reply.GetConfigVersion())
-	a.leaving = reply.GetLeaving()
 	a.lastReply = now
 	a.unreachableSince = time.Time{}
 	if sameIncarnation && request.GetIncarnation() == a.incarnation {
--- a/hall/restart_test.go
+++ b/hall/restart_test.go
@@ -414,3 +414,21 @@
 	s.checkOneAtATime(t)
 	is.Equal(s.row("transcode").GetState(), wire.JobState_FINISHED)
 }
+
+// Of two renewals that overlap, a late reply to the first doesn't make a leaving worker available again.
+func TestLateReplyDoesNotRecallALeavingWorker(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, 8)
+	s.run(2 * time.Second)
+	core, n := s.newestHolder().core, s.nodes[0]
+	is.True(core.agents["w0"].available)
+	first, second := core.NextSync(s.now, "w0"), core.NextSync(s.now, "w0")
+	late, _ := n.core.Sync(s.now, first)
+	s.now = s.now.Add(time.Millisecond)
+	n.core.Leave()
+	reply, _ := n.core.Sync(s.now, second)
+	core.HandleSyncReply(s.now, "w0", second, reply)
+	is.True(!core.agents["w0"].available)
+	core.HandleSyncReply(s.now, "w0", first, late)
+	is.True(!core.agents["w0"].available)
+}
