--- a/program/soak/cuts_test.go
+++ b/program/soak/cuts_test.go
@@ -73,6 +73,7 @@
 			Cluster: cluster.NewWithInstances(t, *gateways, *workers, instances), t: t, random: random, extraRandom: random,
 			gangJobs: map[int]bool{}, faultKinds: allFaults,
 		},
+		period: seriesPeriod, jobCount: seriesJobs,
 		states: map[*cluster.Program]syscall.Signal{},
 	}}
 	for range *cutCount {
