Failing tests: refused and late starts count as crashes under a task

Four deterministic tests in pool, on the fake workers of the simulation: - the crash is reported while the refusal is under way: counted, and not taken back where workers keep their name (the run is recalled, and its answer then takes no crash back); - the agent answered late: counted, as nothing records that the answer excludes the start; - members of a gang: the refused start of one member is recorded first and hides the crash under the other member. With names that differ, the refusal then takes the only record back, so that a real crash counts nothing; - four workers in series under a gang of which one run had begun, and a fifth run that is rejected: the job fails with the message above.

--- a/pool/sim_crash_test.go
+++ b/pool/sim_crash_test.go
@@ -81,5 +81,8 @@
 // worker.
 func (sim *simulation) noticeDelay(f *fakeWorker) time.Duration {
 	const apart = 15 * time.Millisecond
+	if f.noticesAfter > 0 {
+		return f.noticesAfter
+	}
 	return time.Duration(1+slices.Index(sim.workers, f)) * apart
 }
--- a/pool/sim_order_test.go
+++ b/pool/sim_order_test.go
@@ -22,7 +22,7 @@
 func (sim *simulation) carryOutOrders(orders Orders) {
 	f := sim.workerByName(orders.Agent)
 	if f.down && !f.silent {
-		sim.after(20*time.Millisecond, sim.forCurrentHolder(func() { sim.core.HandleResults(sim.now, orders, refuseAll(orders)) }))
+		sim.after(sim.refusalDelay, sim.forCurrentHolder(func() { sim.core.HandleResults(sim.now, orders, refuseAll(orders)) }))
 		return
 	}
 	if f.silent {
@@ -72,6 +72,9 @@
 	if sim.now.After(f.leaseUntil) {
 		return ResultLate
 	}
+	if f.rejectsLate {
+		return ResultLate
+	}
 	if f.notReady {
 		return ResultOtherInstance
 	}
--- a/pool/sim_test.go
+++ b/pool/sim_test.go
@@ -43,8 +43,10 @@
 	losesReply func() bool
 	// lateStartDelay, unless nil, returns the delay after which a start is carried out whose reply is lost.
 	lateStartDelay func() time.Duration
-	// orderDelay is the time that orders take to reach a worker.
-	orderDelay time.Duration
+	// orderDelay is the time that orders take to reach a worker, refusalDelay the time that the reply takes if nothing
+	// listens at the worker's address.
+	orderDelay   time.Duration
+	refusalDelay time.Duration
 	// storeDown makes every commit fail.
 	storeDown bool
 	epoch     int
@@ -135,6 +137,10 @@
 	// agentNoticesAt.
 	down           bool
 	agentNoticesAt time.Time
+	// noticesAfter is the time that the agent takes to notice a crash; 0 is a time that differs for each worker.
+	noticesAfter time.Duration
+	// rejectsLate means that the agent answers that the lease had ended to each start, and passes none on.
+	rejectsLate bool
 }
 
 type fakeRun struct {
@@ -168,6 +174,8 @@
 		tokenOwners: map[string]map[job.TaskID]bool{},
 		losesReply:  func() bool { return false },
 
+		refusalDelay: 20 * time.Millisecond,
+
 		idleSince: map[job.ID]time.Time{},
 
 		crashingTasks:    map[job.ID]crashingTask{},
--- a/pool/sim_worker_test.go
+++ b/pool/sim_worker_test.go
@@ -189,7 +189,11 @@
 // restartWorker replaces the worker by a new instance without runs. The agent keeps the new instance from
 // carrying out starts that were sent to the former.
 func (f *fakeWorker) restartWorker() {
-	f.instance = instance.New(f.instance.Name(), f.instance.StartTime().UnixMilli()+1)
+	if f.instance.NameMayRecur() {
+		f.instance = instance.New(f.instance.Name(), f.instance.StartTime().UnixMilli()+1)
+	} else {
+		f.instance = instance.New(f.instance.Name()+"+", 0)
+	}
 	f.running = map[runKey]*fakeRun{}
 	f.highestRun = map[job.TaskID]int{}
 	for _, s := range f.unansweredStarts {
