A suspect whose run was recalled goes on within three seconds

What callers saw: in random histories a job has nothing running for 3.5 s beside free capacity, above the 3 s that the tests allow.

Cause: a run whose start the worker's next instance may carry out is recalled, which lasts until that instance reports (2 s). Only then did the suspect's wait of 1.5 s for a worker without other work begin.

Change: that wait also ends 2.5 s after the crash.

--- a/pool/crash.go
+++ b/pool/crash.go
@@ -184,6 +184,7 @@
 	}
 	g.updateSuspicion()
 	g.job.anyCrash = true
+	g.crashedAt = now
 	g.notBefore = now.Add(crashRetryDelay)
 	c.markDirty(g.job)
 }
--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -457,3 +457,24 @@
 	sim.run(2 * time.Second)
 	is.True(sim.runsTaskOf(urgent.ID))
 }
+
+// Guards against a suspect waiting for a worker of its own for the full time after its run was recalled, for which it had
+// waited until its worker was back: a sound job stood still for 3.5 s beside free capacity.
+func TestSuspectOfARecalledRunGoesOn(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 4)
+	sim.run(10 * time.Second)
+	j := oneTask(1, time.Minute)
+	sim.submit(j)
+	sim.runUntil("it runs", func() bool { return sim.runsTaskOf(j.ID) })
+	others := gang(2, 3, 2, time.Minute) // a task on each other worker
+	others.Steps[0].MaxPerWorker = 1
+	sim.submit(others)
+	f := sim.workerByName(sim.core.jobs[j.ID].groups[0].members[0].worker.agent)
+	sim.terminate(f)
+	sim.runCheckingProgress(time.Second)
+	is.Equal(sim.countEvents(EventRevoked), 1)
+	f.notReady = true // it does not take the suspect when it is back
+	sim.runCheckingProgress(4 * time.Second)
+	is.True(sim.runsTaskOf(j.ID))
+}
--- a/pool/group.go
+++ b/pool/group.go
@@ -80,6 +80,8 @@
 		crashes         []crash
 		survivedCrashes int
 		suspicion       suspicion
+		// crashedAt is when the last crash under the group was recorded.
+		crashedAt time.Time
 		// notBefore is the earliest time of the next placement after a crash.
 		notBefore time.Time
 		// extraStarts counts the runs since minProvenCrashes workers have crashed under the group.
--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -26,6 +26,9 @@
 	// isolationTime is how long after its start a suspect keeps a worker to itself. It equals the time
 	// for which a job waits for preferred workers.
 	isolationTime = 1500 * time.Millisecond
+	// maxIsolationWait is how long after a crash a suspect waits at most for a worker of its own. It bounds the
+	// wait where the run is recalled first, which lasts until its worker is back.
+	maxIsolationWait = 2500 * time.Millisecond
 	// minForgetAfter and maxForgetAfter bound how long a run must last until the crashes under its
 	// group are forgotten. The upper bound keeps a long-running task from being abandoned for workers
 	// that crash once a week.
@@ -177,7 +180,10 @@
 // even if there is no free capacity at all: in a full pool, urgent work would otherwise preempt nothing
 // less than a whole worker.
 func (p *pass) wantsIsolation(g *group) bool {
-	return g.suspicion == suspicionIsolate && p.now.Sub(g.readySince) < 2*p.core.settings.RelaxAfter
+	if g.suspicion != suspicionIsolate || p.now.Sub(g.readySince) >= 2*p.core.settings.RelaxAfter {
+		return false
+	}
+	return g.crashedAt.IsZero() || p.now.Sub(g.crashedAt) < maxIsolationWait
 }
 
 // waitsToPreempt reports whether a group waits before it preempts others. If the group then crashed the
