A crash counts against a task only if one of its starts can have been carried out

Cause: a crash was recorded against each member of whose run a start had been sent (maybeSent), whatever its answer. It was taken back only if the answer came after the report, for a run that was gone and of which one start had been sent; not where the run was recalled, as it is where workers keep their name, and never after an answer "late". A refused run also counted as one of the two starts after three crashes. And of the crashes of one run only the first one reported was kept, so that the refused start of one member could hide a crash under another.

Change: startLog records for each member's run how many starts are under way, how many have no answer, and whether the run was seen. Its evidence is a type: none, pending, unknown, seen. None counts nothing. While it is pending, the group is neither started beyond its bound nor given up; the answer settles it, also if it is read after the report (a confirmation counts as seen, unless the next instance may have given it). Unknown counts towards the bound on starts, which stays as it is, but proves nothing. A run that can't have begun is not one of the last two starts. The reason of a failed job names each crash that was counted: run, worker, instance, time since the order, evidence.

--- a/pool/commit.go
+++ b/pool/commit.go
@@ -239,7 +239,7 @@
 			Certain:  k.certain,
 			Inexact:  k.inexact,
 			Run:      int32(k.run),
-			Started:  k.started,
+			Started:  k.starts.seen,
 		}
 	}
 	return rows
--- a/pool/crash.go
+++ b/pool/crash.go
@@ -37,10 +37,8 @@
 	alone bool
 	// certain is false while it is only known that the worker was silent until its lease ended.
 	certain bool
-	// started reports that the run was known to be running. sentOnce reports that its start was sent
-	// exactly once.
-	started  bool
-	sentOnce bool
+	// starts is the evidence that the run was there.
+	starts *startLog
 }
 
 // workerInstance is an instance of the worker beside an agent.
@@ -111,21 +109,25 @@
 func (w *worker) describeRuns(now time.Time, current instance.ID) string {
 	var runs []string
 	for _, m := range w.members {
-		if m.maybeSent && !m.revoked && m.instance != current {
-			runs = append(runs, fmt.Sprintf("%s run %d for %s", m.task(), m.group.run, m.runAge(now)))
+		if found := m.starts.evidence(); found != evidenceNone && !m.revoked && m.instance != current {
+			runs = append(runs, fmt.Sprintf("%s run %d for %s%s", m.task(), m.group.run, m.runAge(now), found.remark()))
 		}
 	}
 	for key := range w.orphans {
 		runs = append(runs, fmt.Sprintf("%s run %d, which it should not", key.task, key.run))
 	}
-	switch {
-	case len(runs) == 0:
+	if len(runs) == 0 {
 		return "nothing"
-	case len(runs) > maxRunsNamed:
-		return fmt.Sprintf("%s and %d others", strings.Join(runs[:maxRunsNamed], ", "), len(runs)-maxRunsNamed)
-	default:
-		return strings.Join(runs, ", ")
 	}
+	return joinBounded(runs, ", ")
+}
+
+// joinBounded joins descriptions of runs, and names maxRunsNamed of them at most.
+func joinBounded(runs []string, separator string) string {
+	if len(runs) > maxRunsNamed {
+		return fmt.Sprintf("%s and %d others", strings.Join(runs[:maxRunsNamed], separator), len(runs)-maxRunsNamed)
+	}
+	return strings.Join(runs, separator)
 }
 
 // runAge returns the time since the member's run was ordered.
@@ -138,24 +140,26 @@
 
 // recordCrash records a crash against every run that the worker may have had, except those of the
 // current instance. That includes starts without an answer, which may have been carried out, and runs
-// that are being stopped.
+// that are being stopped, but no run all of whose starts were rejected.
 func (c *Core) recordCrash(now time.Time, w *worker, current instance.ID, certain bool) {
 	var affected []*group
 	for _, m := range w.members {
-		if !m.maybeSent || m.revoked || m.instance == current {
+		if m.revoked || m.instance == current || m.starts.evidence() == evidenceNone {
 			continue
 		}
 		affected = append(affected, m.group)
 		c.addCrash(now, m.group, crash{
 			index: m.index, run: m.group.run, agent: w.agent, instance: m.instance, after: m.runAge(now),
-			inexact: m.restored, alone: w.runsOnly(m.group), certain: certain,
-			started: m.seenRunning, sentOnce: m.sendCount == 1 && !m.restored,
+			inexact: m.restored, alone: w.runsOnly(m.group), certain: certain, starts: m.starts,
 		})
 	}
 	for key, o := range w.orphans {
 		if g := c.groupOf(key.task); g != nil {
 			affected = append(affected, g)
-			c.addCrash(now, g, crash{index: key.task.Index, run: key.run, agent: w.agent, instance: w.instance, after: now.Sub(o.since), inexact: true, certain: certain})
+			c.addCrash(now, g, crash{
+				index: key.task.Index, run: key.run, agent: w.agent, instance: w.instance, after: now.Sub(o.since),
+				inexact: true, certain: certain, starts: &startLog{unknown: 1},
+			})
 		}
 	}
 	w.crashUnresolved = w.crashUnresolved || !certain
@@ -165,15 +169,16 @@
 }
 
 // addCrash records a crash against a group, once per task and worker instance. A run can crash only one
-// worker, since it ends with that worker: crashes of other workers during the same run have another
-// cause and are not recorded.
+// worker, since it ends with that worker: once it is known to have been on a worker that crashed, crashes of
+// other workers during the same run have another cause and are not recorded.
 func (c *Core) addCrash(now time.Time, g *group, next crash) {
 	if g.done || g.job.state.ended() {
 		return
 	}
 	for _, known := range g.crashes {
 		sameWorker := known.workerInstance() == next.workerInstance()
-		if sameWorker && known.index == next.index || !sameWorker && known.run == next.run {
+		sameRun := known.run == next.run && known.certain && known.starts.evidence() == evidenceSeen
+		if sameWorker && known.index == next.index || !sameWorker && sameRun {
 			return
 		}
 	}
@@ -189,27 +194,6 @@
 	c.markDirty(g.job)
 }
 
-// retractCrash removes a possible crash under a start after the worker has answered that it did not
-// carry out the start. If the start was sent more than once, the answer does not cover the earlier
-// attempts, and the crash stays: otherwise a task was started four times after three workers had
-// crashed under it.
-func (c *Core) retractCrash(agent string, start Start) {
-	g := c.groupOf(start.Task)
-	if g == nil {
-		return
-	}
-	before := len(g.crashes)
-	g.crashes = slices.DeleteFunc(g.crashes, func(k crash) bool {
-		return k.agent == agent && k.run == start.Run && k.index == start.Task.Index && !k.started && k.sentOnce
-	})
-	if len(g.crashes) == before {
-		return
-	}
-	g.survivedCrashes = min(g.survivedCrashes, len(g.crashes))
-	g.updateSuspicion()
-	c.markDirty(g.job)
-}
-
 // groupOf returns the group of a task, or nil.
 func (c *Core) groupOf(task job.TaskID) *group {
 	j, known := c.jobs[task.Job]
@@ -222,7 +206,7 @@
 // runsOnly reports whether no runs but those of the group were ordered on the worker.
 func (w *worker) runsOnly(g *group) bool {
 	for _, m := range w.members {
-		if m.group != g && m.maybeSent {
+		if m.group != g && m.starts.evidence() != evidenceNone {
 			return false
 		}
 	}
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -185,8 +185,10 @@
 	if g.job.state.ended() {
 		return
 	}
-	if g.outOfStarts() {
-		p.core.endJob(p.now, g.job, Failed, fmt.Sprintf("a task was started %d times after %d workers had crashed under it", finalStarts, minProvenCrashes))
+	if g.startsBarred() {
+		if !g.awaitsAnswers(p.now) {
+			p.core.endJob(p.now, g.job, Failed, g.startsUsedUp())
+		}
 		return
 	}
 	if d.priority == 0 && p.anySlow && p.tryFastWorkers(g) {
@@ -262,9 +264,7 @@
 	g.percent = 0
 	names := make([]string, len(places))
 	for i, w := range places {
-		m := &member{group: g, index: g.first + i, worker: w, instance: w.instance, phase: memberPlaced}
-		g.members = append(g.members, m)
-		w.members = append(w.members, m)
+		g.addMember(w, g.first+i)
 		p.free[w.slot] = p.free[w.slot].Sub(shape)
 		if w.pace.class <= 0 {
 			p.fastFree -= shape.Accelerators
--- a/pool/group.go
+++ b/pool/group.go
@@ -86,6 +86,8 @@
 		notBefore time.Time
 		// extraStarts counts the runs since minProvenCrashes workers have crashed under the group.
 		extraStarts int
+		// startLogs are the logs of the current run, and those of ended runs of which answers are under way.
+		startLogs []*startLog
 		// avoided maps workers to the time until which the group is not placed there.
 		avoided map[*worker]time.Time
 		// percent is the progress of the least advanced member. progressAt is when it last changed.
@@ -108,6 +110,8 @@
 		// sent by an earlier holder.
 		maybeSent bool
 		restored  bool
+		// starts is what is known of the starts that were sent.
+		starts *startLog
 		// seenRunning reports that the worker confirmed the start or listed the run. listed reports
 		// that the worker listed it.
 		seenRunning bool
@@ -198,11 +202,6 @@
 	g.avoided[w] = until
 }
 
-// startMaybeSent reports whether a start of the current run may have been sent.
-func (g *group) startMaybeSent() bool {
-	return slices.ContainsFunc(g.members, func(m *member) bool { return m.maybeSent })
-}
-
 // knownUntil returns the time up to which the state of the group's run is known: the earliest of the
 // last replies of its agents.
 func (g *group) knownUntil(now time.Time) time.Time {
@@ -244,12 +243,9 @@
 	c.resetRun(now, g)
 }
 
-// resetRun prepares a group for its next run after all members are gone. A run without a start that may
-// have been sent does not count towards extraStarts.
+// resetRun prepares a group for its next run after all members are gone.
 func (c *Core) resetRun(now time.Time, g *group) {
-	if !g.startMaybeSent() {
-		g.extraStarts = max(0, g.extraStarts-1)
-	}
+	g.settleRun(g.run)
 	g.members = nil
 	g.ending = false
 	g.orderedAt = time.Time{}
--- a/pool/order.go
+++ b/pool/order.go
@@ -43,6 +43,7 @@
 			return
 		}
 		m.sendCount++
+		m.starts.sent(now)
 		m.maybeSent = true
 		m.startDeadline = m.worker.leaseEnd
 		m.orderInFlight = true
@@ -76,6 +77,9 @@
 // HandleResults processes the results of orders. The outcome of an order without a result counts as unknown. So does
 // that of an order through an earlier incarnation of the agent: its listing number means nothing to the present one.
 func (c *Core) HandleResults(now time.Time, orders Orders, results Results) {
+	for i, start := range orders.Starts {
+		c.recordAnswer(now, orders.Agent, start, resultAt(results.Starts, i))
+	}
 	if w, known := c.workers[orders.Agent]; known && orders.Grant.Incarnation != w.incarnation {
 		results = Results{}
 	}
@@ -83,9 +87,6 @@
 		result := resultAt(results.Starts, i)
 		m := c.findMember(orders.Agent, start.Task, start.Run)
 		if m == nil {
-			if !result.mayRun() {
-				c.retractCrash(orders.Agent, start)
-			}
 			continue
 		}
 		m.orderInFlight = false
--- a/pool/report.go
+++ b/pool/report.go
@@ -88,6 +88,7 @@
 		m.saved = run.Saved
 		c.recordSaved(m.group, run.Saved)
 	}
+	m.starts.seen = m.starts.seen || !m.revoked // the next instance lists a revoked run, not the one that crashed
 	if m.phase == memberOrdered || m.phase == memberUnknown {
 		c.memberStarted(now, m)
 	}
--- a/pool/restore.go
+++ b/pool/restore.go
@@ -203,7 +203,7 @@
 		g.crashes = append(g.crashes, crash{
 			index:    int(k.GetIndex()),
 			run:      int(k.GetRun()),
-			started:  k.GetStarted(),
+			starts:   restoredStartLog(k.GetStarted()),
 			agent:    k.GetAgent(),
 			instance: instance.Parse(k.GetInstance()),
 			after:    time.Duration(k.GetAfterMs()) * time.Millisecond,
@@ -231,7 +231,9 @@
 		nextSendAt: now,
 
 		startDeadline: w.leaseEnd,
+		starts:        &startLog{index: index, run: g.run, agent: w.agent, unknown: 1},
 	}
+	g.startLogs = append(g.startLogs, m.starts)
 	g.members = append(g.members, m)
 	g.orderedAt = now
 	w.members = append(w.members, m)
--- a/pool/sim_test.go
+++ b/pool/sim_test.go
@@ -43,9 +43,10 @@
 	losesReply func() bool
 	// lateStartDelay, unless nil, returns the delay after which a start is carried out whose reply is lost.
 	lateStartDelay func() time.Duration
-	// orderDelay is the time that orders take to reach a worker, refusalDelay the time that the reply takes if nothing
-	// listens at the worker's address.
+	// orderDelay is the time that orders take to reach a worker, replyDelay the time that its reply takes, and
+	// refusalDelay that of the agent's reply if nothing listens at the worker's address.
 	orderDelay   time.Duration
+	replyDelay   time.Duration
 	refusalDelay time.Duration
 	// storeDown makes every commit fail.
 	storeDown bool
@@ -174,6 +175,7 @@
 		tokenOwners: map[string]map[job.TaskID]bool{},
 		losesReply:  func() bool { return false },
 
+		replyDelay:   3 * time.Millisecond,
 		refusalDelay: 20 * time.Millisecond,
 
 		idleSince: map[job.ID]time.Time{},
--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -44,7 +44,7 @@
 	g.suspicion = suspicionNone
 	var previous workerInstance
 	for _, k := range g.crashes[g.survivedCrashes:] {
-		if !k.certain {
+		if !k.certain || k.starts.evidence() <= evidencePending {
 			continue
 		}
 		if k.after <= earlyCrash || (previous != workerInstance{}) && previous != k.workerInstance() {
@@ -65,14 +65,14 @@
 	runTime := g.knownUntil(now).Sub(g.runningSince)
 	if g.suspicion != suspicionNone && runTime > g.clearedAfter() {
 		g.survivedCrashes = len(g.crashes)
-		g.extraStarts = 0
+		g.forgetExtraStarts()
 		g.updateSuspicion()
 		c.capacityChanged = true
 	}
 	if runTime > g.forgetCrashesAfter() {
 		g.crashes = nil
 		g.survivedCrashes = 0
-		g.extraStarts = 0
+		g.forgetExtraStarts()
 		g.updateSuspicion()
 	}
 }
--- a/pool/verdict.go
+++ b/pool/verdict.go
@@ -39,12 +39,14 @@
 
 // crashRecord summarises the crashes under one task of a group.
 type crashRecord struct {
-	// total counts all crashes, possible ones included. proven counts certain crashes under runs that
-	// were known to be running. alone counts the proven ones without any other run on the worker.
-	total  int
-	proven int
-	alone  int
-	agents map[string]bool
+	// total counts all crashes, possible ones included. pending counts those under runs of which it is not known
+	// yet whether they began. proven counts certain crashes under runs that were known to be running. alone counts
+	// the proven ones without any other run on the worker.
+	total   int
+	pending int
+	proven  int
+	alone   int
+	agents  map[string]bool
 	// shortest and longest are the shortest and longest known times from the order of a run to the
 	// crash. exposure is the sum over all proven crashes, inexact times included.
 	shortest time.Duration
@@ -66,7 +68,10 @@
 
 func (r *crashRecord) add(k crash) {
 	r.total++
-	if !k.certain || !k.started {
+	if k.starts.evidence() == evidencePending {
+		r.pending++
+	}
+	if !k.certain || k.starts.evidence() != evidenceSeen {
 		return
 	}
 	r.proven++
@@ -102,9 +107,9 @@
 func (c *Core) crashFailureReason(now time.Time, g *group) string {
 	for _, k := range g.crashes {
 		r := g.recordOf(k.index)
-		if r.total >= maxTaskCrashes || r.provesTask(len(c.workers)) && c.coincidence(now, r) < maxCoincidence {
-			return fmt.Sprintf("%d workers crashed under task %s, after %s to %s, %d times with nothing beside it",
-				r.total, g.task(k.index), r.shortest, r.longest, r.alone)
+		if r.total-r.pending >= maxTaskCrashes || r.provesTask(len(c.workers)) && c.coincidence(now, r) < maxCoincidence {
+			return fmt.Sprintf("%d workers crashed under task %s, after %s to %s, %d times with nothing beside it: %s",
+				r.total, g.task(k.index), r.shortest, r.longest, r.alone, g.describeCrashes(k.index))
 		}
 	}
 	return ""
@@ -147,7 +152,7 @@
 // crashed before.
 func (w *worker) runsSuspectAlone() bool {
 	for _, m := range w.members {
-		if m.maybeSent {
+		if m.starts.evidence() != evidenceNone {
 			return m.group.suspicion != suspicionNone && w.runsOnly(m.group)
 		}
 	}
@@ -172,6 +177,7 @@
 func (g *group) countStart() {
 	if g.startsLimited() {
 		g.extraStarts++
+		g.setCounted(g.run, true)
 	}
 }
 
@@ -193,3 +199,43 @@
 func (g *group) outOfStarts() bool {
 	return g.extraStarts >= finalStarts && g.startsLimited()
 }
+
+// startsBarred reports whether the group may not be started, counting crashes that pending answers may take back.
+func (g *group) startsBarred() bool {
+	return g.outOfStarts() || len(g.crashes) >= maxTaskCrashes && g.crashCount() >= maxTaskCrashes
+}
+
+// startsUsedUp returns why a group is abandoned that has used up its starts.
+func (g *group) startsUsedUp() string {
+	worst := 0
+	for _, k := range g.crashes {
+		if g.recordOf(k.index).total > g.recordOf(worst).total {
+			worst = k.index
+		}
+	}
+	return fmt.Sprintf("task %s was started %d times after %d workers had crashed under it: %s",
+		g.task(worst), g.extraStarts, g.recordOf(worst).total, g.describeCrashes(worst))
+}
+
+// describeCrashes names the crashes under a task: run, worker, instance, and the evidence that the run was there.
+func (g *group) describeCrashes(index int) string {
+	var parts []string
+	for _, k := range g.crashes {
+		if k.index == index {
+			parts = append(parts, k.String())
+		}
+	}
+	return joinBounded(parts, "; ")
+}
+
+// String describes the crash for operators.
+func (k crash) String() string {
+	text := fmt.Sprintf("run %d on %s (%s) %s after its order, %s", k.run, k.agent, k.instance, k.after.Round(time.Millisecond), evidenceNames[k.starts.evidence()])
+	if k.alone {
+		text += ", alone"
+	}
+	if !k.certain {
+		text += ", the worker may have been silent only"
+	}
+	return text
+}
