A later crash with another cause does not lift the limit on starts

Cause: the limit of two starts holds while the crashes came at similar times after the start. A worker that crashed for another reason during the fourth run made them dissimilar, and lifted the limit.

Evidence: TestLaterCrashKeepsTheLimitOnStarts fails without it.

--- a/pool/verdict.go
+++ b/pool/verdict.go
@@ -182,8 +182,12 @@
 }
 
 // startsLimited reports whether so many workers have crashed under a task of the group that only
-// finalStarts more starts are allowed.
+// finalStarts more starts are allowed. Once a start counts, later crashes at other times after theirs, which
+// have other causes, do not lift the limit.
 func (g *group) startsLimited() bool {
+	if g.extraStarts > 0 {
+		return true
+	}
 	if len(g.crashes) < minProvenCrashes {
 		return false
 	}
--- /dev/null
+++ b/pool/verdict_test.go
@@ -0,0 +1,34 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/instance"
+)
+
+// similarCrashes returns crashes under runs that were seen, each on a worker of its own, as long after the order.
+func similarCrashes(count int, after time.Duration) []crash {
+	var list []crash
+	for run := 1; run <= count; run++ {
+		name := string(rune('a' + run))
+		list = append(list, crash{
+			run: run, agent: name, instance: instance.New(name, 1), after: after, alone: true, certain: true, starts: restoredStartLog(true),
+		})
+	}
+	return list
+}
+
+// Guards against a crash with another cause lifting the limit on starts: after three crashes 1.8 s after the order and a
+// fourth after 0.3 s, the task was started twice more.
+func TestLaterCrashKeepsTheLimitOnStarts(t *testing.T) {
+	is := is.New(t)
+	g := &group{job: &jobState{}, crashes: similarCrashes(minProvenCrashes, crashLate)}
+	g.countStart()
+	g.crashes = append(g.crashes, crash{run: 4, agent: "other", instance: instance.New("other", 1), after: crashEarly, certain: true, starts: restoredStartLog(true)})
+	is.True(!g.outOfStarts())
+	g.countStart()
+	is.True(g.outOfStarts())
+}
