A group on one of its last two starts is not preempted

What callers saw in the model of crashes in series: sound jobs of which three or four workers had crashed were given up because the holder itself stopped their last run for more urgent work.

Cause: a preempted run counts as one of the two starts after three crashes, and the run that would have cleared the task was the one that was stopped.

Change: such a group is no victim until its run has outlasted the crashes, which clears it.

Evidence: TestGroupOnItsLastStartsIsNotPreempted fails without it.

--- a/pool/preempt.go
+++ b/pool/preempt.go
@@ -236,6 +236,9 @@
 
 // mayPreempt reports whether a group may be preempted together with the chosen victims and those in beside.
 func (pl *preemptionPlanner) mayPreempt(v *group, beside []victim) bool {
+	if v.extraStarts > 0 {
+		return false // one of its last starts would be spent; a run that lasts clears it
+	}
 	if !v.spec().LongRunning {
 		return true
 	}
--- a/pool/verdict_test.go
+++ b/pool/verdict_test.go
@@ -32,3 +32,22 @@
 	g.countStart()
 	is.True(g.outOfStarts())
 }
+
+// Guards against preempting a group on one of its last starts: sound tasks that had lost workers in a series were given
+// up, since the start that would have cleared them was spent by a preemption.
+func TestGroupOnItsLastStartsIsNotPreempted(t *testing.T) {
+	for extraStarts, preemptions := range []int{1, 0} {
+		is := is.New(t)
+		sim := newSimulation(t, 1)
+		sim.run(10 * time.Second)
+		suspect := gang(1, 1, 8, time.Minute)
+		suspect.Terms.Priority = 2
+		sim.submit(suspect)
+		g := sim.core.jobs[suspect.ID].groups[0]
+		sim.runUntil("it runs", g.running)
+		g.extraStarts = extraStarts
+		sim.submit(gang(2, 1, 8, time.Second))
+		sim.run(2 * time.Second)
+		is.Equal(sim.countEvents(EventPreempted), preemptions)
+	}
+}
