Crashes in series within seconds are no early proof against a task

Cause: the chance of as many crashes is computed at the rate at which workers crash by themselves, averaged over 30 s. Ten workers that crash within 1.5 s are few by that average.

Change: the higher of the rates over 30 s and over 3 s counts.

Evidence: TestCrashesInSeriesMayBeCoincidence fails without it.

--- a/pool/core.go
+++ b/pool/core.go
@@ -59,7 +59,7 @@
 	agentsToRemove []string
 	// recentCrashes are the times of recent worker crashes. crashesCountedSince is when this holder
 	// began to count them.
-	recentCrashes       []time.Time
+	recentCrashes       []recentCrash
 	crashesCountedSince time.Time
 	// timeOfDayOffset is added to the time that methods are passed to get the time of day.
 	timeOfDayOffset time.Duration
--- a/pool/verdict.go
+++ b/pool/verdict.go
@@ -29,6 +29,9 @@
 	// long a holder must have counted crashes before it uses the rate.
 	crashRateWindow    = 30 * time.Second
 	minCrashRateWindow = 5 * time.Second
+	// crashBurstWindow is the shorter time over which the rate is computed as well, since workers may crash in
+	// series within seconds.
+	crashBurstWindow = 3 * time.Second
 	// minCrashRate is the assumed minimum rate at which a worker crashes by itself, per second: once
 	// per hour.
 	minCrashRate = 1.0 / 3600
@@ -37,6 +40,13 @@
 	minExposure = time.Second
 )
 
+// recentCrash is a crash of a worker that counts towards the rate of crashes. onlyJob is the job that ran there
+// alone, or nil.
+type recentCrash struct {
+	at      time.Time
+	onlyJob *jobState
+}
+
 // crashRecord summarises the crashes under one task of a group.
 type crashRecord struct {
 	// total counts all crashes, possible ones included. pending counts those under runs of which it is not known
@@ -107,7 +117,7 @@
 func (c *Core) crashFailureReason(now time.Time, g *group) string {
 	for _, k := range g.crashes {
 		r := g.recordOf(k.index)
-		if r.total-r.pending >= maxTaskCrashes || r.provesTask(len(c.workers)) && c.coincidence(now, r) < maxCoincidence {
+		if r.total-r.pending >= maxTaskCrashes || r.provesTask(len(c.workers)) && c.coincidence(now, g, r) < maxCoincidence {
 			return fmt.Sprintf("%d workers crashed under task %s, after %s to %s, %d times with nothing beside it: %s",
 				r.total, g.task(k.index), r.shortest, r.longest, r.alone, g.describeCrashes(k.index))
 		}
@@ -117,18 +127,28 @@
 
 // coincidence returns the probability that as many workers crash by themselves under a task, at the
 // recent rate of crashes.
-func (c *Core) coincidence(now time.Time, r crashRecord) float64 {
+func (c *Core) coincidence(now time.Time, g *group, r crashRecord) float64 {
 	observed := now.Sub(c.crashesCountedSince)
 	if observed < minCrashRateWindow {
 		return 1
 	}
 	c.dropOldCrashes(now)
-	others := max(0, len(c.recentCrashes)-1) // one of them is the group's own
-	workerTime := float64(len(c.workers)) * min(observed, crashRateWindow).Seconds()
-	rate := max(float64(others)/workerTime, minCrashRate)
+	rate := max(c.crashRate(now, min(observed, crashRateWindow), nil), c.crashRate(now, crashBurstWindow, g.job), minCrashRate)
 	return poissonTail(rate*max(r.exposure, minExposure).Seconds(), r.proven)
 }
 
+// crashRate returns how many workers crash by themselves, per worker and second, over the last time of a length.
+// Crashes of workers that ran a given job alone do not count.
+func (c *Core) crashRate(now time.Time, window time.Duration, except *jobState) float64 {
+	others := -1 // one of them is the group's own
+	for _, k := range c.recentCrashes {
+		if now.Sub(k.at) <= window && (k.onlyJob == nil || k.onlyJob != except) {
+			others++
+		}
+	}
+	return float64(max(0, others)) / (float64(len(c.workers)) * window.Seconds())
+}
+
 // poissonTail returns the probability of at least count events when the expected number is given.
 func poissonTail(expected float64, count int) float64 {
 	below, term := 0.0, math.Exp(-expected)
@@ -143,11 +163,26 @@
 // there alone explains it.
 func (c *Core) recordRecentCrash(now time.Time, w *worker) {
 	if !w.runsSuspectAlone() {
-		c.recentCrashes = append(c.recentCrashes, now)
+		c.recentCrashes = append(c.recentCrashes, recentCrash{at: now, onlyJob: w.onlyJob()})
 	}
 	c.dropOldCrashes(now)
 }
 
+// onlyJob returns the job to which all runs that may be on the worker belong, or nil.
+func (w *worker) onlyJob() *jobState {
+	var only *jobState
+	for _, m := range w.members {
+		switch {
+		case m.starts.evidence() == evidenceNone:
+		case only != nil && m.group.job != only:
+			return nil
+		default:
+			only = m.group.job
+		}
+	}
+	return only
+}
+
 // runsSuspectAlone reports whether the only group ordered on the worker is one under which workers have
 // crashed before.
 func (w *worker) runsSuspectAlone() bool {
@@ -160,7 +195,7 @@
 }
 
 func (c *Core) dropOldCrashes(now time.Time) {
-	c.recentCrashes = slices.DeleteFunc(c.recentCrashes, func(at time.Time) bool { return now.Sub(at) > crashRateWindow })
+	c.recentCrashes = slices.DeleteFunc(c.recentCrashes, func(k recentCrash) bool { return now.Sub(k.at) > crashRateWindow })
 }
 
 // crashCount returns the number of workers that crashed, or may have, under the same task of the group;
--- a/pool/verdict_test.go
+++ b/pool/verdict_test.go
@@ -51,3 +51,22 @@
 		is.Equal(sim.countEvents(EventPreempted), preemptions)
 	}
 }
+
+// Guards against failing a sound job that lost three workers of a series within seconds: averaged over 30 s, the rate at
+// which workers crash by themselves looked low. Crashes of workers that ran the job alone say nothing of that rate.
+func TestCrashesInSeriesMayBeCoincidence(t *testing.T) {
+	for _, others := range []bool{false, true} {
+		is := is.New(t)
+		sim := newSimulation(t, 11)
+		sim.run(40 * time.Second)
+		g := &group{job: &jobState{}, round: &round{}, crashes: similarCrashes(minProvenCrashes, crashEarly)}
+		for range 5 {
+			k := recentCrash{at: sim.now, onlyJob: g.job}
+			if others {
+				k.onlyJob = nil
+			}
+			sim.core.recentCrashes = append(sim.core.recentCrashes, k)
+		}
+		is.Equal(sim.core.crashFailureReason(sim.now, g) != "", !others)
+	}
+}
