--- a/pool/verdict_test.go
+++ b/pool/verdict_test.go
@@ -70,3 +70,28 @@
 		is.Equal(sim.core.crashFailureReason(sim.now, g) != "", !others)
 	}
 }
+
+// Guards against counting a run whose start was rejected as one of the last two starts: the job was given up although no
+// task of it had begun since the third crash.
+func TestRejectedRunIsNoneOfTheLastStarts(t *testing.T) {
+	forEachKindOfName(t, func(t *testing.T, sim *simulation) {
+		is := is.New(t)
+		j := oneTask(1, time.Second)
+		sim.submit(j)
+		g := sim.core.jobs[j.ID].groups[0]
+		g.crashes = similarCrashes(minProvenCrashes, crashEarly)
+		for i := range g.crashes {
+			g.crashes[i].run = -i
+			g.crashes[i].starts = restoredStartLog(false)
+		}
+		for run := range finalStarts {
+			sim.awaitOrders(g, run)
+			f := sim.memberWorker(g, 0)
+			f.notReady = true
+			sim.run(100 * time.Millisecond)
+			f.notReady = false
+		}
+		sim.run(10 * time.Second)
+		is.Equal(sim.state(j.ID), Done)
+	})
+}
