--- a/pool/verdict.go
+++ b/pool/verdict.go
@@ -29,6 +29,9 @@
 	// long a holder must have counted crashes before it uses the rate.
 	crashRateWindow    = 30 * time.Second
 	minCrashRateWindow = 5 * time.Second
+	// crashBurstWindow is the shorter time over which the rate is computed as well, since workers may crash in
+	// series within seconds.
+	crashBurstWindow = 3 * time.Second
 	// minCrashRate is the assumed minimum rate at which a worker crashes by itself, per second: once
 	// per hour.
 	minCrashRate = 1.0 / 3600
@@ -37,14 +40,23 @@
 	minExposure = time.Second
 )
 
+// recentCrash is a crash of a worker that counts towards the rate of crashes. onlyJob is the job that ran there
+// alone, or nil.
+type recentCrash struct {
+	at      time.Time
+	onlyJob *jobState
+}
+
 // crashRecord summarises the crashes under one task of a group.
 type crashRecord struct {
-	// total counts all crashes, possible ones included. proven counts certain crashes under runs that
-	// were known to be running. alone counts the proven ones without any other run on the worker.
-	total  int
-	proven int
-	alone  int
-	agents map[string]bool
+	// total counts all crashes, possible ones included. pending counts those under runs of which it is not known
+	// yet whether they began. proven counts certain crashes under runs that were known to be running. alone counts
+	// the proven ones without any other run on the worker.
+	total   int
+	pending int
+	proven  int
+	alone   int
+	agents  map[string]bool
 	// shortest and longest are the shortest and longest known times from the order of a run to the
 	// crash. exposure is the sum over all proven crashes, inexact times included.
 	shortest time.Duration
@@ -66,7 +78,10 @@
 
 func (r *crashRecord) add(k crash) {
 	r.total++
-	if !k.certain || !k.started {
+	if k.starts.evidence() == evidencePending {
+		r.pending++
+	}
+	if !k.certain || k.starts.evidence() != evidenceSeen {
 		return
 	}
 	r.proven++
@@ -102,9 +117,9 @@
 func (c *Core) crashFailureReason(now time.Time, g *group) string {
 	for _, k := range g.crashes {
 		r := g.recordOf(k.index)
-		if r.total >= maxTaskCrashes || r.provesTask(len(c.workers)) && c.coincidence(now, r) < maxCoincidence {
-			return fmt.Sprintf("%d workers crashed under task %s, after %s to %s, %d times with nothing beside it",
-				r.total, g.task(k.index), r.shortest, r.longest, r.alone)
+		if r.total-r.pending >= maxTaskCrashes || r.provesTask(len(c.workers)) && c.coincidence(now, g, r) < maxCoincidence {
+			return fmt.Sprintf("%d workers crashed under task %s, after %s to %s, %d times with nothing beside it: %s",
+				r.total, g.task(k.index), r.shortest, r.longest, r.alone, g.describeCrashes(k.index))
 		}
 	}
 	return ""
@@ -112,18 +127,28 @@
 
 // coincidence returns the probability that as many workers crash by themselves under a task, at the
 // recent rate of crashes.
-func (c *Core) coincidence(now time.Time, r crashRecord) float64 {
+func (c *Core) coincidence(now time.Time, g *group, r crashRecord) float64 {
 	observed := now.Sub(c.crashesCountedSince)
 	if observed < minCrashRateWindow {
 		return 1
 	}
 	c.dropOldCrashes(now)
-	others := max(0, len(c.recentCrashes)-1) // one of them is the group's own
-	workerTime := float64(len(c.workers)) * min(observed, crashRateWindow).Seconds()
-	rate := max(float64(others)/workerTime, minCrashRate)
+	rate := max(c.crashRate(now, min(observed, crashRateWindow), nil), c.crashRate(now, crashBurstWindow, g.job), minCrashRate)
 	return poissonTail(rate*max(r.exposure, minExposure).Seconds(), r.proven)
 }
 
+// crashRate returns how many workers crash by themselves, per worker and second, over the last time of a length.
+// Crashes of workers that ran a given job alone do not count.
+func (c *Core) crashRate(now time.Time, window time.Duration, except *jobState) float64 {
+	others := -1 // one of them is the group's own
+	for _, k := range c.recentCrashes {
+		if now.Sub(k.at) <= window && (k.onlyJob == nil || k.onlyJob != except) {
+			others++
+		}
+	}
+	return float64(max(0, others)) / (float64(len(c.workers)) * window.Seconds())
+}
+
 // poissonTail returns the probability of at least count events when the expected number is given.
 func poissonTail(expected float64, count int) float64 {
 	below, term := 0.0, math.Exp(-expected)
@@ -138,16 +163,31 @@
 // there alone explains it.
 func (c *Core) recordRecentCrash(now time.Time, w *worker) {
 	if !w.runsSuspectAlone() {
-		c.recentCrashes = append(c.recentCrashes, now)
+		c.recentCrashes = append(c.recentCrashes, recentCrash{at: now, onlyJob: w.onlyJob()})
 	}
 	c.dropOldCrashes(now)
 }
 
+// onlyJob returns the job to which all runs that may be on the worker belong, or nil.
+func (w *worker) onlyJob() *jobState {
+	var only *jobState
+	for _, m := range w.members {
+		switch {
+		case m.starts.evidence() == evidenceNone:
+		case only != nil && m.group.job != only:
+			return nil
+		default:
+			only = m.group.job
+		}
+	}
+	return only
+}
+
 // runsSuspectAlone reports whether the only group ordered on the worker is one under which workers have
 // crashed before.
 func (w *worker) runsSuspectAlone() bool {
 	for _, m := range w.members {
-		if m.maybeSent {
+		if m.starts.evidence() != evidenceNone {
 			return m.group.suspicion != suspicionNone && w.runsOnly(m.group)
 		}
 	}
@@ -155,7 +195,7 @@
 }
 
 func (c *Core) dropOldCrashes(now time.Time) {
-	c.recentCrashes = slices.DeleteFunc(c.recentCrashes, func(at time.Time) bool { return now.Sub(at) > crashRateWindow })
+	c.recentCrashes = slices.DeleteFunc(c.recentCrashes, func(k recentCrash) bool { return now.Sub(k.at) > crashRateWindow })
 }
 
 // crashCount returns the number of workers that crashed, or may have, under the same task of the group;
@@ -172,12 +212,17 @@
 func (g *group) countStart() {
 	if g.startsLimited() {
 		g.extraStarts++
+		g.setCounted(g.run, true)
 	}
 }
 
 // startsLimited reports whether so many workers have crashed under a task of the group that only
-// finalStarts more starts are allowed.
+// finalStarts more starts are allowed. Once a start counts, later crashes at other times after theirs, which
+// have other causes, do not lift the limit.
 func (g *group) startsLimited() bool {
+	if g.extraStarts > 0 {
+		return true
+	}
 	if len(g.crashes) < minProvenCrashes {
 		return false
 	}
@@ -193,3 +238,43 @@
 func (g *group) outOfStarts() bool {
 	return g.extraStarts >= finalStarts && g.startsLimited()
 }
+
+// startsBarred reports whether the group may not be started, counting crashes that pending answers may take back.
+func (g *group) startsBarred() bool {
+	return g.outOfStarts() || len(g.crashes) >= maxTaskCrashes && g.crashCount() >= maxTaskCrashes
+}
+
+// startsUsedUp returns why a group is abandoned that has used up its starts.
+func (g *group) startsUsedUp() string {
+	worst := 0
+	for _, k := range g.crashes {
+		if g.recordOf(k.index).total > g.recordOf(worst).total {
+			worst = k.index
+		}
+	}
+	return fmt.Sprintf("task %s was started %d times after %d workers had crashed under it: %s",
+		g.task(worst), g.extraStarts, g.recordOf(worst).total, g.describeCrashes(worst))
+}
+
+// describeCrashes names the crashes under a task: run, worker, instance, and the evidence that the run was there.
+func (g *group) describeCrashes(index int) string {
+	var parts []string
+	for _, k := range g.crashes {
+		if k.index == index {
+			parts = append(parts, k.String())
+		}
+	}
+	return joinBounded(parts, "; ")
+}
+
+// String describes the crash for operators.
+func (k crash) String() string {
+	text := fmt.Sprintf("run %d on %s (%s) %s after its order, %s", k.run, k.agent, k.instance, k.after.Round(time.Millisecond), evidenceNames[k.starts.evidence()])
+	if k.alone {
+		text += ", alone"
+	}
+	if !k.certain {
+		text += ", the worker may have been silent only"
+	}
+	return text
+}
