entry: sent jobs are values, and do not accumulate for a hall without a status

Change: a job is a value with a number; answered ones leave the list once they are older than a status that is used.

--- a/entry/balance.go
+++ b/entry/balance.go
@@ -45,7 +45,7 @@
 	if err != nil || reply.GetAccelerators() == 0 {
 		return
 	}
-	moved := &sentJob{hall: to, accelerators: reply.GetAccelerators(), answeredAt: clock.Now()}
-	e.deps.System.Root.Send(e.catalog, jobSent{job: moved})
+	moved := sentJob{number: e.sentCount.Add(1), accelerators: reply.GetAccelerators()}.withAnswer(clock.Now())
+	e.deps.System.Root.Send(e.catalog, jobSent{hall: to, job: moved})
 	e.deps.Logger.Info().Str("from", from).Str("to", to).Int32("accelerators", reply.GetAccelerators()).Msg("entry: waiting jobs are moved to another hall")
 }
--- a/entry/catalog.go
+++ b/entry/catalog.go
@@ -33,12 +33,14 @@
 		config *wire.Configuration
 	}
 	jobSent struct {
-		job *sentJob
+		hall string
+		job  sentJob
 	}
 	// jobAnswered means that the hall has answered, or that its answer is not awaited any more.
 	jobAnswered struct {
-		job *sentJob
-		at  time.Time
+		hall   string
+		number uint64
+		at     time.Time
 	}
 	statusRead struct {
 		hall    string
@@ -63,7 +65,7 @@
 }
 
 func newCatalog() actor.Actor {
-	return &catalog{statuses: map[string]timedStatus{}, sent: newSentJobs()}
+	return &catalog{statuses: map[string]timedStatus{}, sent: sentJobs{}}
 }
 
 // Receive implements actor.Actor.
@@ -75,9 +77,9 @@
 	case statusRead:
 		c.setStatus(now, m)
 	case jobSent:
-		c.sent.add(m.job)
+		c.sent.add(now, m.hall, m.job)
 	case jobAnswered:
-		m.job.answeredAt = m.at
+		c.sent.recordAnswer(m.at, m.hall, m.number)
 	case viewAsk:
 		m.Reply(c.view(now))
 	}
@@ -95,7 +97,7 @@
 		return
 	}
 	c.statuses[m.hall] = timedStatus{status: m.status, askedAt: m.askedAt, at: now}
-	c.sent.dropContained(m.hall, m.askedAt)
+	c.sent.dropAnsweredBefore(m.hall, m.askedAt)
 }
 
 func (c *catalog) view(now time.Time) View {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -75,6 +75,8 @@
 	stopWatchersOnce sync.Once
 	// leaving reports whether the entry is about to stop.
 	leaving atomic.Bool
+	// sentCount numbers the jobs that were sent to halls.
+	sentCount atomic.Uint64
 }
 
 // New returns an entry that has begun to poll the configuration and the halls' statuses.
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -108,10 +108,10 @@
 
 // submitTo offers a job to a hall.
 func (e *Entry) submitTo(ctx context.Context, name string, request *wire.SubmitRequest) (*wire.SubmitReply, error) {
-	job := &sentJob{hall: name, accelerators: accelerators(request.GetSpec())}
-	e.deps.System.Root.Send(e.catalog, jobSent{job: job})
+	job := sentJob{number: e.sentCount.Add(1), accelerators: accelerators(request.GetSpec())}
+	e.deps.System.Root.Send(e.catalog, jobSent{hall: name, job: job})
 	reply, err := callHolder[wire.SubmitReply](ctx, e.directory, name, "Submit", request)
-	e.deps.System.Root.Send(e.catalog, jobAnswered{job: job, at: clock.Now()})
+	e.deps.System.Root.Send(e.catalog, jobAnswered{hall: name, number: job.number, at: clock.Now()})
 	return reply, err
 }
 
--- a/entry/sent.go
+++ b/entry/sent.go
@@ -8,38 +8,49 @@
 type (
 	// sentJob is a job that this entry has sent to a hall.
 	sentJob struct {
-		hall         string
+		number       uint64
 		accelerators int32
-		// answeredAt is the time at which the hall answered, or failed to; zero before.
+		// answered is set once the hall has answered, or its answer is not awaited any more; answeredAt is when.
+		answered   bool
 		answeredAt time.Time
 	}
 
-	// sentJobs holds the jobs that the halls' statuses may not contain.
-	sentJobs struct {
-		byHall map[string][]*sentJob
-	}
+	// sentJobs holds, by hall, the jobs that the hall's last status may not contain.
+	sentJobs map[string][]sentJob
 )
 
-func newSentJobs() sentJobs {
-	return sentJobs{byHall: map[string][]*sentJob{}}
+// withAnswer returns the job with the time of the hall's answer.
+func (j sentJob) withAnswer(at time.Time) sentJob {
+	j.answered, j.answeredAt = true, at
+	return j
+}
+
+// add adds a job. Jobs that were answered longer ago than a status is used are dropped, so that they do not accumulate
+// for a hall that answers no question for its status.
+func (s sentJobs) add(now time.Time, hall string, j sentJob) {
+	s.dropAnsweredBefore(hall, now.Add(-maxStatusAge))
+	s[hall] = append(s[hall], j)
 }
 
-func (s sentJobs) add(j *sentJob) {
-	s.byHall[j.hall] = append(s.byHall[j.hall], j)
+// recordAnswer records that a hall has answered a job.
+func (s sentJobs) recordAnswer(now time.Time, hall string, number uint64) {
+	for i, j := range s[hall] {
+		if j.number == number {
+			s[hall][i] = j.withAnswer(now)
+		}
+	}
 }
 
-// dropContained removes the jobs that a status contains: those that the hall had answered when the status was asked
-// for. The hall may receive the others after it has made the status.
-func (s sentJobs) dropContained(hall string, statusAskedAt time.Time) {
-	s.byHall[hall] = slices.DeleteFunc(s.byHall[hall], func(j *sentJob) bool {
-		return !j.answeredAt.IsZero() && j.answeredAt.Before(statusAskedAt)
-	})
+// dropAnsweredBefore removes the jobs that a hall had answered before a time. A status that was asked for then contains
+// them. The hall may receive the others after it has made the status.
+func (s sentJobs) dropAnsweredBefore(hall string, at time.Time) {
+	s[hall] = slices.DeleteFunc(s[hall], func(j sentJob) bool { return j.answered && j.answeredAt.Before(at) })
 }
 
 // accelerators returns the number of accelerators, by hall, that the jobs need.
 func (s sentJobs) accelerators() map[string]int32 {
 	result := map[string]int32{}
-	for hall, jobs := range s.byHall {
+	for hall, jobs := range s {
 		for _, j := range jobs {
 			result[hall] += j.accelerators
 		}
--- a/entry/sent_test.go
+++ b/entry/sent_test.go
@@ -16,12 +16,11 @@
 	root := e.deps.System.Root
 	asked := time.Now()
 	status := &wire.HallStatus{FreeAccelerators: 32}
-	job := &sentJob{hall: "sapporo", accelerators: 8}
-	root.Send(e.catalog, jobSent{job: job})
+	root.Send(e.catalog, jobSent{hall: "sapporo", job: sentJob{number: 1, accelerators: 8}})
 	root.Send(e.catalog, statusRead{hall: "sapporo", askedAt: asked, status: status})
 	is.Equal(e.View().freeAccelerators("sapporo"), int32(24)) // not answered
 
-	root.Send(e.catalog, jobAnswered{job: job, at: asked.Add(time.Millisecond)})
+	root.Send(e.catalog, jobAnswered{hall: "sapporo", number: 1, at: asked.Add(time.Millisecond)})
 	root.Send(e.catalog, statusRead{hall: "sapporo", askedAt: asked, status: status})
 	is.Equal(e.View().freeAccelerators("sapporo"), int32(24)) // answered after the status was asked for
 
@@ -38,3 +37,15 @@
 	root.Send(e.catalog, statusRead{hall: "sapporo", askedAt: asked, status: &wire.HallStatus{}})
 	is.Equal(e.View().freeAccelerators("sapporo"), int32(32))
 }
+
+// Sent jobs accumulated for a hall that answered submissions and no question for its status.
+func TestSentJobsDoNotAccumulate(t *testing.T) {
+	is := is.New(t)
+	jobs, now := sentJobs{}, time.Now()
+	for number := range uint64(100) {
+		now = now.Add(time.Second)
+		jobs.add(now, "sapporo", sentJob{number: number, accelerators: 8})
+		jobs.recordAnswer(now, "sapporo", number)
+	}
+	is.True(len(jobs["sapporo"]) <= int(maxStatusAge/time.Second)+1)
+}
