pool: a stop whose answer comes after the next listing ends the run

Cause: after orders the agent reports one listing more even if that is unchanged, and the holder ends a stopped member at a listing later than the confirmed stop. The report and the answer to the stop are two replies, and the report may come first. The holder then had no confirmed stop when it read the listing, and when it got the answer, it waited for a listing that an agent without changes never sends.

Change: a member remembers the agent's last listing if that lacks it; the answer to the stop ends the run if that listing is later. It is the same rule as for a listing that comes after the answer, so no run is ended that was not before.

--- a/pool/group.go
+++ b/pool/group.go
@@ -126,8 +126,10 @@
 		// does not contain it.
 		listingFloor uint64
 		floorKnown   bool
-		percent      int
-		saved        string
+		// missingFrom is the number of the agent's last listing if that does not contain the run; 0 otherwise.
+		missingFrom uint64
+		percent     int
+		saved       string
 		// percentAt is when the current percent was first listed. The length of the run counts from
 		// startedAt, when its progress was startPercent; startedAt is zero while it is not known.
 		percentAt    time.Time
--- a/pool/instance.go
+++ b/pool/instance.go
@@ -87,6 +87,7 @@
 func (c *Core) revoke(now time.Time, m *member, id instance.ID) {
 	m.instance = id
 	m.floorKnown = false
+	m.missingFrom = 0
 	m.stopConfirmed = false
 	m.nextSendAt = now
 	m.phase = memberStopping
--- a/pool/order.go
+++ b/pool/order.go
@@ -106,6 +106,9 @@
 		if m.phase == memberStopping && orders.Instance == m.instance && resultAt(results.Stops, i) == ResultOK {
 			m.stopConfirmed = true
 			m.setFloor(results.Listing)
+			if m.missingFrom > results.Listing {
+				c.releaseMember(now, m) // The listing without the run came before this result.
+			}
 		}
 	}
 }
--- a/pool/report.go
+++ b/pool/report.go
@@ -52,6 +52,7 @@
 	w.listing = 0
 	for _, m := range w.members {
 		m.floorKnown = false
+		m.missingFrom = 0
 		m.orderInFlight = false
 		m.nextSendAt = now
 		m.stopConfirmed = false
@@ -83,6 +84,7 @@
 
 // memberListed records the progress of a member that its worker lists.
 func (c *Core) memberListed(now time.Time, m *member, run Running) {
+	m.missingFrom = 0
 	m.recordPercent(now, run.Percent)
 	if run.Saved != "" {
 		m.saved = run.Saved
@@ -112,6 +114,7 @@
 // memberNotListed handles a member that is missing from a listing. The run is known to have ended only
 // if the listing is later than a confirmed start or stop.
 func (c *Core) memberNotListed(now time.Time, m *member, listing uint64) {
+	m.missingFrom = listing
 	if m.revoked && now.After(m.startDeadline) {
 		c.memberLost(now, m, "its order has ended")
 		return
