sidecar: a heartbeat sent at the reading 0 of the worker's clock has a reading

What callers may see: a start on a worker after its notice of leaving was acknowledged (DRAIN). Cause: the reading 0 was read as none. A heartbeat that a worker sends in the first millisecond of its clock, delayed until its agent had been restarted twice, was taken for one without a reading, and not for one from before the agent: starts followed 1 ms after an earlier agent had acknowledged the notice of draining.

--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -243,7 +243,7 @@
 func (a *Agent) notifyRenewals() {
 	if ready := a.core.reportedReady; ready != a.loggedReady {
 		a.loggedReady = ready
-		a.logger.Info().Bool("ready", ready).Str("instance", a.core.heartbeat.Instance.String()).Uint64("sequence", a.core.heartbeat.Sequence).Dur("clock", a.core.heartbeat.Clock).Dur("clock_at_start", a.core.workerClockAtStart).Int("unverified", len(a.core.unverified)).Msg("agent: readiness to carry out starts changed")
+		a.logger.Info().Bool("ready", ready).Str("instance", a.core.heartbeat.Instance.String()).Uint64("sequence", a.core.heartbeat.Sequence).Str("clock", a.core.heartbeat.Clock.String()).Dur("clock_at_start", a.core.workerClockAtStart).Int("unverified", len(a.core.unverified)).Msg("agent: readiness to carry out starts changed")
 	}
 	close(a.changed)
 	a.changed = make(chan struct{})
--- a/sidecar/instances.go
+++ b/sidecar/instances.go
@@ -193,7 +193,7 @@
 // So the agent starts nothing until it receives a heartbeat that was sent after its own start. Without this check,
 // the model test with restarting agents finds starts after an acknowledged notice.
 func (c *Core) heartbeatPredatesAgent() bool {
-	return c.heartbeat.Clock > 0 && c.listingNumber > 0 && c.heartbeat.Clock < c.workerClockAtStart
+	return c.listingNumber > 0 && c.heartbeat.Clock.before(c.workerClockAtStart)
 }
 
 // estimateClockAtStart lowers the upper bound of the reading of the worker's clock at the agent's start if the
--- a/sidecar/instances_test.go
+++ b/sidecar/instances_test.go
@@ -326,17 +326,29 @@
 	is := is.New(t)
 	c := NewCore(start, "agent")
 	c.Sync(renewalFrom(c, 0))
-	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 3, Clock: 98 * time.Second})
+	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 3, Clock: ReadingOf(98 * time.Second)})
 	verdictAt := func(at time.Duration) poolpb.OrderResult_Value {
 		listAt(c, at, Listing{Clock: 100*time.Second + at})
 		_, verdict := c.CheckStart(start.Add(at), orderAt(c, instanceNamed("first"), 0))
 		return verdict
 	}
 	is.Equal(verdictAt(time.Second), poolpb.OrderResult_OTHER_INSTANCE) // It was sent 2 s before the agent started.
-	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 5, Clock: 101 * time.Second})
+	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 5, Clock: ReadingOf(101 * time.Second)})
 	is.Equal(verdictAt(time.Second), poolpb.OrderResult_OK)
 }
 
+// A heartbeat from before the agent, sent when the worker's clock read 0, was taken for one without a reading and led to
+// starts.
+func TestNoStartOnAHeartbeatFromBeforeTheAgentAtClockZero(t *testing.T) {
+	is := is.New(t)
+	c := NewCore(start, "agent")
+	c.Sync(renewalFrom(c, 0))
+	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 1, Clock: ReadingOf(0)})
+	listAt(c, time.Second, Listing{Clock: 3 * time.Second})
+	_, verdict := c.CheckStart(start.Add(time.Second), orderAt(c, instanceNamed("first"), 0))
+	is.Equal(verdict, poolpb.OrderResult_OTHER_INSTANCE)
+}
+
 // A start is not answered, and is revoked on the worker's next instance. It must stay pending, since it may still
 // reach the instance after that, which would then forget the ended run before it has listed it. The model test finds
 // this fault after about 13,000 histories:
@@ -385,10 +397,10 @@
 	c := NewCore(start, "agent")
 	c.Sync(renewalFrom(c, 0))
 	is.True(c.workerState().GetNotReady())
-	is.Equal(c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 3, Clock: 98 * time.Second}), HeartbeatUnverified)
+	is.Equal(c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 3, Clock: ReadingOf(98 * time.Second)}), HeartbeatUnverified)
 	is.True(listAt(c, time.Second, Listing{Instance: instanceNamed("first"), Clock: 101 * time.Second}))
 	is.True(c.workerState().GetNotReady()) // The heartbeat was sent 2 s before the agent started.
-	is.Equal(c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 5, Clock: 101 * time.Second}), HeartbeatChanged)
+	is.Equal(c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 5, Clock: ReadingOf(101 * time.Second)}), HeartbeatChanged)
 	is.True(!c.workerState().GetNotReady())
 	before := c.reportNumber
 	is.Equal(c.Heartbeat(Heartbeat{Instance: instance.New("first", 2), Sequence: 1}), HeartbeatUnverified)
--- a/sidecar/lease_model_test.go
+++ b/sidecar/lease_model_test.go
@@ -250,7 +250,7 @@
 func (m *leaseModel) sendHeartbeat() Heartbeat {
 	w := m.worker
 	w.sequence++
-	heartbeat := Heartbeat{Instance: w.id, Sequence: w.sequence, Clock: w.now(), Draining: w.draining}
+	heartbeat := Heartbeat{Instance: w.id, Sequence: w.sequence, Clock: ReadingOf(w.now()), Draining: w.draining}
 	if m.receiveHeartbeat(heartbeat) && w.draining && w.drainAcknowledgedAt.IsZero() {
 		w.drainAcknowledgedAt = m.now
 	}
--- a/sidecar/model_test.go
+++ b/sidecar/model_test.go
@@ -121,7 +121,7 @@
 func (m *instancesModel) heartbeat(t *rapid.T) {
 	w := m.worker
 	w.sequence++
-	heartbeat := Heartbeat{Instance: w.id, Sequence: w.sequence, Clock: m.now.Sub(workerClockStart), Draining: w.draining}
+	heartbeat := Heartbeat{Instance: w.id, Sequence: w.sequence, Clock: ReadingOf(m.now.Sub(workerClockStart)), Draining: w.draining}
 	if rapid.Bool().Draw(t, "also late") {
 		m.lateMessages = append(m.lateMessages, modelMessage{heartbeat: &heartbeat, expiresAt: m.now.Add(time.Minute)})
 	}
--- a/sidecar/pause_test.go
+++ b/sidecar/pause_test.go
@@ -118,11 +118,11 @@
 	is := is.New(t)
 	c := NewCore(start, "agent")
 	c.Sync(renewalFrom(c, 0))
-	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 3, Clock: 98 * time.Second})
+	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 3, Clock: ReadingOf(98 * time.Second)})
 	c.SetTotalPause(10 * time.Second)
 	listAt(c, 11*time.Second, Listing{Clock: 101 * time.Second}) // It read 100 s when the agent started.
 	is.True(!c.ready())
-	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 5, Clock: 101 * time.Second})
+	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 5, Clock: ReadingOf(101 * time.Second)})
 	is.True(c.ready())
 }
 
@@ -131,7 +131,7 @@
 	is := is.New(t)
 	c := NewCore(start, "agent")
 	c.Sync(renewalFrom(c, 0))
-	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 3, Clock: 99900 * time.Millisecond})
+	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 3, Clock: ReadingOf(99900 * time.Millisecond)})
 	listAt(c, 10*time.Second, Listing{Clock: 109800 * time.Millisecond}) // It read 100 s when the agent started.
 	is.True(!c.ready())
 }
@@ -141,7 +141,7 @@
 	is := is.New(t)
 	c := NewCore(start, "agent")
 	c.Sync(renewalFrom(c, 0))
-	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 3, Clock: 100 * time.Second})
+	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 3, Clock: ReadingOf(100 * time.Second)})
 	poll, number, _ := c.NextPoll(start)
 	c.SetTotalPause(10 * time.Second)
 	c.HandleListing(start.Add(10*time.Second), poll, number, Listing{Instance: instanceNamed("first"), Clock: 100500 * time.Millisecond})
--- a/sidecar/restart_names_test.go
+++ b/sidecar/restart_names_test.go
@@ -55,7 +55,7 @@
 	is := is.New(t)
 	c := NewCore(start, "restarted")
 	verdictAt := func(at time.Duration) poolpb.OrderResult_Value {
-		c.Heartbeat(Heartbeat{Instance: youngInstance, Sequence: uint64(at), Clock: 500*time.Millisecond + at})
+		c.Heartbeat(Heartbeat{Instance: youngInstance, Sequence: uint64(at), Clock: ReadingOf(500*time.Millisecond + at)})
 		c.Sync(renewalFrom(c, at))
 		listAt(c, at, Listing{Clock: 500*time.Millisecond + at}) // The instance is 0.5 s older than the agent.
 		_, verdict := c.CheckStart(start.Add(at), orderAt(c, youngInstance, at))
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -81,14 +81,19 @@
 		Stop(ctx context.Context, stop StopRequest) (poolpb.OrderResult_Value, error)
 	}
 
+	// ClockReading is a reading of a worker's clock. The zero value is none, which differs from a reading of 0.
+	ClockReading struct {
+		known bool
+		value time.Duration
+	}
+
 	// Heartbeat is a worker's periodic report of its state.
 	Heartbeat struct {
 		Instance instance.ID
 		// Sequence increases with each heartbeat of an instance.
 		Sequence uint64
-		// Clock is the reading of the worker's monotonic clock when the heartbeat was sent; 0 if the worker does not
-		// report it.
-		Clock    time.Duration
+		// Clock is the reading of the worker's monotonic clock when the heartbeat was sent, if the worker reports it.
+		Clock    ClockReading
 		Draining bool
 		// Remaining is the least time for which a draining worker stays; 0 if unknown.
 		Remaining time.Duration
@@ -152,3 +157,21 @@
 	}
 	return 0
 }
+
+// ReadingOf returns a reading of a worker's clock.
+func ReadingOf(value time.Duration) ClockReading {
+	return ClockReading{known: true, value: value}
+}
+
+// String returns the reading as a duration, or "unknown".
+func (r ClockReading) String() string {
+	if !r.known {
+		return "unknown"
+	}
+	return r.value.String()
+}
+
+// before reports whether the reading is known to be earlier than a time of the same clock.
+func (r ClockReading) before(t time.Duration) bool {
+	return r.known && r.value < t
+}
