--- a/program/soak/doc.go
+++ b/program/soak/doc.go
@@ -9,6 +9,9 @@
 //
 //	go test ./program/soak -run Seeds -seeds 50 -first 1000
 //
+// TestCuts cuts agents, workers and gateways off from each other for around the length of the leases, and pauses holders
+// beside. With -relays=false, a holder that is cut off from the store has no other way to it.
+//
 // In TestSeries the faults come in series, beside orders to workers that are carried out late. With more processes:
 //
 //	go test ./program/soak -run Series -first 1000 -gateways 8 -workers 180
