hall: the row of the hall's lease records how long agents' leases may last

Seen: with a holder that counts fewer agents than the one before, a task ran twice at once: the second run began 25.75 s before the first ended (TestNewHolderAwaitsTheLeasesOfALargerHall).

Cause: a holder gives leases whose length grows with its own count of agents, up to 120 s, and the next holder awaited leases of the length that its own count gives.

Change: the row of the hall's lease has a field, longest_agent_lease_ms. A holder gives longer leases only after a transaction that records their length is confirmed, and begins with the shortest length (AgentLease). Until then agents also delay their replies no longer than a third of the lease. The next holder takes the length over with the row and awaits leases of that length. It records a shorter one only after they have ended; while such a transaction is in flight it gives no longer lease than either row allows. A row without the field was written by an earlier release: the longest lease that the settings allow is assumed. After such a takeover, parts on agents that the holder doesn't reach are awaited for 121.2 s once (20.2 s before, up to 133 agents). A holder of an earlier release that takes over from this one still goes by its own count.

The test and its check are unchanged; the simulation records the length as FencedWriter does.

--- a/hall/agent_record.go
+++ b/hall/agent_record.go
@@ -73,7 +73,7 @@
 		a.listed = listed[name]
 		if a.leasesEndBy.IsZero() {
 			// An earlier holder may have renewed the agent's lease just before this holder took the hall.
-			a.leasesEndBy = now.Add(c.settings.leaseBound(len(c.agents)))
+			a.leasesEndBy = now.Add(c.earlierLeaseBound())
 		}
 	}
 	c.rankStandbys()
@@ -147,7 +147,7 @@
 		Epoch:         c.epoch,
 		Incarnation:   a.incarnation,
 		LeaseToken:    a.leaseToken,
-		LeaseMs:       int32(c.settings.agentLease(len(c.agents)).Milliseconds()),
+		LeaseMs:       int32(c.agentLease().Milliseconds()),
 		ConfigVersion: c.config.GetVersion(),
 		Drained:       a.drained,
 		SeenReport:    a.lastReport,
@@ -156,7 +156,8 @@
 	count := min(len(a.pendingAcks), maxAcksPerSync)
 	request.Settled = slices.Clone(a.pendingAcks[:count])
 	if a.leased && a.configVersion >= c.config.GetVersion() && count == 0 {
-		request.WaitMs = int32(c.settings.syncWait(len(c.agents)).Milliseconds())
+		wait := min(c.settings.syncWait(len(c.agents)), c.agentLease()/syncsPerLease)
+		request.WaitMs = int32(wait.Milliseconds())
 	}
 	c.extendLeaseBound(a)
 	return request
@@ -169,7 +170,7 @@
 	if a.leaseTokenAt.IsZero() {
 		return
 	}
-	until := a.leaseTokenAt.Add(c.settings.leaseBound(len(c.agents)))
+	until := a.leaseTokenAt.Add(c.settings.withDrift(c.agentLease()))
 	if until.After(a.leasesEndBy) {
 		a.leasesEndBy = until
 	}
--- a/hall/core.go
+++ b/hall/core.go
@@ -35,6 +35,7 @@
 
 	config     *wire.Configuration
 	entryPolls map[string]entryPoll
+	leases     agentLeases
 
 	dirty          []*job
 	batch          *Batch
@@ -50,8 +51,9 @@
 	polledAt      time.Time
 }
 
-// NewCore returns a Core without jobs and workers.
-func NewCore(hall, holder string, epoch uint64, settings Settings) *Core {
+// NewCore returns a Core without jobs and workers. The argument earlierLease is the longest lease that an agent may
+// have from an earlier holder, as recorded when the hall was taken.
+func NewCore(hall, holder string, epoch uint64, earlierLease time.Duration, settings Settings) *Core {
 	return &Core{
 		hall:              hall,
 		epoch:             epoch,
@@ -65,6 +67,7 @@
 		queuedByWorkspace: map[string]int{},
 		config:            &wire.Configuration{},
 		entryPolls:        map[string]entryPoll{},
+		leases:            newAgentLeases(earlierLease),
 		storeAvailable:    true,
 	}
 }
--- a/hall/fenced_writer.go
+++ b/hall/fenced_writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
@@ -24,9 +25,9 @@
 	onRetry func(error)
 }
 
-// Acquire takes a hall, given its lease and the version of the lease's row. It returns an error of
-// KindFenced if another process has taken the hall first.
-func Acquire(ctx context.Context, s store.Store, hall string, current *wire.HolderLease, version uint64, holder, address string) (*FencedWriter, error) {
+// Acquire takes a hall, given its lease, the version of the lease's row and the longest lease that an agent may have.
+// It returns an error of KindFenced if another process has taken the hall first.
+func Acquire(ctx context.Context, s store.Store, hall string, current *wire.HolderLease, version uint64, holder, address string, agentLease time.Duration) (*FencedWriter, error) {
 	w := &FencedWriter{
 		store:   s,
 		key:     LeaseKey(hall),
@@ -38,6 +39,8 @@
 		Holder:  holder,
 		Address: address,
 		Counter: current.GetCounter() + 1,
+
+		LongestAgentLeaseMs: int32(agentLease.Milliseconds()),
 	}
 	if err := w.write(ctx, next, nil, nil); err != nil {
 		return nil, err
@@ -45,6 +48,11 @@
 	return w, nil
 }
 
+// AgentLease returns the longest lease that an agent may have, as the last transaction recorded it.
+func (w *FencedWriter) AgentLease() time.Duration {
+	return time.Duration(w.lease.GetLongestAgentLeaseMs()) * time.Millisecond
+}
+
 // Epoch returns the number of this holding of the hall. Each later holding has a higher number.
 func (w *FencedWriter) Epoch() uint64 {
 	return w.lease.GetEpoch()
@@ -55,12 +63,14 @@
 	return w.lease.GetCounter() + 1
 }
 
-// Commit writes rows and renews the lease in one transaction. It retries until the outcome is known or ctx
+// Commit writes rows, renews the lease and records the longest lease that an agent may have, in one transaction. It
+// retries until the outcome is known or ctx
 // is done. An error of KindFenced means that another process has taken the hall; KindConflict means that
 // checks of the rows in Keys failed and nothing was written.
-func (w *FencedWriter) Commit(ctx context.Context, checks []store.Check, writes []store.Write) error {
+func (w *FencedWriter) Commit(ctx context.Context, checks []store.Check, writes []store.Write, agentLease time.Duration) error {
 	next := proto.CloneOf(w.lease)
 	next.Counter++
+	next.LongestAgentLeaseMs = int32(agentLease.Milliseconds())
 	return w.write(ctx, next, checks, writes)
 }
 
--- a/hall/holder.go
+++ b/hall/holder.go
@@ -143,7 +143,7 @@
 		h.applyConfig(m.config)
 		h.retryPendingSubmits(now)
 	case commitResult:
-		h.handleCommitResult(now, m.err)
+		h.handleCommitResult(now, m)
 	case storeFailure:
 		h.handleStoreFailure(m.err)
 	}
@@ -339,31 +339,37 @@
 		return
 	}
 	batch := h.core.TakeBatch(h.writer.NextPosition())
-	if batch == nil && sinceCommit < h.settings.HolderLease/renewalsPerLease {
+	renew := h.core.NeedsLongerLease() || sinceCommit >= h.settings.HolderLease/renewalsPerLease
+	if batch == nil && !renew {
 		return
 	}
+	lease := h.core.LeaseToRecord(now)
+	h.core.RecordingLease(lease)
 	h.committing = true
 	h.lastCommit = now
 	if batch == nil {
 		batch = &Batch{}
 	}
 	go func() {
-		err := h.writer.Commit(h.ctx, batch.Checks, batch.Writes)
-		h.root.Send(h.self, commitResult{err: err})
+		err := h.writer.Commit(h.ctx, batch.Checks, batch.Writes, lease)
+		h.root.Send(h.self, commitResult{agentLease: lease, err: err})
 	}()
 }
 
-func (h *Holder) handleCommitResult(now time.Time, err error) {
+func (h *Holder) handleCommitResult(now time.Time, m commitResult) {
 	h.committing = false
-	switch kindOf(err) {
+	switch kindOf(m.err) {
 	case 0, KindConflict:
+		if m.err == nil {
+			h.core.LeaseRecorded(m.agentLease)
+		}
 		if !h.core.StoreAvailable() {
 			h.deps.Logger.Info().Msg("hall: table service is available again")
 		}
-		h.core.BatchDone(now, err)
+		h.core.BatchDone(now, m.err)
 		h.core.StoreRecovered()
 	default:
-		h.deps.Logger.Warn().Err(err).Msg("hall: commit failed; the holder stops")
+		h.deps.Logger.Warn().Err(m.err).Msg("hall: commit failed; the holder stops")
 		h.abandon()
 	}
 }
--- a/hall/host.go
+++ b/hall/host.go
@@ -85,7 +85,7 @@
 	if candidate.Observe(clock.Now(), lease, version) == Wait {
 		return nil
 	}
-	writer, err := Acquire(ctx, h.deps.Store, h.hall, lease, version, h.name, h.address)
+	writer, err := Acquire(ctx, h.deps.Store, h.hall, lease, version, h.name, h.address, h.settings.earlierAgentLease(lease))
 	if err != nil {
 		return nil
 	}
@@ -193,7 +193,7 @@
 		return nil, err
 	}
 	now := clock.Now()
-	core := NewCore(h.hall, h.name, writer.Epoch(), h.settings)
+	core := NewCore(h.hall, h.name, writer.Epoch(), writer.AgentLease(), h.settings)
 	core.SetConfiguration(config)
 	core.SetVMs(now, vms)
 	core.Restore(now, snapshot)
@@ -247,7 +247,7 @@
 		}
 		if clock.Since(renewedAt) > h.settings.HolderLease/renewalsPerLease {
 			renewedAt = clock.Now()
-			if err := writer.Commit(ctx, nil, nil); err != nil {
+			if err := writer.Commit(ctx, nil, nil, writer.AgentLease()); err != nil {
 				return nil, errors.Join(errRenewal, err)
 			}
 		}
--- a/hall/message.go
+++ b/hall/message.go
@@ -29,7 +29,11 @@
 
 	tick struct{}
 
-	commitResult struct{ err error }
+	commitResult struct {
+		// agentLease is the longest lease of an agent that the transaction records.
+		agentLease time.Duration
+		err        error
+	}
 	storeFailure struct{ err error }
 
 	vmList struct {
--- a/hall/restore.go
+++ b/hall/restore.go
@@ -22,6 +22,7 @@
 // Restore loads the hall's jobs. SetVMs and SetConfiguration must be called before. Placed jobs continue;
 // their agents' reports update their parts.
 func (c *Core) Restore(now time.Time, snapshot Snapshot) {
+	c.leases.earlierEndBy = now.Add(c.earlierLeaseBound())
 	var changes []change
 	for _, stored := range snapshot.Ended {
 		j := c.restoreEnded(now, stored)
@@ -72,7 +73,7 @@
 	j.placement = j.record.GetPlacement()
 	j.borrowed = j.record.GetBorrowed()
 	j.parts = partsOf(j.placement)
-	j.startDeadline = now.Add(c.settings.leaseBound(len(c.agents)))
+	j.startDeadline = now.Add(c.earlierLeaseBound())
 	if j.attempt > 1 {
 		j.priorExecution = wire.Execution_RAN
 	}
@@ -123,7 +124,7 @@
 	}
 	for _, p := range j.parts {
 		if _, ok := c.agents[p.worker]; !ok {
-			p.leasesEndBy = now.Add(c.settings.leaseBound(len(c.agents)))
+			p.leasesEndBy = now.Add(c.earlierLeaseBound())
 		}
 	}
 	c.stopJob(now, j, causeLost, "A worker of it is not listed any more.")
--- a/hall/settings.go
+++ b/hall/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hollyfork.example/policy"
+	"hollyfork.example/wire"
 )
 
 const (
@@ -92,9 +93,27 @@
 	return max(s.AgentLease, syncsPerLease*s.syncWait(agents))
 }
 
-// leaseBound returns the duration of an agent's lease on the holder's clock, with allowance for clock
-// drift.
+// longestAgentLease returns the longest lease of an agent that the settings allow, whatever the number of agents.
+func (s Settings) longestAgentLease() time.Duration {
+	return max(s.AgentLease, syncsPerLease*max(s.SyncWait, maxSyncWait))
+}
+
+// earlierAgentLease returns the longest lease that an agent may have when a hall is taken, given the hall's last
+// lease. It is at least AgentLease, with which the new holder begins.
+func (s Settings) earlierAgentLease(last *wire.HolderLease) time.Duration {
+	recorded := time.Duration(last.GetLongestAgentLeaseMs()) * time.Millisecond
+	if recorded == 0 && last.GetEpoch() > 0 {
+		recorded = s.longestAgentLease()
+	}
+	return max(recorded, s.AgentLease)
+}
+
+// leaseBound returns the duration of an agent's lease on the holder's clock in a hall with a number of agents.
 func (s Settings) leaseBound(agents int) time.Duration {
-	lease := s.agentLease(agents)
+	return s.withDrift(s.agentLease(agents))
+}
+
+// withDrift returns the duration of a lease on the holder's clock, with allowance for clock drift.
+func (s Settings) withDrift(lease time.Duration) time.Duration {
 	return lease + time.Duration(float64(lease)*s.ClockDrift)
 }
--- a/hall/sim_store_test.go
+++ b/hall/sim_store_test.go
@@ -15,9 +15,14 @@
 		return
 	}
 	batch := h.core.TakeBatch(h.lease.GetCounter() + 1)
-	if batch == nil {
+	if batch == nil && !h.core.NeedsLongerLease() {
 		return
 	}
+	if batch == nil {
+		batch = &Batch{}
+	}
+	h.agentLease = h.core.LeaseToRecord(s.now)
+	h.core.RecordingLease(h.agentLease)
 	h.committing = true
 	s.send("commit", nil, func() { s.tryCommit(h, batch) }, func() { s.retryCommit(h, batch) })
 }
@@ -38,7 +43,7 @@
 		s.retryCommit(h, batch)
 		return
 	}
-	next := &wire.HolderLease{Epoch: h.lease.GetEpoch(), Counter: h.lease.GetCounter() + 1}
+	next := &wire.HolderLease{Epoch: h.lease.GetEpoch(), Counter: h.lease.GetCounter() + 1, LongestAgentLeaseMs: int32(h.agentLease.Milliseconds())}
 	txn := store.Txn{
 		Checks: append([]store.Check{{Key: LeaseKey(simHall), Version: h.version}}, batch.Checks...),
 		Writes: append([]store.Write{{Key: LeaseKey(simHall), Value: encode(next)}}, batch.Writes...),
@@ -56,20 +61,25 @@
 		s.recordCommitted(batch)
 	}
 	s.send("committed", h.process, func() {
-		h.committing = false
-		h.core.BatchDone(s.now, outcome)
-		h.core.StoreRecovered()
-		s.sendPending(h)
+		s.settle(h, outcome)
 	}, func() {
 		s.send("commit settled", h.process, func() {
-			h.committing = false
-			h.core.BatchDone(s.now, outcome)
-			h.core.StoreRecovered()
-			s.sendPending(h)
+			s.settle(h, outcome)
 		}, nil)
 	})
 }
 
+// settle applies the outcome of a holder's transaction.
+func (s *sim) settle(h *testHolder, outcome error) {
+	h.committing = false
+	if outcome == nil {
+		h.core.LeaseRecorded(h.agentLease)
+	}
+	h.core.BatchDone(s.now, outcome)
+	h.core.StoreRecovered()
+	s.sendPending(h)
+}
+
 func (s *sim) recordCommitted(batch *Batch) {
 	for _, item := range batch.items {
 		if item.record.GetState() == wire.JobState_STARTING {
--- a/hall/sim_test.go
+++ b/hall/sim_test.go
@@ -83,6 +83,8 @@
 	nextTry map[string]time.Time
 	// committing is true while a transaction is in transit.
 	committing bool
+	// agentLease is the longest lease of an agent that the transaction in transit records.
+	agentLease time.Duration
 	// unreachable is a node with which the holder exchanges no messages, though others do; or nil.
 	unreachable *node
 }
@@ -156,11 +158,12 @@
 func (s *sim) takeOver() {
 	row := s.store.Row(LeaseKey(simHall))
 	old := s.storedLease()
-	lease := &wire.HolderLease{Epoch: old.GetEpoch() + 1, Counter: old.GetCounter() + 1}
+	earlier := s.settings.earlierAgentLease(old)
+	lease := &wire.HolderLease{Epoch: old.GetEpoch() + 1, Counter: old.GetCounter() + 1, LongestAgentLeaseMs: int32(earlier.Milliseconds())}
 	version, _, _ := s.store.Apply(store.Txn{Writes: []store.Write{{Key: row.Key, Value: encode(lease)}}})
 	h := &testHolder{
 		process: &process{},
-		core:    NewCore(simHall, fmt.Sprint(lease.GetEpoch()), lease.GetEpoch(), s.settings),
+		core:    NewCore(simHall, fmt.Sprint(lease.GetEpoch()), lease.GetEpoch(), earlier, s.settings),
 		lease:   lease,
 		version: version,
 		syncing: map[string]bool{},
