hall: a test that a long outage of the store interrupts no running job

DESIGN.md, section 9, has running work go on in a long outage of the store. No test noticed when it didn't: the jobs of the tests of outages run for 3 s and 6 s, less than a lease.

It matters for TestHolderCutOffFromTheStoreKeepsNoTaskRunning, which stays red. A holder without the store can't tell whether the store is down for all or it is cut off alone. The row of restarts.md says so.

--- a/hall/protocol_test.go
+++ b/hall/protocol_test.go
@@ -21,6 +21,24 @@
 	}
 }
 
+// A job that runs for longer than a long store outage is neither ended nor run again because of it.
+func TestLongStoreOutageInterruptsNoRunningJob(t *testing.T) {
+	is := is.New(t)
+	s := newSim(2, 8)
+	s.run(2 * time.Second)
+	spec := gangSpec(1, 8)
+	spec.Repeatable = true
+	spec.Command = []string{"run", "15m"}
+	s.submit("transcode", spec)
+	s.run(5 * time.Second)
+	s.storeDown = true
+	s.run(10 * time.Minute)
+	s.storeDown = false
+	s.run(10 * time.Minute)
+	is.Equal(s.runsOf("transcode"), map[string]int{"0": 1})
+	is.Equal(s.row("transcode").GetState(), wire.JobState_FINISHED)
+}
+
 // dropNext drops the next message whose description begins with what. It delivers the messages before it.
 func (s *sim) dropNext(t *testing.T, what string) {
 	t.Helper()
