--- a/program/soak/cuts_test.go
+++ b/program/soak/cuts_test.go
@@ -71,38 +71,13 @@
 	if random.IntN(2) == 0 {
 		instances.ClockRate = slowClockRate
 	}
-	s := &cutsRun{&seriesRun{
-		seedRun: &seedRun{
-			Cluster: cluster.NewWithInstances(t, *gateways, *workers, instances), t: t, random: random, extraRandom: random,
-			gangJobs: map[int]bool{}, faultKinds: allFaults,
-		},
-		period: seriesPeriod, jobCount: seriesJobs,
-		states: map[*cluster.Program]syscall.Signal{},
-	}}
+	s := &cutsRun{newSeriesRun(t, seed, random, *workers, instances)}
+	s.period, s.jobCount, s.faultKinds = seriesPeriod, seriesJobs, allFaults
 	for range *cutCount {
 		s.planCut(time.Second + s.drawUpTo(seriesPeriod-2*longestWorkerLease))
 	}
-	slices.SortStableFunc(s.plan, func(a, b action) int { return int(a.at - b.at) })
-	var running sync.WaitGroup
-	start := time.Now()
-	for number := range clientCount {
-		jobs := map[int]string{}
-		for id := 1 + number; id <= seriesJobs; id += clientCount {
-			jobs[id] = s.longJob(id)
-			s.RegisterJob(id, jobs[id])
-			s.gangJobs[id] = strings.Contains(jobs[id], `"gang":true`)
-			s.accepted = append(s.accepted, id)
-		}
-		running.Go(func() { s.client(number, jobs) })
-	}
-	for _, a := range s.plan {
-		time.Sleep(time.Until(start.Add(a.at)))
-		a.do()
-	}
-	s.endFaults()
-	s.healLinks()
-	running.Wait()
-	s.check()
+	s.endPlan = s.healLinks
+	s.run(s.longJob)
 	s.logLosses()
 }
 
--- a/program/soak/restarted_agents_test.go
+++ b/program/soak/restarted_agents_test.go
@@ -54,7 +54,7 @@
 	for range 2 {
 		s.planBeside(s.drawUpTo(restartsPeriod))
 	}
-	s.run(s.randomLongJob)
+	s.run(func(int) string { return s.randomLongJob() })
 }
 
 // planAgentRestarts plans a series of restarts of the agents of a data centre, each up to three times. Their workers
--- a/program/soak/series_test.go
+++ b/program/soak/series_test.go
@@ -39,6 +39,8 @@
 		period   time.Duration
 		jobCount int
 		plan     []action
+		// endPlan ends what endFaults does not; nil if there is nothing.
+		endPlan func()
 		// states are the states of the processes that are not up.
 		states map[*cluster.Program]syscall.Signal
 	}
@@ -99,7 +101,7 @@
 	for range seriesCount {
 		s.planSeries(s.drawUpTo(seriesPeriod))
 	}
-	s.run(s.randomJob)
+	s.run(func(int) string { return s.randomJob() })
 }
 
 func newSeriesRun(t *testing.T, seed uint64, random *rand.Rand, workers int, instances fakes.InstanceConfig) *seriesRun {
@@ -117,15 +119,16 @@
 	return s
 }
 
-// run carries out the plan while clients submit jobs. Then it ends all faults and checks the jobs and runs.
-func (s *seriesRun) run(newJob func() string) {
+// run carries out the plan while clients submit jobs, which newJob returns by their numbers. Then it ends all faults and
+// checks the jobs and runs.
+func (s *seriesRun) run(newJob func(id int) string) {
 	slices.SortStableFunc(s.plan, func(a, b action) int { return int(a.at - b.at) })
 	var running sync.WaitGroup
 	start := time.Now()
 	for number := range clientCount {
 		jobs := map[int]string{}
 		for id := 1 + number; id <= s.jobCount; id += clientCount {
-			jobs[id] = newJob()
+			jobs[id] = newJob(id)
 			s.RegisterJob(id, jobs[id])
 			s.gangJobs[id] = strings.Contains(jobs[id], `"gang":true`)
 			s.accepted = append(s.accepted, id)
@@ -137,6 +140,9 @@
 		a.do()
 	}
 	s.endFaults()
+	if s.endPlan != nil {
+		s.endPlan()
+	}
 	repaired := time.Now()
 	running.Wait()
 	s.check()
