sidecar, entry: a green test for an unverified instance that leaves; names

A status is requested, not asked for; the listing of the instance before is named so; a comment loses its figures. Tests of both packages pass.

--- a/entry/catalog.go
+++ b/entry/catalog.go
@@ -43,9 +43,9 @@
 		at     time.Time
 	}
 	statusRead struct {
-		hall    string
-		askedAt time.Time
-		status  *wire.HallStatus
+		hall        string
+		requestedAt time.Time
+		status      *wire.HallStatus
 	}
 )
 
@@ -57,11 +57,11 @@
 	sent     sentJobs
 }
 
-// timedStatus is a hall's status with the times at which it was asked for and received.
+// timedStatus is a hall's status with the times at which it was requested and received.
 type timedStatus struct {
-	status  *wire.HallStatus
-	askedAt time.Time
-	at      time.Time
+	status      *wire.HallStatus
+	requestedAt time.Time
+	at          time.Time
 }
 
 func newCatalog() actor.Actor {
@@ -91,13 +91,13 @@
 	}
 }
 
-// setStatus records a status, unless one that was asked for later has arrived before it.
+// setStatus records a status, unless one that was requested later has arrived before it.
 func (c *catalog) setStatus(now time.Time, m statusRead) {
-	if m.askedAt.Before(c.statuses[m.hall].askedAt) {
+	if m.requestedAt.Before(c.statuses[m.hall].requestedAt) {
 		return
 	}
-	c.statuses[m.hall] = timedStatus{status: m.status, askedAt: m.askedAt, at: now}
-	c.sent.dropAnsweredBefore(m.hall, m.askedAt)
+	c.statuses[m.hall] = timedStatus{status: m.status, requestedAt: m.requestedAt, at: now}
+	c.sent.dropAnsweredBefore(m.hall, m.requestedAt)
 }
 
 func (c *catalog) view(now time.Time) View {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -177,7 +177,7 @@
 
 // askStatus requests the status of a hall. The catalog records it without the workers.
 func (e *Entry) askStatus(ctx context.Context, name string, request *wire.HallStatusRequest) (*wire.HallStatus, error) {
-	askedAt := clock.Now()
+	requestedAt := clock.Now()
 	status, err := callHolder[wire.HallStatus](ctx, e.directory, name, "Status", request)
 	if err != nil || status.GetRefusal() != nil {
 		return status, err
@@ -186,7 +186,7 @@
 	status.Workers = nil
 	recorded := proto.CloneOf(status)
 	status.Workers = workers
-	e.deps.System.Root.Send(e.catalog, statusRead{hall: name, askedAt: askedAt, status: recorded})
+	e.deps.System.Root.Send(e.catalog, statusRead{hall: name, requestedAt: requestedAt, status: recorded})
 	return status, nil
 }
 
--- a/entry/sent.go
+++ b/entry/sent.go
@@ -41,7 +41,7 @@
 	}
 }
 
-// dropAnsweredBefore removes the jobs that a hall had answered before a time. A status that was asked for then contains
+// dropAnsweredBefore removes the jobs that a hall had answered before a time. A status that was requested then contains
 // them. The hall may receive the others after it has made the status.
 func (s sentJobs) dropAnsweredBefore(hall string, at time.Time) {
 	s[hall] = slices.DeleteFunc(s[hall], func(j sentJob) bool { return j.answered && j.answeredAt.Before(at) })
--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -161,14 +161,14 @@
 
 // handleListing applies the answer to a poll, and stops overdue runs and revoked starts. The lock must be held.
 func (a *Agent) handleListing(ctx context.Context, now time.Time, poll PollRequest, number uint64, listing Listing) {
-	previous, former := a.core.heartbeat, a.core.listing
+	previous, previousListing := a.core.heartbeat, a.core.listing
 	if a.core.HandleListing(now, poll, number, listing) {
 		a.notifyRenewals()
 	}
 	current := a.core.heartbeat.Instance
 	if current != previous.Instance {
 		a.loggedEnd = 0
-		a.logInstanceChange(now, previous, former)
+		a.logInstanceChange(now, previous, previousListing)
 	}
 	if !a.core.silent {
 		a.silentSince = time.Time{}
--- a/sidecar/instances.go
+++ b/sidecar/instances.go
@@ -178,7 +178,7 @@
 }
 
 // updateReady changes the report if the value of ready has changed. Without this report the holder repeats its orders
-// within 10 ms of each refusal: 666 starts were refused on 55 workers after a power failure.
+// shortly after each refusal.
 func (c *Core) updateReady() (changed bool) {
 	if c.reportedReady == c.ready() {
 		return false
--- a/sidecar/instances_test.go
+++ b/sidecar/instances_test.go
@@ -231,6 +231,22 @@
 	is.True(!HeartbeatEndedInstance.Acknowledges())
 }
 
+// The leave message of an unverified instance with the current one's name made the agent extend the lease of what may be
+// that instance by the clock of the one before.
+func TestLeavingUnverifiedNamesakeStaysUnverified(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	listAt(c, 0, Listing{Clock: time.Second})
+	next := instance.New("first", 2)
+	c.Heartbeat(Heartbeat{Instance: next, Sequence: 1})
+	c.HandleLeave(start, next)
+	poll, number, _ := c.NextPoll(start)
+	is.Equal(poll.LeaseEnd, time.Duration(0))
+	c.HandleListing(start, poll, number, Listing{Instance: next, Clock: time.Second})
+	_, verdict := c.CheckStart(start, orderAt(c, next, 0))
+	is.Equal(verdict, poolpb.OrderResult_DRAINING)
+}
+
 // A listing whose poll was sent before a heartbeat arrived does not show that the instance in the heartbeat has
 // ended, since that instance may have started after the poll. Otherwise all further heartbeats of it would be
 // rejected.
--- a/sidecar/log.go
+++ b/sidecar/log.go
@@ -95,12 +95,12 @@
 }
 
 // logInstanceChange counts and logs that another instance than the one before answers. The lock must be held.
-func (a *Agent) logInstanceChange(now time.Time, previous Heartbeat, former Listing) {
+func (a *Agent) logInstanceChange(now time.Time, previous Heartbeat, previousListing Listing) {
 	a.metrics.GetOrCreateCounter("hollyfork_sidecar_instances_total").Inc()
 	current, listing := a.core.heartbeat.Instance, a.core.listing
 	a.logger.Info().Str("instance", current.String()).Time("born", current.StartTime()).Str("former", previous.Instance.String()).
 		Bool("former_draining", previous.Draining).Str("incarnation", a.core.incarnation).Dur("agent_age", now.Sub(a.core.startedAt)).
-		Int("running", len(listing.Running)).Int("ended", len(listing.Ended)).Strs("runs", listing.runNames()).Strs("former_runs", former.runNames()).
+		Int("running", len(listing.Running)).Int("ended", len(listing.Ended)).Strs("runs", listing.runNames()).Strs("former_runs", previousListing.runNames()).
 		Msg("agent: another instance of the worker answers")
 }
 
