pool: a stop that a restarted agent answered ends no run

In seconds: 6.32 run 1 begins; 6.34 its agent is stopped; 6.46 the run is displaced; its stop goes unanswered until, at 7.060, the next incarnation of the agent answers it with OK; the holder, which knows only the incarnation before, places run 2 at 7.088; run 1 ends at 7.604. The answer was of the agent's next incarnation, whose numbers begin anew, so that an old listing (from before the run was listed) looked later. Change: no number of an answer is compared with an earlier listing. While the last listing lacks the run and a later one is still to come, the stop is sent again, which makes the agent report one more listing; the floor stays that of the first confirmation. Evidence: TestStopAnsweredByARestartedAgentEndsNoRun fails on the code before and passes; TestStopWhoseAnswerIsOvertakenByTheNextListingEndsTheRun now asks for the end one repetition (0.1 s) later, also if that is overtaken; both cuts are noticed.

--- a/pool/order.go
+++ b/pool/order.go
@@ -56,8 +56,8 @@
 			Ticket: m.group.round.ticket(m.group.step, m.instance).text,
 		})
 	case memberStopping:
-		if m.stopConfirmed {
-			return
+		if m.stopConfirmed && m.missingFrom == 0 {
+			return // The listing without the run is still to come.
 		}
 		m.orderInFlight = true
 		orders.Stops = append(orders.Stops, Stop{Task: m.task(), Run: m.group.run})
@@ -105,11 +105,10 @@
 		m.nextSendAt = now.Add(c.settings.ResendAfter)
 		// The next instance does not know of stops that the ended instance confirmed.
 		if m.phase == memberStopping && orders.Instance == m.instance && resultAt(results.Stops, i) == ResultOK {
-			m.stopConfirmed = true
-			m.setFloor(results.Listing)
-			if m.missingFrom > results.Listing {
-				c.releaseMember(now, m) // The listing without the run came before this result.
+			if !m.stopConfirmed {
+				m.setFloor(results.Listing)
 			}
+			m.stopConfirmed = true
 		}
 	}
 }
