pool: repeated stops leave time for the report that they wait for

An order makes the agent report one listing after the poll that is in flight, and each further order moves that on. A worker holds a poll for 0.4 s, so stops that were repeated each 0.1 s kept the report from ever being due. Change: a confirmed stop is repeated once a second. Evidence: the test asks for no stop before 1 s and one then; the cut is noticed.

--- a/pool/order.go
+++ b/pool/order.go
@@ -6,6 +6,10 @@
 	"hollyfork.example/hollyfork/job"
 )
 
+// confirmedStopInterval is the interval between stops that the worker has confirmed while the listing that shows their
+// effect is missing. It exceeds the time of two polls: an order delays the agent's next report until a poll after it.
+const confirmedStopInterval = time.Second
+
 // TakeOrders returns the orders that are due, grouped by worker.
 func (c *Core) TakeOrders(now time.Time) []Orders {
 	if !c.ordersDue {
@@ -109,6 +113,7 @@
 				m.setFloor(results.Listing)
 			}
 			m.stopConfirmed = true
+			m.nextSendAt = now.Add(confirmedStopInterval)
 		}
 	}
 }
--- a/pool/stop_overtaken_test.go
+++ b/pool/stop_overtaken_test.go
@@ -27,7 +27,12 @@
 	before := sim.core.workers[f.name].listing
 	sim.core.Report(sim.now, f.name, Report{Incarnation: f.incarnation, Instance: f.instance, Listing: before + 1})
 	sim.core.HandleResults(sim.now, stop, Results{Listing: before, Stops: []Result{ResultOK}})
-	sim.now = sim.now.Add(sim.core.settings.ResendAfter)
+	// Agents report one listing more after an order, but not while further orders come: a worker may hold a poll for 0.4 s.
+	sim.now = sim.now.Add(900 * time.Millisecond)
+	sim.core.Tick(sim.now)
+	is.Equal(len(sim.core.TakeOrders(sim.now)), 0)
+	sim.now = sim.now.Add(100 * time.Millisecond)
+	sim.core.Tick(sim.now)
 	repeated := sim.core.TakeOrders(sim.now)
 	is.Equal(len(repeated), 1)
 	is.Equal(repeated[0].Stops, stop.Stops)
