--- a/holder/agent_link.go
+++ b/holder/agent_link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 
 	syncMethod  = ServiceName + ".Sync"
 	orderMethod = ServiceName + ".Order"
+
+	// maxLoggedRuns limits the runs that a line names.
+	maxLoggedRuns = 16
 )
 
 // agentLink renews an agent's lease and fetches its reports.
@@ -38,6 +42,8 @@
 	pastIncarnations map[string]bool
 	// wantFullReport is true if the agent must send a report although the holder has seen its last one.
 	wantFullReport bool
+	// closed is true once the holder has given the link up.
+	closed bool
 }
 
 func newAgentLink(h *Holder, a pool.AgentAddress) *agentLink {
@@ -51,7 +57,11 @@
 	}
 }
 
+// close gives the link up: no reply is delivered any more.
 func (l *agentLink) close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
 	_ = l.client.Close()
 }
 
@@ -105,8 +115,14 @@
 
 // deliver hands a reply to the holder, unless a newer one came before it: replies to parallel renewals may
 // arrive out of order, and an older reply has an outdated state of the worker and reading of the agent's
-// clock.
+// clock. The lock is held until the reply is sent: replies reach the holder in order, and no renewal counts from a reply
+// that is not on its way to the holder.
 func (l *agentLink) deliver(reply *poolpb.SyncReply) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return
+	}
 	if !l.recordIfNewest(reply) {
 		l.holder.host.deps.Logger.Warn().Str("agent", l.agent).Str("incarnation", reply.GetIncarnation()).Uint64("report", reply.GetReport()).Msg("holder: ignored an out-of-order reply of an agent")
 		return
@@ -114,10 +130,8 @@
 	l.holder.send(syncResult{agent: l.agent, at: l.holder.now(), reply: reply})
 }
 
-// recordIfNewest reports whether a reply is newer than all earlier ones, and records it if so.
+// recordIfNewest reports whether a reply is newer than all earlier ones, and records it if so. The lock must be held.
 func (l *agentLink) recordIfNewest(reply *poolpb.SyncReply) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	switch incarnation := l.lastReply.GetIncarnation(); {
 	case l.pastIncarnations[reply.GetIncarnation()]:
 		return false
@@ -193,8 +207,22 @@
 	defer cancel()
 	reply, err := rpc.Call[poolpb.OrderReply](ctx, l.client, orderMethod, orderRequest(epoch, orders))
 	if err != nil {
-		l.holder.host.deps.Logger.Warn().Err(err).Str("agent", l.agent).Int("starts", len(orders.Starts)).Int("stops", len(orders.Stops)).Msg("holder: no reply to orders; their outcome is unknown")
+		l.holder.host.deps.Logger.Warn().Err(err).Str("agent", l.agent).Int("starts", len(orders.Starts)).Int("stops", len(orders.Stops)).
+			Uint64("epoch", epoch).Strs("runs", orderedRuns(orders)).Msg("holder: no reply to orders; their outcome is unknown")
 		return &poolpb.OrderReply{}
 	}
 	return reply
 }
+
+// orderedRuns returns the names of the runs that orders are for, at most maxLoggedRuns: those to start, then those to
+// stop.
+func orderedRuns(orders pool.Orders) []string {
+	names := []string{}
+	for _, s := range orders.Starts {
+		names = append(names, s.Task.String()+"/"+strconv.Itoa(s.Run))
+	}
+	for _, s := range orders.Stops {
+		names = append(names, s.Task.String()+"/"+strconv.Itoa(s.Run))
+	}
+	return names[:min(len(names), maxLoggedRuns)]
+}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -17,8 +17,10 @@
 
 // Messages of the holder's actor.
 type (
-	// tick is sent every tickInterval.
-	tick struct{}
+	// tick is sent every tickInterval, at the time at.
+	tick struct {
+		at time.Time
+	}
 	// placementDue is sent when a postponed placing pass is due.
 	placementDue struct{}
 	// stopRequest asks the holder to place no more work and to commit the decisions already made.
@@ -121,7 +123,8 @@
 		h.cancel()
 	case tick:
 		h.core.SetTimeOfDayOffset(clock.WallClockOffset(now))
-		h.core.Tick(now)
+		// Replies by which links have renewed leases before m.at come before the tick.
+		h.core.Tick(m.at)
 	case placementDue:
 		h.placementScheduled = false
 	case stopRequest:
@@ -193,7 +196,13 @@
 // leaseValid reports whether the store confirmed the lease recently enough to act on it. It is safe for
 // concurrent use.
 func (h *Holder) leaseValid(now time.Time) bool {
-	return now.Before(h.timeBase.Add(time.Duration(h.confirmedSentAt.Load())).Add(LeaseValidity))
+	return now.Before(h.leaseEnd())
+}
+
+// leaseEnd returns until when the holder acts on its lease if the store doesn't confirm it again. It is safe for
+// concurrent use.
+func (h *Holder) leaseEnd() time.Time {
+	return h.timeBase.Add(time.Duration(h.confirmedSentAt.Load())).Add(LeaseValidity)
 }
 
 // commit begins the next transaction if there is a batch to write or the lease is due for renewal.
@@ -243,9 +252,10 @@
 		}
 		return
 	}
-	wasValid := h.leaseValid(now)
+	wasValid, lapsedFor := h.leaseValid(now), now.Sub(h.leaseEnd())
 	h.confirmedSentAt.Store(int64(m.sent.Sub(h.timeBase)))
 	if !wasValid {
+		h.host.deps.Logger.Warn().Str("pool", h.host.pool).Uint64("epoch", h.writer.Epoch()).Dur("lapsed_for", lapsedFor).Msg("holder: its lease had lapsed and is confirmed again")
 		h.renewAgentLeases()
 	}
 	if m.batch {
@@ -387,10 +397,14 @@
 
 func (h *Holder) runTicker() {
 	for backoff.Sleep(h.ctx, tickInterval) {
-		h.send(tick{})
+		h.sendTick()
 	}
 }
 
+func (h *Holder) sendTick() {
+	h.send(tick{at: h.now()})
+}
+
 // tickInterval is how often the holder checks for expired timers and for orders to send again.
 const tickInterval = 50 * time.Millisecond
 
--- a/sidecar/incarnation_test.go
+++ b/sidecar/incarnation_test.go
@@ -50,6 +50,19 @@
 	is.Equal(verdict, poolpb.OrderResult_OK)
 }
 
+// The holder may order a start before it learns that the worker's process has ended. The next instance of that name would
+// carry it out, with a lease by another clock.
+func TestNoStartAfterTheWorkersProcessHasEnded(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	listAt(c, 0, Listing{Clock: 100 * time.Second})
+	for range refusalsUntilEnded {
+		c.HandlePollFailure(start.Add(time.Second), PollRequest{Instance: instanceNamed("first")}, c.pollNumber, KindNoWorker)
+	}
+	_, verdict := c.CheckStart(start.Add(time.Second), orderAt(c, instanceNamed("first"), time.Second))
+	is.Equal(verdict, poolpb.OrderResult_OTHER_INSTANCE)
+}
+
 // A clock reading is meaningless to another incarnation of the agent, since readings count from the agent's start.
 func TestStartForAnEarlierAgentIsRefused(t *testing.T) {
 	is := is.New(t)
@@ -236,3 +249,20 @@
 		})
 	})
 }
+
+// A holder that has seen the reports of an earlier incarnation must not take the present one's for unchanged, even if
+// their numbers are equal.
+func TestReplyIsWholeForAHolderThatKnowsAnEarlierAgent(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	seen := &poolpb.SyncRequest{Epoch: 7, Incarnation: c.incarnation, SeenReport: c.ReportNumber()}
+	is.True(c.Reply(start, seen).GetWorker() == nil)
+	seen.Incarnation = "another"
+	is.True(c.Reply(start, seen).GetWorker() != nil)
+}
+
+// Two incarnations with one name would take each other's orders and leases.
+func TestIncarnationsHaveDifferentNames(t *testing.T) {
+	first, second := newIncarnation(), newIncarnation()
+	is.New(t).True(first != second)
+}
--- a/sidecar/lease_steps_test.go
+++ b/sidecar/lease_steps_test.go
@@ -23,7 +23,7 @@
 	case m.poll.listing == nil:
 		effect := m.carryOut(t, workerCall{poll: &m.poll.request})
 		if !effect.accepted {
-			m.failPoll(KindOtherInstance)
+			m.failPoll(m.worker.rejection(m.poll.request.Instance))
 			return
 		}
 		m.poll.listing = &effect.listing
@@ -105,7 +105,7 @@
 	if verdict != poolpb.OrderResult_OK {
 		return
 	}
-	if w := m.worker; !w.drainAcknowledgedAt.IsZero() {
+	if w := m.worker; w.rejection(instance.Parse(request.GetInstance())) != KindOtherInstance && !w.drainAcknowledgedAt.IsZero() {
 		t.Fatalf("a start is sent to %s, %s after its draining notice was acknowledged", w.id, m.now.Sub(w.drainAcknowledgedAt))
 	}
 	m.giveLease(leaseEnd)
@@ -175,16 +175,16 @@
 	return effect
 }
 
-// check fails if a run goes on that the agent has reported, or the holder has counted, as ended by silence, or if
-// failPoll has found a fault.
+// check fails if a run goes on that the agent has reported, or the holder has counted, as ended, or if failPoll has found
+// a fault. Where names recur, only ends by silence count: the next instance may run a start for the one before.
 func (m *leaseModel) check(t *rapid.T) {
 	if m.fault != "" {
 		t.Fatal(m.fault)
 	}
 	settings := pool.DefaultSettings()
 	longest := slowed(settings.AgentLease) + settings.LeaseMargin
-	if m.agent.instanceEnded && m.agent.lapse == poolpb.Lapse_SILENT {
-		m.loseRuns("agent %d has reported that the worker was silent until its lease had ended", m.agents)
+	if m.agent.instanceEnded && (!m.namesRecur || m.agent.lapse == poolpb.Lapse_SILENT) {
+		m.loseRuns("agent %d has reported that the worker has ended: %s", m.agents, m.agent.lapse)
 	}
 	if m.now.After(m.lastReplyAt.Add(longest)) && !m.pausedSinceReply {
 		m.loseRuns("the holder has counted the lease of agent %d as ended", m.agents)
@@ -250,12 +250,14 @@
 // Whenever agents and workers restart, VMs are paused and calls are carried out late, no run goes on after it was
 // reported as ended by silence, and a silent worker is reported once its lease has ended.
 func TestLeasesAcrossRestarts(t *testing.T) {
-	t.Run("the VM's clock", func(t *testing.T) { checkLeases(t, leaseSites{}) })
-	t.Run("clocks of instances", func(t *testing.T) { checkLeases(t, leaseSites{clocksRestart: true}) })
+	const short, long = 6 * time.Second, 10 * time.Second
+	t.Run("the VM's clock", func(t *testing.T) { checkLeases(t, leaseSites{longestLease: short}) })
+	t.Run("clocks of instances", func(t *testing.T) { checkLeases(t, leaseSites{clocksRestart: true, longestLease: short}) })
+	t.Run("long leases", func(t *testing.T) { checkLeases(t, leaseSites{longestLease: long}) })
 }
 
 // The same where the next instance has the name of the one before, so that it carries out calls for that one, with
 // leases by another clock.
 func TestLeasesWhereNamesRecur(t *testing.T) {
-	checkLeases(t, leaseSites{namesRecur: true, clocksRestart: true})
+	checkLeases(t, leaseSites{namesRecur: true, clocksRestart: true, longestLease: 6 * time.Second})
 }
