--- a/hall/protocol_test.go
+++ b/hall/protocol_test.go
@@ -21,15 +21,20 @@
 	}
 }
 
+// repeatableSpec returns the spec of a repeatable job with one task that occupies a worker for a given time.
+func repeatableSpec(length string) *wire.JobSpec {
+	spec := gangSpec(1, 8)
+	spec.Repeatable = true
+	spec.Command = []string{"run", length}
+	return spec
+}
+
 // A job that runs for longer than a long store outage is neither ended nor run again because of it.
 func TestLongStoreOutageInterruptsNoRunningJob(t *testing.T) {
 	is := is.New(t)
 	s := newSim(2, 8)
 	s.run(2 * time.Second)
-	spec := gangSpec(1, 8)
-	spec.Repeatable = true
-	spec.Command = []string{"run", "15m"}
-	s.submit("transcode", spec)
+	s.submit("transcode", repeatableSpec("15m"))
 	s.run(5 * time.Second)
 	s.storeDown = true
 	s.run(10 * time.Minute)
@@ -317,10 +322,7 @@
 	is := is.New(t)
 	s := newSim(2, 8)
 	s.run(2 * time.Second)
-	spec := gangSpec(1, 8)
-	spec.Repeatable = true
-	spec.Command = []string{"run", "1m"}
-	s.submit("transcode", spec)
+	s.submit("transcode", repeatableSpec("1m"))
 	s.run(3 * time.Second)
 	s.node(s.row("transcode").GetPlacement()[0].GetWorker()).partitioned = true
 	s.run(3 * time.Minute)
--- a/hall/restart_test.go
+++ b/hall/restart_test.go
@@ -108,10 +108,7 @@
 			is := is.New(t)
 			s := newSim(2, 8)
 			s.run(2 * time.Second)
-			spec := gangSpec(1, 8)
-			spec.Repeatable = true
-			spec.Command = []string{"run", "1m"}
-			s.submit("transcode", spec)
+			s.submit("transcode", repeatableSpec("1m"))
 			s.run(5 * time.Second)
 			s.replaceCutOffVM(s.node(s.row("transcode").GetPlacement()[0].GetWorker()))
 			if takeover {
@@ -210,10 +207,7 @@
 	s.newestHolder().dead = true
 	s.takeOver()
 	s.run(20 * time.Second)
-	spec := gangSpec(1, 8)
-	spec.Repeatable = true
-	spec.Command = []string{"run", "2m"}
-	s.submit("transcode", spec)
+	s.submit("transcode", repeatableSpec("2m"))
 	s.run(20 * time.Second)
 	placed := s.node(s.row("transcode").GetPlacement()[0].GetWorker())
 	s.newestHolder().dead = true
@@ -254,10 +248,7 @@
 func TestHolderCutOffFromTheStoreKeepsNoTaskRunning(t *testing.T) {
 	s := newSim(2, 8)
 	s.run(2 * time.Second)
-	spec := gangSpec(1, 8)
-	spec.Repeatable = true
-	spec.Command = []string{"run", "2m"}
-	s.submit("transcode", spec)
+	s.submit("transcode", repeatableSpec("2m"))
 	s.run(5 * time.Second)
 	placed := s.node(s.row("transcode").GetPlacement()[0].GetWorker())
 	old := s.newestHolder()
@@ -337,10 +328,7 @@
 			is := is.New(t)
 			s := newSim(2, 8)
 			s.run(2 * time.Second)
-			spec := gangSpec(1, 8)
-			spec.Repeatable = true
-			spec.Command = []string{"run", "2m"}
-			s.submit("transcode", spec)
+			s.submit("transcode", repeatableSpec("2m"))
 			s.run(time.Minute)
 			s.node(s.row("transcode").GetPlacement()[0].GetWorker()).partitioned = true
 			if takeover {
@@ -370,10 +358,7 @@
 func TestNewHolderAwaitsTheLeasesOnAVMThatIsNotListed(t *testing.T) {
 	s := newSim(2, 8)
 	s.run(2 * time.Second)
-	spec := gangSpec(1, 8)
-	spec.Repeatable = true
-	spec.Command = []string{"run", "2m"}
-	s.submit("transcode", spec)
+	s.submit("transcode", repeatableSpec("2m"))
 	s.run(time.Minute)
 	worker := s.row("transcode").GetPlacement()[0].GetWorker()
 	s.newestHolder().dead = true
@@ -398,10 +383,7 @@
 		s.replaceVM(n)
 	}
 	s.run(5 * time.Second)
-	spec := gangSpec(1, 8)
-	spec.Repeatable = true
-	spec.Command = []string{"run", "2m"}
-	s.submit("transcode", spec)
+	s.submit("transcode", repeatableSpec("2m"))
 	s.run(5 * time.Second)
 	worker := s.row("transcode").GetPlacement()[0].GetWorker()
 	core.HandleSyncReply(s.now, worker, requests[worker], late[worker])
