A run that is missing from a full list of ends isn't lost

What callers saw: nothing yet; found by a review. A task starts again after it was done, and its first end is taken note of later, which breaks the rule of running once.

Cause: workers list 500 ended runs at once, and the rest later. A run that has ended behind 500 others is listed neither as running nor as ended. The pool took that for an end that will never be reported, and started the task anew. The same held for runs that were being stopped. "Not listed yet" was read as "none".

Change: a listing with 500 ends says nothing about the runs that it lacks; the next one does.

Why this works: ends are forgotten in their order once they are committed, so a listing with fewer than 500 ends has all that the worker keeps, and agents report each listing with new ends.

--- a/pool/report.go
+++ b/pool/report.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// maxListedEnds is the largest number of ended runs that a worker lists at once.
+const maxListedEnds = 500
+
 // Report processes an agent's report on its worker.
 func (c *Core) Report(now time.Time, agent string, r Report) {
 	w := c.worker(now, agent)
@@ -63,22 +66,25 @@
 	}
 }
 
-// reconcile compares the runs that a worker lists with the members placed on it.
+// reconcile compares the runs that a worker lists with the members placed on it. A run that is missing from a listing
+// with as many ends as possible may have ended with an end that comes with a later one.
 func (c *Core) reconcile(now time.Time, w *worker, r Report) {
 	listed := make(map[runKey]Running, len(r.Running))
 	for _, run := range r.Running {
 		listed[runKey{run.Task, run.Run}] = run
 	}
+	complete := len(r.Ended) < maxListedEnds
 	for _, m := range slices.Clone(w.members) {
 		key := runKey{m.task(), m.group.run}
 		run, runs := listed[key]
 		delete(listed, key)
-		if runs {
+		switch {
+		case runs:
 			c.memberListed(now, m, run)
 			m.setFloor(r.Listing)
-			continue
+		case complete:
+			c.memberNotListed(now, m, r.Listing)
 		}
-		c.memberNotListed(now, m, r.Listing)
 	}
 	c.updateOrphans(now, w, listed)
 }
--- a/pool/sim_worker_test.go
+++ b/pool/sim_worker_test.go
@@ -156,7 +156,7 @@
 		Remaining:   f.remaining,
 		NotReady:    f.notReady,
 		Listing:     f.listing,
-		Ended:       slices.Clone(f.ended),
+		Ended:       slices.Clone(f.ended[:min(len(f.ended), maxListedEnds)]),
 	}
 	if f.down {
 		r.Lapsed = true
