No task starts beside an orphan run of itself

What callers saw: nothing yet; found by a review. After a run was counted as lost and went on all the same, its task was started anew although a listing had shown by then that the run goes on: two runs at once, knowingly.

Cause: a run counts as lost for good. Its worker's later listing makes it an orphan run, which is stopped and takes capacity, but placement and orders don't look at it. This concerns each end that the pool can only infer: VMs that are paused together with their workers' clocks, workers that end their runs late for want of processor, refused connections that are not the end of the process (the open points of the postmortem), and late starts. A task that waits for capacity or for a commit at that time has not been started yet.

Change: a group of which a worker lists an orphan run is not placed, and a first start of a task is not sent, until the run has ended or its worker's lease has lapsed.

Evidence: pool TestNoTaskIsPlacedBesideItsOrphanRun (placed at once before), TestNoTaskIsStartedBesideItsOrphanRun (run 2 starts while run 1 is on the other worker, before).

Why this works: orphan runs leave the list with a listing without them, with their end, with another instance or with the lapse of the lease, so no task waits for longer than for a worker's lease. It closes the window only from the listing on: a second run that has begun before is as it was.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -73,12 +73,13 @@
 // waitingRounds returns the rounds that have at least one group ready to be placed.
 func (c *Core) waitingRounds(now time.Time) []readyRound {
 	var rounds []readyRound
+	orphans := c.tasksWithOrphans()
 	for _, j := range c.liveJobs {
 		if j.state.ended() {
 			continue
 		}
 		for _, r := range j.rounds {
-			if ready := r.readyGroups(now); len(ready) > 0 {
+			if ready := r.readyGroups(now, orphans); len(ready) > 0 {
 				rounds = append(rounds, readyRound{round: r, job: j, ready: ready})
 			}
 		}
@@ -86,15 +87,16 @@
 	return rounds
 }
 
-// readyGroups returns the groups of the round that can be placed now, in the order of their steps.
-func (r *round) readyGroups(now time.Time) []*group {
+// readyGroups returns the groups of the round that can be placed now, in the order of their steps. Groups of tasks with
+// orphan runs wait until those have ended.
+func (r *round) readyGroups(now time.Time, orphans map[job.TaskID]bool) []*group {
 	var ready []*group
 	for _, groups := range r.byStep {
 		if !groups[0].ready() {
 			continue
 		}
 		for _, g := range groups {
-			if g.waiting() && !now.Before(g.notBefore) {
+			if g.waiting() && !now.Before(g.notBefore) && !g.hasAnyOf(orphans) {
 				ready = append(ready, g)
 			}
 		}
--- a/pool/group.go
+++ b/pool/group.go
@@ -171,6 +171,19 @@
 	return g.round.due
 }
 
+// hasAnyOf reports whether the group has one of the tasks.
+func (g *group) hasAnyOf(tasks map[job.TaskID]bool) bool {
+	if len(tasks) == 0 {
+		return false
+	}
+	for i := range g.size {
+		if tasks[g.task(g.first+i)] {
+			return true
+		}
+	}
+	return false
+}
+
 // placed reports whether the group has a current run.
 func (g *group) placed() bool {
 	return len(g.members) > 0
--- a/pool/order.go
+++ b/pool/order.go
@@ -18,6 +18,7 @@
 	c.ordersDue = false
 	var list []Orders
 	startsEnd := c.startsDeadline()
+	orphans := c.tasksWithOrphans()
 	for _, w := range c.workers {
 		// Until the worker has sent a listing, runs that an earlier holder started there are not known.
 		if w.instance.IsZero() || w.listing == 0 || now.Sub(w.lastReplyAt) > c.settings.FreshFor {
@@ -26,7 +27,7 @@
 		c.abortOvercommitted(now, w)
 		orders := Orders{Agent: w.agent, Instance: w.instance, Capacity: w.capacity, Grant: w.grant, StartsFor: c.startsFor(w, startsEnd)}
 		for _, m := range w.members {
-			c.orderMember(now, m, &orders)
+			c.orderMember(now, m, &orders, orphans)
 		}
 		c.orderOrphanStops(now, w, &orders)
 		if len(orders.Starts)+len(orders.Stops) > 0 {
@@ -36,14 +37,15 @@
 	return list
 }
 
-// orderMember appends the order that a member needs, if any.
-func (c *Core) orderMember(now time.Time, m *member, orders *Orders) {
+// orderMember appends the order that a member needs, if any. A task with an orphan run is not started before that has
+// ended.
+func (c *Core) orderMember(now time.Time, m *member, orders *Orders, orphans map[job.TaskID]bool) {
 	if m.orderInFlight || now.Before(m.nextSendAt) {
 		return
 	}
 	switch m.phase {
 	case memberOrdered:
-		if m.worker.evacuated || orders.StartsFor <= 0 {
+		if m.worker.evacuated || orders.StartsFor <= 0 || !m.maybeSent && orphans[m.task()] {
 			return
 		}
 		m.sendCount++
--- a/pool/orphan_test.go
+++ b/pool/orphan_test.go
@@ -54,3 +54,49 @@
 		})
 	}
 }
+
+// orphanAfterPause returns a simulation of two workers in which the holder counts a job's run as lost, but the run goes on,
+// since its VM was paused and the worker's clock with it. The worker does not answer yet.
+func orphanAfterPause(t *testing.T) (sim *simulation, paused, other *fakeWorker) {
+	t.Helper()
+	sim = newSimulation(t, 2)
+	sim.run(300 * time.Millisecond)
+	sim.submit(gang(1, 1, 8, time.Hour))
+	sim.run(time.Second)
+	paused, other = sim.workers[0], sim.workers[1]
+	if len(paused.running) == 0 {
+		paused, other = other, paused
+	}
+	paused.silent = true
+	paused.leaseUntil = sim.now.Add(time.Minute)
+	other.draining = true
+	sim.runUntil("the run is lost", func() bool { return sim.countEvents(EventRunLost) == 1 })
+	return sim, paused, other
+}
+
+// Guards against a second run of a task that is placed although a listing shows that the first one goes on.
+func TestNoTaskIsPlacedBesideItsOrphanRun(t *testing.T) {
+	is := is.New(t)
+	sim, paused, other := orphanAfterPause(t)
+	sim.run(time.Second)
+	paused.silent, other.draining = false, false
+	sim.runUntil("the run is listed", func() bool { return sim.countEvents(EventOrphanStopped) == 1 })
+	is.Equal(sim.countEvents(EventPlaced), 1)
+	sim.run(3 * time.Second) // the simulation checks that no task runs twice at a time
+	is.Equal(sim.starts, 2)
+}
+
+// Guards against a second run of a task whose start is sent although a listing has shown since its placement that the first
+// one goes on.
+func TestNoTaskIsStartedBesideItsOrphanRun(t *testing.T) {
+	is := is.New(t)
+	sim, paused, other := orphanAfterPause(t)
+	sim.storeDown = true // so that placements are not committed
+	other.draining = false
+	sim.runUntil("the task is placed again", func() bool { return sim.countEvents(EventPlaced) == 2 })
+	paused.silent = false
+	sim.runUntil("the run is listed", func() bool { return sim.countEvents(EventOrphanStopped) == 1 })
+	sim.storeDown = false
+	sim.run(3 * time.Second) // the simulation checks that no task runs twice at a time
+	is.Equal(sim.starts, 2)
+}
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -227,6 +227,20 @@
 	return !w.instance.IsZero() && !w.draining && !w.evacuated
 }
 
+// tasksWithOrphans returns the tasks of which workers list runs that they should not have; nil if there are none.
+func (c *Core) tasksWithOrphans() map[job.TaskID]bool {
+	var tasks map[job.TaskID]bool
+	for _, w := range c.workers {
+		for key := range w.orphans {
+			if tasks == nil {
+				tasks = map[job.TaskID]bool{}
+			}
+			tasks[key.task] = true
+		}
+	}
+	return tasks
+}
+
 // freeCapacity returns the capacity that neither members nor orphan runs take.
 func (w *worker) freeCapacity() job.Shape {
 	free := w.capacity
