An earlier run's end stops no long-running task

What callers saw: nothing yet; found by a review. After a change of holder, or when a worker comes back whose runs were lost, a long-running task that is at work is stopped and started anew.

Cause: ends are listed again to the next holder until they are forgotten. The end "done" of an earlier run stops the present one, since the task is taken for done. A long-running task never is.

Change: the present run is stopped only if the group is done.

Why this works: for other tasks the end makes the group done, as before.

--- a/pool/report.go
+++ b/pool/report.go
@@ -250,7 +250,7 @@
 	case EndDone:
 		c.recordSuccess(w)
 		c.runDone(now, g)
-		if g.placed() && !current {
+		if g.done && g.placed() && !current {
 			c.abort(now, g)
 		}
 		return
