An agent reads the time and the suspensions until then at one moment

What callers saw: nothing yet; found by a review.

Cause: the agent reads the suspensions of its VM first and the time after it. If the VM is suspended between the two, the time contains the suspension and its total doesn't. A silent worker then counts as lapsed too early, by the length of the suspension, and a lease is extended by a reading of the worker's clock that stood still, beyond the agent's own. The opposite order errs at a listing. It is the class of TestClocksAreReadAtOneMoment: readings of two clocks at different moments are taken for readings at one. The window is short unless the thread is descheduled there.

Change: both are read again if the suspensions differ before and after, ten times at most.

Evidence: sidecar TestTimeAndSuspensionsAreReadAtOneMoment: 5 s without the suspension before.

Why this works: a time that is read between two equal totals has that total.

--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -35,6 +35,8 @@
 	maxSyncWait = 2 * time.Second
 	// maxParallelOrders limits the orders that are sent to the worker concurrently.
 	maxParallelOrders = 8
+	// maxClockReadings limits the attempts to read the time and the suspensions of the VM at one moment.
+	maxClockReadings = 10
 )
 
 // Agent runs a Core: it polls the worker and serves heartbeats, renewals and orders. Create it with New, then call
@@ -197,10 +199,18 @@
 	}
 }
 
-// now returns the present time, after it has updated the pause time of the core. The lock must be held.
+// now returns the present time, after it has updated the pause time of the core. It reads both again if the VM was
+// suspended in between. The lock must be held.
 func (a *Agent) now() time.Time {
-	a.core.SetTotalPause(a.clock.Suspended())
-	return a.clock.Now()
+	suspended := a.clock.Suspended()
+	for n := 1; ; n++ {
+		now, before := a.clock.Now(), suspended
+		suspended = a.clock.Suspended()
+		if suspended-before <= pauseTolerance || n == maxClockReadings {
+			a.core.SetTotalPause(suspended)
+			return now
+		}
+	}
 }
 
 // revokeStarts stops runs that the current instance may still start. Stops that are not answered are sent again after
