A crash is recorded with no negative age of its run

What callers saw: nothing yet; found by a random history of the whole path. After a change of holder a job stands still for good, since its row can't be read: nothing of it is started and its ends are ignored.

Cause: reports count from the time at which they arrived, commits from the time at which they are handled. Where the holder is short of processor, a report of a crash may be handled after a commit that ordered a run, though it arrived before. The age of the run is negative then, and the check of rows rejects it.

Change: the age is 0 then.

Evidence: pool TestCrashReportedBeforeTheOrderLeavesTheJobReadable: "the row is malformed" before.

Why this works: all ages that are written are computed at these two places. Rows with negative ages that an earlier release wrote stay unreadable.

--- a/pool/crash.go
+++ b/pool/crash.go
@@ -130,12 +130,13 @@
 	return strings.Join(runs, separator)
 }
 
-// runAge returns the time since the member's run was ordered.
+// runAge returns the time since the member's run was ordered; 0 if it was ordered later, as a report that was made before
+// may be handled after it.
 func (m *member) runAge(now time.Time) time.Duration {
 	if m.group.orderedAt.IsZero() {
 		return 0
 	}
-	return now.Sub(m.group.orderedAt).Round(time.Millisecond)
+	return max(0, now.Sub(m.group.orderedAt)).Round(time.Millisecond)
 }
 
 // recordCrash records a crash against every run that the worker may have had, except those of the
@@ -157,7 +158,7 @@
 		if g := c.groupOf(key.task); g != nil {
 			affected = append(affected, g)
 			c.addCrash(now, g, crash{
-				index: key.task.Index, run: key.run, agent: w.agent, instance: w.instance, after: now.Sub(o.since),
+				index: key.task.Index, run: key.run, agent: w.agent, instance: w.instance, after: max(0, now.Sub(o.since)),
 				inexact: true, certain: certain, starts: &startLog{unknown: 1},
 			})
 		}
