sidecar: an agent that blocks starts says that it is not ready

Cause: a poll that acknowledges ends and gets no answer, as when its worker crashes, may reach the next instance of the name. So the agent answers each start there with "late" for 12.5 s. But it reported that it was ready: in the log, sidecar-0 reports so at 03:13:13.543 and then answers 46 starts of the job, of runs 1 to 4, with LATE until 23.711. The holder repeated each start for 2 s, recalled the run, and placed it there again as the worker was the emptiest.

Change: ready is false until the first listing after the block, so the holder places nothing there. What CheckStart answers is unchanged.

--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -227,6 +227,7 @@
 	c.estimateClockAtStart(listing.Clock)
 	first := c.listingNumber == 0
 	c.listingNumber = number
+	c.endStartBlock(now)
 	c.updateReady()
 	progress := len(listing.Running) > 0 && now.Sub(c.reportedAt) >= max(progressInterval, c.renewalInterval)
 	due := c.reportAfterPoll > 0 && number > c.reportAfterPoll
@@ -362,7 +363,7 @@
 // CheckStart returns the lease end, by the worker's clock, to send with a start, or the reason to reject the start.
 func (c *Core) CheckStart(now time.Time, request *poolpb.OrderRequest) (time.Duration, poolpb.OrderResult_Value) {
 	switch {
-	case instance.Parse(request.GetInstance()) != c.heartbeat.Instance || c.instanceEnded || !c.ready():
+	case instance.Parse(request.GetInstance()) != c.heartbeat.Instance || c.instanceEnded || !c.knowsInstance():
 		return 0, poolpb.OrderResult_OTHER_INSTANCE
 	case c.heartbeat.Draining:
 		return 0, poolpb.OrderResult_DRAINING
--- a/sidecar/instances.go
+++ b/sidecar/instances.go
@@ -171,12 +171,25 @@
 	c.reportNumber++
 }
 
-// ready reports whether the agent carries out starts. No instance may wait for verification, and the agent must have
-// received a heartbeat that the current instance sent after the agent's start.
+// ready reports whether the agent carries out starts: it knows the current instance, and no poll for an earlier one may
+// reach that. The end of such a block takes effect with the next listing.
 func (c *Core) ready() bool {
+	return c.knowsInstance() && c.startsBlockedUntil.IsZero()
+}
+
+// knowsInstance reports whether the agent knows the current instance. No instance may wait for verification, and the
+// agent must have received a heartbeat that the current instance sent after the agent's start.
+func (c *Core) knowsInstance() bool {
 	return c.heartbeatReceived && len(c.unverified) == 0 && !c.heartbeatPredatesAgent()
 }
 
+// endStartBlock ends the block of starts once no poll for an earlier instance can arrive any more.
+func (c *Core) endStartBlock(now time.Time) {
+	if !now.Before(c.startsBlockedUntil) {
+		c.startsBlockedUntil = time.Time{}
+	}
+}
+
 // updateReady changes the report if the value of ready has changed. Without this report the holder repeats its orders
 // shortly after each refusal.
 func (c *Core) updateReady() (changed bool) {
--- a/sidecar/instances_test.go
+++ b/sidecar/instances_test.go
@@ -212,6 +212,28 @@
 	is.Equal(verdictAt(lateCallLimit+time.Millisecond), poolpb.OrderResult_OK)
 }
 
+// Guards against a job that stands still for 9.6 s beside free workers: an agent that answered each start with "late"
+// for 12.5 s reported that it was ready, so the holder placed the job's runs there again and again.
+func TestAgentThatBlocksStartsIsNotReady(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	listAt(c, 0, Listing{Clock: time.Second, Ended: []*poolpb.EndedTask{{Number: 3}}})
+	c.Sync(&poolpb.SyncRequest{Epoch: 7, Instance: instanceNamed("first").String(), Committed: 3})
+	poll, number, _ := c.NextPoll(start)
+	c.HandlePollFailure(start, poll, number, KindUnanswered)
+	next := instance.New("first", 2)
+	c.Heartbeat(Heartbeat{Instance: next, Sequence: 1})
+	listsAt := func(at time.Duration) (reported bool) {
+		poll, number, _ := c.NextPoll(start.Add(at))
+		return c.HandleListing(start.Add(at), poll, number, Listing{Instance: next, Clock: time.Second + at})
+	}
+	listsAt(time.Second)
+	is.True(c.workerState().GetNotReady())
+	is.True(!listsAt(2 * time.Second))
+	is.True(listsAt(lateCallLimit))
+	is.True(!c.workerState().GetNotReady())
+}
+
 // The draining notice of an unverified instance is acknowledged, so the agent has to honour it at once: nothing is
 // started until a listing shows which instance is running.
 func TestNoticeOfAnUnverifiedInstanceCounts(t *testing.T) {
