pool: workers lost during one run isolate no task

What callers saw: nothing that was traced to it. The suspicion still read two crashes on different workers as two runs, so a gang that lost several workers at once (a data centre, whose silent agents are resolved as crashes later) asked for workers without other work. Change: two crashes on different workers isolate a group only if they came under different runs. Why this works: a run can crash only one worker, since it ends with it.

--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -39,20 +39,21 @@
 // suspicion is how strongly a group is suspected of crashing workers.
 type suspicion int
 
-// updateSuspicion derives the suspicion from the crashes that no later run has outlasted.
+// updateSuspicion derives the suspicion from the crashes that no later run has outlasted. A run can crash only one
+// worker, so several crashes during one run count as one.
 func (g *group) updateSuspicion() {
 	g.suspicion = suspicionNone
-	var previous workerInstance
-	for _, k := range g.crashes[g.survivedCrashes:] {
+	var previous *crash
+	for i, k := range g.crashes[g.survivedCrashes:] {
 		if !k.certain || k.starts.evidence() <= evidencePending {
 			continue
 		}
-		if k.after <= earlyCrash || (previous != workerInstance{}) && previous != k.workerInstance() {
+		if k.after <= earlyCrash || previous != nil && previous.run != k.run && previous.workerInstance() != k.workerInstance() {
 			g.suspicion = suspicionIsolate
 			return
 		}
 		g.suspicion = suspicionSeparate
-		previous = k.workerInstance()
+		previous = &g.crashes[g.survivedCrashes+i]
 	}
 }
 
