pool, sidecar, holder: the answer to an order names the agent's incarnation

What callers saw: nothing yet; by reading, two runs of one task. A holder that does not know of an agent's restart took the next incarnation's answer to a stop for one of the incarnation before. A report of the earlier incarnation without the run (an unanswered start that is carried out late), delivered after that answer, has a higher number of its own count, so it released the stopped run, which went on and was placed elsewhere. Cause: HandleResults compares the incarnation that the order was given to with the one known; nothing said who answered. Change: OrderReply.incarnation. An answer counts only if the incarnation known, the one that the order was given to and the one that answered are the same; else its outcome is unknown and the order is repeated. Answers without a name (agents of earlier releases) count exactly as before; the numbers of answers are still compared with no earlier listing, since they may be without a name. As evidence of starts every answer still counts: it says what its own call did, and a call is sent once (rpc repeats none). Old and new side by side: an earlier holder skips the field, an earlier agent leaves it empty. Why this works: listing numbers are compared only within one incarnation, and that is now known, not inferred from what was asked.

--- a/holder/translate.go
+++ b/holder/translate.go
@@ -121,9 +121,10 @@
 
 func resultsFrom(reply *poolpb.OrderReply) pool.Results {
 	return pool.Results{
-		Listing: reply.GetListing(),
-		Starts:  resultList(reply.GetStarts()),
-		Stops:   resultList(reply.GetStops()),
+		Incarnation: reply.GetIncarnation(),
+		Listing:     reply.GetListing(),
+		Starts:      resultList(reply.GetStarts()),
+		Stops:       resultList(reply.GetStops()),
 	}
 }
 
--- a/holder/translate_test.go
+++ b/holder/translate_test.go
@@ -68,3 +68,12 @@
 		Ended:   []pool.Ended{{Number: 7, Task: job.TaskID{Job: "0123456789abcdef", Round: 1, Step: 2, Index: 4}, Run: 8, Kind: pool.EndDone, Saved: "more"}},
 	})
 }
+
+// Without the name of the agent that answered, the next incarnation's answer would count as the known one's.
+func TestAnswersCarryEverything(t *testing.T) {
+	is := is.New(t)
+	is.Equal(resultsFrom(&poolpb.OrderReply{
+		Incarnation: "agent", Listing: 4,
+		Starts: []poolpb.OrderResult_Value{poolpb.OrderResult_ROOM}, Stops: []poolpb.OrderResult_Value{poolpb.OrderResult_OK},
+	}), pool.Results{Incarnation: "agent", Listing: 4, Starts: []pool.Result{pool.ResultNoCapacity}, Stops: []pool.Result{pool.ResultOK}})
+}
--- a/model/worker.go
+++ b/model/worker.go
@@ -93,7 +93,7 @@
 
 // execute executes orders and returns their results.
 func (w *worker) execute(o pool.Orders) pool.Results {
-	results := pool.Results{Listing: w.listing}
+	results := pool.Results{Incarnation: "agent", Listing: w.listing}
 	for _, s := range o.Stops {
 		results.Stops = append(results.Stops, w.stop(s))
 	}
--- a/pool/message.go
+++ b/pool/message.go
@@ -161,8 +161,10 @@
 	// Results are the outcomes of Orders, in the same order. Listings with a number above Listing were
 	// made after the orders were carried out.
 	Results struct {
-		Listing uint64
-		Starts  []Result
-		Stops   []Result
+		// Incarnation identifies the agent's process that answered; empty if the agent does not tell.
+		Incarnation string
+		Listing     uint64
+		Starts      []Result
+		Stops       []Result
 	}
 )
--- a/pool/order.go
+++ b/pool/order.go
@@ -79,12 +79,13 @@
 }
 
 // HandleResults processes the results of orders. The outcome of an order without a result counts as unknown. So does
-// that of an order through an earlier incarnation of the agent: its listing number means nothing to the present one.
+// that of an order that was given to, or answered by, another incarnation of the agent than the known one: its listing
+// number is not comparable with those of reports. As evidence of starts, any answer says what its own call did.
 func (c *Core) HandleResults(now time.Time, orders Orders, results Results) {
 	for i, start := range orders.Starts {
 		c.recordAnswer(now, orders.Agent, start, resultAt(results.Starts, i))
 	}
-	if w, known := c.workers[orders.Agent]; known && orders.Grant.Incarnation != w.incarnation {
+	if w, known := c.workers[orders.Agent]; known && !orders.answeredBy(w.incarnation, results) {
 		results = Results{}
 	}
 	for i, start := range orders.Starts {
@@ -118,6 +119,12 @@
 	}
 }
 
+// answeredBy reports whether an incarnation of the agent was given the orders and answered them. Agents of earlier releases
+// do not name themselves in answers.
+func (o Orders) answeredBy(incarnation string, results Results) bool {
+	return o.Grant.Incarnation == incarnation && (results.Incarnation == incarnation || results.Incarnation == "")
+}
+
 // mayRun reports whether the run may exist on the worker after a start with this result.
 func (r Result) mayRun() bool {
 	return r == ResultOK || r == ResultUnknown || r == ResultOldRun
--- a/pool/sim_order_test.go
+++ b/pool/sim_order_test.go
@@ -22,14 +22,14 @@
 func (sim *simulation) carryOutOrders(orders Orders) {
 	f := sim.workerByName(orders.Agent)
 	if f.down && !f.silent {
-		sim.after(sim.refusalDelay, sim.forCurrentHolder(func() { sim.core.HandleResults(sim.now, orders, refuseAll(orders)) }))
+		sim.after(sim.refusalDelay, sim.forCurrentHolder(func() { sim.core.HandleResults(sim.now, orders, refuseAll(f.incarnation, orders)) }))
 		return
 	}
 	if f.silent {
 		sim.after(time.Second, sim.forCurrentHolder(func() { sim.core.HandleResults(sim.now, orders, Results{}) }))
 		return
 	}
-	results := Results{Listing: f.listing}
+	results := Results{Incarnation: f.incarnation, Listing: f.listing}
 	for _, s := range orders.Stops {
 		results.Stops = append(results.Stops, sim.stop(f, s))
 	}
@@ -50,8 +50,8 @@
 }
 
 // refuseAll returns the reply of an agent whose worker's address refuses connections.
-func refuseAll(orders Orders) Results {
-	results := Results{}
+func refuseAll(incarnation string, orders Orders) Results {
+	results := Results{Incarnation: incarnation}
 	for range orders.Starts {
 		results.Starts = append(results.Starts, ResultRefused)
 	}
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -51,6 +51,7 @@
 	a.mu.Lock()
 	stale := a.core.ObserveEpoch(request.GetEpoch())
 	reply.Epoch = a.core.epoch
+	reply.Incarnation = a.core.incarnation
 	if stale {
 		a.logEarlierHolder(request.GetEpoch(), "order")
 	}
--- a/sidecar/service_test.go
+++ b/sidecar/service_test.go
@@ -105,3 +105,14 @@
 	is.True(!agent.core.workerState().GetNotReady())
 	is.True(notified(renewal))
 }
+
+// An agent that did not say which incarnation answers would be taken for the one that the order was given to.
+func TestAnswerToAnOrderNamesTheIncarnation(t *testing.T) {
+	is := is.New(t)
+	agent := New(clocktest.New(), &unresponsiveWorker{}, metrics.NewSet(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+	reply := &poolpb.OrderReply{}
+	is.NoErr(agent.Service().Order(&poolpb.OrderRequest{Epoch: 7, Incarnation: "before", Stops: []*poolpb.StopOrder{{Task: "a.0.0.0", Run: 1}}}, reply))
+	is.True(reply.GetIncarnation() != "")
+	is.Equal(reply.GetIncarnation(), agent.core.incarnation)
+	is.Equal(reply.GetStops(), []poolpb.OrderResult_Value{poolpb.OrderResult_OK})
+}
