sidecar: a worker that drains or leaves may stop listening before its runs end

What callers saw: two runs of one task, in real processes: a worker that sends its leave message and closes its listener 2 s before it ends; eight tasks ran twice. Cause: one refused connection after a leave message, or two of a draining worker, counted as the end of its process. A refused connection of such a worker precedes the end. Change: a worker that drains, or whose leave message is recent, is treated as silent when its address refuses a connection: polls extend nothing, and once its lease has certainly ended it is reported as LEFT. That it had said so is kept until it answers again (`leaving`): a leave message is recent for 5 s, a lease may last 6.3 s after a restart of the agent, and neither the old rule nor the reason CRASHED may come back meanwhile. It is reported as draining for that time, so that its next instance makes it no crash. A worker that goes on after a leave message, which may be an earlier instance's, has its lease extended as before. The line "all runs of the worker are considered ended" follows a change of the reason, not any change of the report. What is not changed: two refused connections of a worker that has said nothing, and another instance that answers at the address, still count as the end (restarts.md says what that assumes). The lease model's check that a silent worker is reported in time leaves out a single refused connection, which reports nothing (it had no refused connections). Why this works: whatever the worker does with its listener, by its own clock nothing runs on it after its lease, and no extension is recorded that could reach it after the refusal.

--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -141,13 +141,15 @@
 		if a.silentSince.IsZero() && poll.Instance == a.core.heartbeat.Instance {
 			a.silentSince = startedAt
 		}
-		wasSilent := a.core.silent
+		wasSilent, lapse := a.core.silent, a.core.lapse
 		changed := a.core.HandlePollFailure(now, poll, number, KindOf(err))
 		if a.core.silent && !wasSilent {
 			a.logLease(a.logger.Info().Err(err), now, poll).Msg("agent: the worker does not answer")
 		}
-		if changed {
+		if a.core.lapse != lapse {
 			a.logLapse(now, poll, err)
+		}
+		if changed {
 			a.notifyRenewals()
 		}
 		if a.core.reportedReady != a.loggedReady {
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -91,9 +91,11 @@
 	totalPause          time.Duration
 	totalPauseAtListing time.Duration
 	// silent is set if the current instance did not answer its last poll. refusals counts the connections that were
-	// refused since its last answer.
+	// refused since its last answer. leaving is set if one of them was refused after the instance had said that it
+	// would end.
 	silent   bool
 	refusals int
+	leaving  bool
 	// overdueRuns holds runs that go on although their lease has ended, and that the agent has to stop.
 	overdueRuns []*poolpb.StopOrder
 
@@ -175,7 +177,7 @@
 func (c *Core) workerState() *poolpb.WorkerState {
 	return &poolpb.WorkerState{
 		Instance:     c.heartbeat.Instance.String(),
-		Draining:     c.heartbeat.Draining,
+		Draining:     c.heartbeat.Draining || c.leaving,
 		CpuMillis:    int32(c.heartbeat.Capacity.CPUMillis),
 		MemoryMb:     int32(c.heartbeat.Capacity.MemoryMB),
 		Accelerators: int32(c.heartbeat.Capacity.Accelerators),
@@ -250,6 +252,7 @@
 	c.totalPauseAtListing = c.totalPause
 	c.silent = false
 	c.refusals = 0
+	c.leaving = false
 	c.markAlive()
 }
 
@@ -327,17 +330,11 @@
 	before := c.reportNumber
 	switch kind {
 	case KindNoWorker:
-		c.refusals++
-		if c.refusals >= refusalsUntilEnded || c.leftRecently(now) {
-			c.markProcessEnded(now)
-		}
+		c.handleRefusal(now)
 	case KindOtherInstance:
 		c.markProcessEnded(now)
 	default:
-		c.silent = true
-		if c.workerLeaseLapsed(now) {
-			c.markEnded(now, poolpb.Lapse_SILENT)
-		}
+		c.handleSilence(now)
 	}
 	return c.reportNumber != before
 }
--- a/sidecar/instances.go
+++ b/sidecar/instances.go
@@ -208,8 +208,9 @@
 
 // HandleLeave applies a leave message, with which the worker reports that it ends. The message may arrive late, and may
 // lack the start time of the instance. The worker's process goes on until the message is acknowledged, or longer if the
-// acknowledgement is lost. So the message ends no run: the agent records its time, and the next refused poll ends the
-// current instance, whether the message is of that instance or only may be.
+// acknowledgement is lost. So the message ends no run, and its lease is still extended: the agent records its time, and
+// counts the next refused poll as the end of the listening alone, whether the message is of the current instance or only
+// may be.
 func (c *Core) HandleLeave(now time.Time, id instance.ID) {
 	if id.Matches(c.heartbeat.Instance) {
 		c.leaveReceivedAt = now
@@ -248,16 +249,50 @@
 	c.reportNumber++
 }
 
-// markProcessEnded records that the worker's process no longer exists. The worker has left if it was draining or has
-// sent a leave message recently; otherwise it has crashed.
+// handleRefusal records that the worker's address has refused a connection. A worker that has said that it will end may
+// stop listening before its runs end, which go on until their lease ends. Another one has ended if it refuses
+// refusalsUntilEnded connections in a row.
+func (c *Core) handleRefusal(now time.Time) {
+	c.refusals++
+	if !c.leaving && c.saidThatItEnds(now) {
+		c.leaving = true
+		c.reportNumber++
+	}
+	switch {
+	case c.leaving:
+		c.handleSilence(now)
+	case c.refusals >= refusalsUntilEnded:
+		c.markProcessEnded(now)
+	}
+}
+
+// handleSilence records that the current instance gave no answer. Nothing runs on it any more once its lease has ended.
+func (c *Core) handleSilence(now time.Time) {
+	c.silent = true
+	switch {
+	case !c.workerLeaseLapsed(now):
+	case c.leaving:
+		c.markEnded(now, poolpb.Lapse_LEFT)
+	default:
+		c.markEnded(now, poolpb.Lapse_SILENT)
+	}
+}
+
+// markProcessEnded records that the worker's process no longer exists. The worker has left if it said so before;
+// otherwise it has crashed.
 func (c *Core) markProcessEnded(now time.Time) {
-	if c.heartbeat.Draining || c.leftRecently(now) {
+	if c.leaving || c.saidThatItEnds(now) {
 		c.markEnded(now, poolpb.Lapse_LEFT)
 		return
 	}
 	c.markEnded(now, poolpb.Lapse_CRASHED)
 }
 
+// saidThatItEnds reports whether the worker is draining or has sent a leave message recently.
+func (c *Core) saidThatItEnds(now time.Time) bool {
+	return c.heartbeat.Draining || c.leftRecently(now)
+}
+
 // leftRecently reports whether a leave message that may be of the current instance arrived within leaveValidity.
 func (c *Core) leftRecently(now time.Time) bool {
 	return !c.leaveReceivedAt.IsZero() && now.Sub(c.leaveReceivedAt) < leaveValidity
--- a/sidecar/lease_model_test.go
+++ b/sidecar/lease_model_test.go
@@ -274,10 +274,20 @@
 	if m.namesRecur || rapid.Bool().Draw(t, "ended") {
 		m.restartWorker(t)
 	}
+	if id == m.worker.id {
+		m.worker.draining, m.worker.leaves = true, true
+	}
 	m.agent.HandleLeave(m.now, id)
 	m.cancelPoll()
 }
 
+// stopListening makes a worker refuse connections while its runs go on, if it has told an agent that it will end.
+func (m *leaseModel) stopListening(*rapid.T) {
+	if m.worker.leaves || !m.worker.drainAcknowledgedAt.IsZero() {
+		m.worker.closed = true
+	}
+}
+
 // giveLease records that a message with a lease may reach the worker.
 func (m *leaseModel) giveLease(leaseEnd time.Duration) {
 	if leaseEnd > 0 {
--- a/sidecar/lease_steps_test.go
+++ b/sidecar/lease_steps_test.go
@@ -20,6 +20,8 @@
 	switch {
 	case m.poll == nil:
 		m.sendPoll()
+	case m.poll.listing == nil && m.worker.closed:
+		m.failPoll(KindNoWorker)
 	case m.poll.listing == nil:
 		effect := m.carryOut(t, workerCall{poll: &m.poll.request})
 		if !effect.accepted {
@@ -45,6 +47,10 @@
 	if m.poll == nil {
 		return
 	}
+	if m.worker.closed && m.poll.listing == nil {
+		m.failPoll(KindNoWorker)
+		return
+	}
 	call := workerCall{poll: &m.poll.request}
 	switch rapid.SampledFrom([]string{"late", "done", "refused"}).Draw(t, "the poll is") {
 	case "late":
@@ -70,6 +76,9 @@
 	x := m.poll
 	m.poll = nil
 	m.agent.HandlePollFailure(m.now, x.request, x.number, kind)
+	if kind == KindNoWorker && !m.agent.leaving {
+		return // One refused connection tells nothing yet.
+	}
 	if m.agent.silent && !m.agent.instanceEnded && x.request.Instance == m.agent.heartbeat.Instance && m.now.After(m.surelyLapsedAt()) {
 		m.fault = fmt.Sprintf("a silent worker is not reported %s after it can last have been given a lease", m.now.Sub(m.lastGivenAt))
 	}
@@ -111,6 +120,10 @@
 	m.giveLease(leaseEnd)
 	order := m.chooseOrder(t)
 	m.agent.StartSent(m.now, order)
+	if m.worker.closed {
+		m.agent.StartAnswered(order, poolpb.OrderResult_REFUSED)
+		return
+	}
 	call := workerCall{start: &StartRequest{Instance: instance.Parse(request.GetInstance()), Epoch: m.epoch, LeaseEnd: leaseEnd, Order: order}}
 	switch rapid.SampledFrom([]string{"answered", "done", "late"}).Draw(t, "the start is") {
 	case "answered":
@@ -241,6 +254,7 @@
 		"pause":          m.pause,
 		"leaves":         m.startDraining,
 		"leave":          m.leave,
+		"stop listening": m.stopListening,
 		"restart worker": m.restartWorker,
 		"holder":         m.changeHolder,
 	}
--- a/sidecar/lease_worker_test.go
+++ b/sidecar/lease_worker_test.go
@@ -36,11 +36,15 @@
 		sequence            uint64
 		draining            bool
 		drainAcknowledgedAt time.Time
-		lastEnd             uint64
-		running             map[string]int32
-		highestRun          map[string]int32
-		ended               []*poolpb.EndedTask
-		listed              map[uint64]bool
+		// leaves is set once the agent has received the leave message, and closed once the worker has stopped listening:
+		// it then refuses calls, and its runs go on.
+		leaves     bool
+		closed     bool
+		lastEnd    uint64
+		running    map[string]int32
+		highestRun map[string]int32
+		ended      []*poolpb.EndedTask
+		listed     map[uint64]bool
 	}
 
 	// workerCall is a poll, a start or a stop: one of the requests is set.
--- /dev/null
+++ b/sidecar/leaving_test.go
@@ -0,0 +1,88 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/instance"
+	"hollyfork.example/wire/poolpb"
+)
+
+// Guards against a second run beside a run that goes on: a worker that says that it ends stops listening, and its runs go
+// on for as long as their lease. Its agent took the refused connections for their end. The holder renews the agent's lease
+// all the time.
+func TestLeavingWorkerThatStopsListeningKeepsItsRunsWhileTheirLeaseLasts(t *testing.T) {
+	for name, say := range map[string]func(c *Core){
+		"a draining notice": func(c *Core) {
+			c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 2, Draining: true})
+		},
+		"a leave message":         func(c *Core) { c.HandleLeave(start.Add(time.Second), instanceNamed("first")) },
+		"one that may be its own": func(c *Core) { c.HandleLeave(start.Add(time.Second), instance.New("first", 0)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newTestCore()
+			listAt(c, 0, Listing{Clock: 100 * time.Second})
+			say(c)
+			c.Sync(renewalFrom(c, time.Second))
+			at := time.Second
+			is.Equal(refuseAt(c, at), 105*time.Second) // Nobody knows yet that the worker does not listen.
+			for ; at < 5200*time.Millisecond; at += 100 * time.Millisecond {
+				c.Sync(renewalFrom(c, at))
+				is.Equal(refuseAt(c, at), time.Duration(0)) // An extension that nobody receives would prolong the wait.
+				is.True(!c.workerState().GetLapsed())
+				is.True(c.workerState().GetDraining()) // Else the next instance would make it a crash.
+			}
+			refuseAt(c, 5300*time.Millisecond)
+			is.Equal(c.workerState().GetLapse(), poolpb.Lapse_LEFT)
+		})
+	}
+}
+
+// Guards against a crash that is counted against the runs of a worker that left: its leave message was no longer recent when
+// its lease had ended.
+func TestLeavingWorkerIsNoCrashWhenItsLeaveMessageIsOld(t *testing.T) {
+	for name, last := range map[string]Kind{"refused": KindNoWorker, "unanswered": KindUnanswered, "another instance": KindOtherInstance} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newTestCore()
+			c.HandleLeave(start, instance.New("first", 0)) // It has no effect on an instance that is not known.
+			listAt(c, 0, Listing{Clock: 100 * time.Second})
+			c.HandleLeave(start, instance.New("first", 0))
+			c.Sync(renewalFrom(c, 4500*time.Millisecond))
+			listAt(c, 4800*time.Millisecond, Listing{Clock: 104800 * time.Millisecond})
+			refuseAt(c, 4900*time.Millisecond)
+			refuseAt(c, leaveValidity+time.Second)
+			refuseAt(c, leaveValidity+2*time.Second)
+			is.True(!c.workerState().GetLapsed())
+			poll, number, _ := c.NextPoll(start.Add(9 * time.Second))
+			c.HandlePollFailure(start.Add(9*time.Second), poll, number, last)
+			is.Equal(c.workerState().GetLapse(), poolpb.Lapse_LEFT)
+		})
+	}
+}
+
+// A worker that goes on after its leave message, or whose refusal was a passing one, keeps its lease: the message may be an
+// earlier instance's.
+func TestWorkerThatGoesOnAfterALeaveMessageKeepsItsLease(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	listAt(c, 0, Listing{Clock: 100 * time.Second})
+	c.HandleLeave(start, instance.New("first", 0))
+	poll, _, _ := c.NextPoll(start)
+	is.Equal(poll.LeaseEnd, 104*time.Second)
+	before := c.reportNumber
+	refuseAt(c, time.Second)
+	is.True(c.workerState().GetDraining())
+	is.True(c.reportNumber > before)
+	is.True(listAt(c, 2*time.Second, Listing{Clock: 102 * time.Second}))
+	is.True(!c.workerState().GetDraining())
+	c.Sync(renewalFrom(c, 2*time.Second))
+	poll, _, _ = c.NextPoll(start.Add(2 * time.Second))
+	is.Equal(poll.LeaseEnd, 106*time.Second)
+	refuseAt(c, leaveValidity)
+	refuseAt(c, leaveValidity)
+	is.Equal(c.workerState().GetLapse(), poolpb.Lapse_CRASHED) // The message is old, and says nothing of this end.
+}
--- a/sidecar/log_test.go
+++ b/sidecar/log_test.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/clock/clocktest"
+	"hollyfork.example/hollyfork/instance"
 	"hollyfork.example/wire/poolpb"
 )
 
@@ -24,6 +25,7 @@
 
 	listing Listing
 	silent  bool
+	refuses bool
 }
 
 func (w *loggedWorker) Poll(ctx context.Context, poll PollRequest) (Listing, error) {
@@ -31,6 +33,9 @@
 		<-ctx.Done()
 		return Listing{}, &Error{Op: "hold", Kind: KindUnanswered, Err: ctx.Err()}
 	}
+	if w.refuses {
+		return Listing{}, &Error{Op: "hold", Kind: KindNoWorker}
+	}
 	listing := w.listing
 	listing.Instance = poll.Instance
 	return listing, nil
@@ -80,6 +85,30 @@
 	return line, count
 }
 
+// Guards against an agent that says of a worker that stops listening before it leaves that its runs have ended, at each
+// report that it makes of it.
+func TestLapseOfALeavingWorkerIsLoggedOnceItsLeaseHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newLoggedAgent(t)
+		a.core.HandleLeave(a.now(), instance.New("first", 0))
+		a.worker.refuses = true
+		a.pollOnce(t.Context())
+		_, count := a.line("all runs of the worker are considered ended")
+		is.Equal(count, 0)
+		_, count = a.line("the worker does not answer")
+		is.Equal(count, 1)
+		for range 100 {
+			a.pollOnce(t.Context())
+			time.Sleep(retryInterval)
+		}
+		lapse, count := a.line("all runs of the worker are considered ended")
+		is.Equal(count, 1)
+		is.Equal(lapse["reason"], "LEFT")
+		is.True(lapse["listed_ago"].(float64) >= 4000)
+	})
+}
+
 // Guards against an agent that considers runs as ended without a word on which they are: its log can't be joined with
 // those of the holder and the other agents then.
 func TestLapseNamesTheRunsAndTheLease(t *testing.T) {
