sidecar: a restarted agent does not know that its worker has said nothing

What callers saw: nothing yet; by reading, two runs of one task. A worker tells one incarnation of its agent that it drains; the agent is restarted, knows the worker from a heartbeat of before (a late one), or from its listing alone, and takes two refused connections 0.1 s apart for the end of a worker that has stopped listening while its runs go on. Cause: "no notice has arrived" was read as "none was given"; the same agent gives no start on such a heartbeat for that reason. Change: until a heartbeat has arrived that the instance sent after the agent's start, refused connections count as silence: the end comes with the lease, as SILENT, since it may have been a crash. The next heartbeat settles it. Price: a worker that crashes before its first heartbeat after a restart of its agent is given up with its lease, as one that falls silent. Why this works: the worker repeats a draining notice with each heartbeat, and a worker that leaves drains first, so that one heartbeat tells what earlier incarnations were told.

--- a/sidecar/instances.go
+++ b/sidecar/instances.go
@@ -171,10 +171,16 @@
 	c.reportNumber++
 }
 
-// ready reports whether the agent carries out starts. No instance may wait for verification, and the agent must have
-// received a heartbeat that the current instance sent after the agent's start.
+// ready reports whether the agent carries out starts. No instance may wait for verification, and the agent must know
+// whether the current instance drains.
 func (c *Core) ready() bool {
-	return c.heartbeatReceived && len(c.unverified) == 0 && !c.heartbeatPredatesAgent()
+	return c.noticesKnown() && len(c.unverified) == 0
+}
+
+// noticesKnown reports whether the agent has received a heartbeat that the current instance sent after the agent's start.
+// Before that the instance may have told an earlier incarnation of the agent that it drains.
+func (c *Core) noticesKnown() bool {
+	return c.heartbeatReceived && !c.heartbeatPredatesAgent()
 }
 
 // updateReady changes the report if the value of ready has changed. Without this report the holder repeats its orders
@@ -250,8 +256,8 @@
 }
 
 // handleRefusal records that the worker's address has refused a connection. A worker that has said that it will end may
-// stop listening before its runs end, which go on until their lease ends. Another one has ended if it refuses
-// refusalsUntilEnded connections in a row.
+// stop listening before its runs end, which go on until their lease ends. So may one that said so to an earlier
+// incarnation of the agent. Another one has ended if it refuses refusalsUntilEnded connections in a row.
 func (c *Core) handleRefusal(now time.Time) {
 	c.refusals++
 	if !c.leaving && c.saidThatItEnds(now) {
@@ -259,7 +265,7 @@
 		c.reportNumber++
 	}
 	switch {
-	case c.leaving:
+	case c.leaving || !c.noticesKnown():
 		c.handleSilence(now)
 	case c.refusals >= refusalsUntilEnded:
 		c.markProcessEnded(now)
--- a/sidecar/leaving_test.go
+++ b/sidecar/leaving_test.go
@@ -86,3 +86,45 @@
 	refuseAt(c, leaveValidity)
 	is.Equal(c.workerState().GetLapse(), poolpb.Lapse_CRASHED) // The message is old, and says nothing of this end.
 }
+
+// Guards against a second run beside a run that goes on: an agent that has been restarted does not know that its worker has
+// said that it drains, and took two refused connections for its end. The worker's heartbeats that it has received, if any,
+// were sent before its start.
+func TestRestartedAgentDoesNotKnowThatNothingWasSaid(t *testing.T) {
+	for name, heartbeats := range map[string][]Heartbeat{
+		"an early heartbeat": {{Instance: instanceNamed("first"), Sequence: 3, Clock: ReadingOf(98 * time.Second)}},
+		"none of its own":    {{Instance: instanceNamed("before"), Sequence: 3, Clock: ReadingOf(98 * time.Second)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := NewCore(start, "agent")
+			c.Sync(renewalFrom(c, 0))
+			for _, h := range heartbeats {
+				c.Heartbeat(h)
+			}
+			poll, number, _ := c.NextPoll(start)
+			c.HandleListing(start, poll, number, Listing{Instance: instanceNamed("first"), Clock: 100 * time.Second})
+			for at := time.Duration(0); at < 4200*time.Millisecond; at += 100 * time.Millisecond {
+				refuseAt(c, at)
+				is.True(!c.workerState().GetLapsed())
+			}
+			refuseAt(c, 4300*time.Millisecond)
+			is.Equal(c.workerState().GetLapse(), poolpb.Lapse_SILENT) // It may have crashed.
+		})
+	}
+}
+
+// A heartbeat that was sent after the agent's start tells whether the worker drains.
+func TestHeartbeatTellsARestartedAgentThatNothingWasSaid(t *testing.T) {
+	is := is.New(t)
+	c := NewCore(start, "agent")
+	c.Sync(renewalFrom(c, 0))
+	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 3, Clock: ReadingOf(98 * time.Second)})
+	listAt(c, 0, Listing{Clock: 100 * time.Second})
+	refuseAt(c, 0)
+	refuseAt(c, 0)
+	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 4, Clock: ReadingOf(101 * time.Second)})
+	is.True(!c.workerState().GetLapsed())
+	refuseAt(c, time.Second)
+	is.Equal(c.workerState().GetLapse(), poolpb.Lapse_CRASHED)
+}
