sidecar: a leave message before the first answer to an agent is kept

What callers saw: nothing; by reading. A leave message of an instance that has not answered this agent yet dropped the instance, with its draining notice, unless it shares its name with one that has. A heartbeat of before the notice that arrives late named it again, as one that has said nothing, and two refused connections ended what an earlier incarnation of the agent had started there. Change: while no instance has answered, a leave message marks the instance as draining, as for one with the current name. Why this works: nothing but an answer says which instance runs, so a notice is kept until there is one.

--- a/sidecar/instances.go
+++ b/sidecar/instances.go
@@ -230,13 +230,13 @@
 	c.updateReady()
 }
 
-// leaveUnverified applies a leave message of an unverified instance. It is kept as draining if calls for the current
-// instance may still reach it.
+// leaveUnverified applies a leave message of an unverified instance. It is kept as draining if it may be the one that runs:
+// if no instance has answered yet, or calls for the current one may still reach it.
 func (c *Core) leaveUnverified(id instance.ID) {
 	i := slices.IndexFunc(c.unverified, func(u unverifiedInstance) bool { return u.heartbeat.Instance == id })
 	switch {
 	case i < 0:
-	case id.SharesName(c.heartbeat.Instance):
+	case c.heartbeat.Instance.IsZero() || id.SharesName(c.heartbeat.Instance):
 		c.unverified[i].heartbeat.Draining = true
 	default:
 		c.unverified = slices.Delete(c.unverified, i, i+1)
--- a/sidecar/leaving_test.go
+++ b/sidecar/leaving_test.go
@@ -128,3 +128,21 @@
 	refuseAt(c, time.Second)
 	is.Equal(c.workerState().GetLapse(), poolpb.Lapse_CRASHED)
 }
+
+// Guards against a leave message that is forgotten because it comes before the first answer to the agent: a late heartbeat
+// from before the notice of draining then names an instance that has said nothing.
+func TestLeaveMessageBeforeTheFirstAnswerIsKept(t *testing.T) {
+	is := is.New(t)
+	c := NewCore(start, "agent")
+	c.Sync(renewalFrom(c, 0))
+	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 3, Clock: ReadingOf(101 * time.Second), Draining: true})
+	c.HandleLeave(start.Add(time.Second), instanceNamed("first"))
+	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 2, Clock: ReadingOf(101 * time.Second)})
+	listAt(c, time.Second, Listing{Clock: 101 * time.Second})
+	refuseAt(c, time.Second)
+	refuseAt(c, time.Second)
+	is.True(!c.workerState().GetLapsed())
+	is.True(c.workerState().GetDraining())
+	refuseAt(c, 5300*time.Millisecond)
+	is.Equal(c.workerState().GetLapse(), poolpb.Lapse_LEFT)
+}
