--- a/sidecar/instances.go
+++ b/sidecar/instances.go
@@ -178,9 +178,15 @@
 }
 
 // knowsInstance reports whether the agent knows the current instance. No instance may wait for verification, and the
-// agent must have received a heartbeat that the current instance sent after the agent's start.
+// agent must know whether the current one drains.
 func (c *Core) knowsInstance() bool {
-	return c.heartbeatReceived && len(c.unverified) == 0 && !c.heartbeatPredatesAgent()
+	return c.noticesKnown() && len(c.unverified) == 0
+}
+
+// noticesKnown reports whether the agent has received a heartbeat that the current instance sent after the agent's start.
+// Before that the instance may have told an earlier incarnation of the agent that it drains.
+func (c *Core) noticesKnown() bool {
+	return c.heartbeatReceived && !c.heartbeatPredatesAgent()
 }
 
 // endStartBlock ends the block of starts once no poll for an earlier instance can arrive any more.
@@ -221,8 +227,9 @@
 
 // HandleLeave applies a leave message, with which the worker reports that it ends. The message may arrive late, and may
 // lack the start time of the instance. The worker's process goes on until the message is acknowledged, or longer if the
-// acknowledgement is lost. So the message ends no run: the agent records its time, and the next refused poll ends the
-// current instance, whether the message is of that instance or only may be.
+// acknowledgement is lost. So the message ends no run, and its lease is still extended: the agent records its time, and
+// counts the next refused poll as the end of the listening alone, whether the message is of the current instance or only
+// may be.
 func (c *Core) HandleLeave(now time.Time, id instance.ID) {
 	if id.Matches(c.heartbeat.Instance) {
 		c.leaveReceivedAt = now
@@ -236,13 +243,13 @@
 	c.updateReady()
 }
 
-// leaveUnverified applies a leave message of an unverified instance. It is kept as draining if calls for the current
-// instance may still reach it.
+// leaveUnverified applies a leave message of an unverified instance. It is kept as draining if it may be the one that runs:
+// if no instance has answered yet, or calls for the current one may still reach it.
 func (c *Core) leaveUnverified(id instance.ID) {
 	i := slices.IndexFunc(c.unverified, func(u unverifiedInstance) bool { return u.heartbeat.Instance == id })
 	switch {
 	case i < 0:
-	case id.SharesName(c.heartbeat.Instance):
+	case c.heartbeat.Instance.IsZero() || id.SharesName(c.heartbeat.Instance):
 		c.unverified[i].heartbeat.Draining = true
 	default:
 		c.unverified = slices.Delete(c.unverified, i, i+1)
@@ -261,16 +268,50 @@
 	c.reportNumber++
 }
 
-// markProcessEnded records that the worker's process no longer exists. The worker has left if it was draining or has
-// sent a leave message recently; otherwise it has crashed.
+// handleRefusal records that the worker's address has refused a connection. A worker that has said that it will end may
+// stop listening before its runs end, which go on until their lease ends. So may one that said so to an earlier
+// incarnation of the agent. Another one has ended if it refuses refusalsUntilEnded connections in a row.
+func (c *Core) handleRefusal(now time.Time) {
+	c.refusals++
+	if !c.leaving && c.saidThatItEnds(now) {
+		c.leaving = true
+		c.reportNumber++
+	}
+	switch {
+	case c.leaving || !c.noticesKnown():
+		c.handleSilence(now)
+	case c.refusals >= refusalsUntilEnded:
+		c.markProcessEnded(now)
+	}
+}
+
+// handleSilence records that the current instance gave no answer. Nothing runs on it any more once its lease has ended.
+func (c *Core) handleSilence(now time.Time) {
+	c.silent = true
+	switch {
+	case !c.workerLeaseLapsed(now):
+	case c.leaving:
+		c.markEnded(now, poolpb.Lapse_LEFT)
+	default:
+		c.markEnded(now, poolpb.Lapse_SILENT)
+	}
+}
+
+// markProcessEnded records that the worker's process no longer exists. The worker has left if it said so before;
+// otherwise it has crashed.
 func (c *Core) markProcessEnded(now time.Time) {
-	if c.heartbeat.Draining || c.leftRecently(now) {
+	if c.leaving || c.saidThatItEnds(now) {
 		c.markEnded(now, poolpb.Lapse_LEFT)
 		return
 	}
 	c.markEnded(now, poolpb.Lapse_CRASHED)
 }
 
+// saidThatItEnds reports whether the worker is draining or has sent a leave message recently.
+func (c *Core) saidThatItEnds(now time.Time) bool {
+	return c.heartbeat.Draining || c.leftRecently(now)
+}
+
 // leftRecently reports whether a leave message that may be of the current instance arrived within leaveValidity.
 func (c *Core) leftRecently(now time.Time) bool {
 	return !c.leaveReceivedAt.IsZero() && now.Sub(c.leaveReceivedAt) < leaveValidity
