sidecar: a draining worker gets short leases

Cause: the worker is given the whole lease of its agent with each poll, also when it is known to end soon. Change: a draining worker is given 2 s with each poll. Polls follow each other within 0.4 s, so the wait after the last answer is 2.2 s at most, and a poll may still fail without a run being lost. Evidence: TestTasksOfADrainedWorkerDoNotAwaitAWholeLease fails before (the extension is 4.4 s) and passes; its cut is noticed. TestLeavingWorkerThatStopsListeningKeepsItsRunsWhileTheirLeaseLasts has its worker extended before the notice, so that it goes on to hold the whole lease of 4.4 s; it checks the same. Why this works: a shorter lease ends earlier by the worker's own clock; nothing that counted on the longer one is told a shorter.

--- a/sidecar/lease.go
+++ b/sidecar/lease.go
@@ -6,6 +6,10 @@
 	"hollyfork.example/hollyfork/instance"
 )
 
+// drainingLease is the longest lease of a worker that is draining. When the worker stops listening, its tasks run
+// elsewhere only once its lease has ended, so it is short; it outlasts several polls.
+const drainingLease = 2 * time.Second
+
 type (
 	// earlierLease is what the agent knows of leases that the current instance may have received from earlier
 	// incarnations of the agent, or from calls for an earlier instance of the worker. It is one of unknownLease,
@@ -67,11 +71,20 @@
 	if c.listedAt.IsZero() || c.silent || c.listingNumber == 0 || !now.Before(c.agentLeaseEnd) || c.pauseSinceListing() > 0 {
 		return 0
 	}
-	leaseEnd := c.listing.Clock + c.agentLeaseEnd.Sub(c.listedAt)
+	leaseEnd := c.listing.Clock + c.leaseFromListing()
 	c.extendedTo = max(c.extendedTo, leaseEnd)
 	return leaseEnd
 }
 
+// leaseFromListing returns the length of the lease, from the last listing on, that the worker receives next.
+func (c *Core) leaseFromListing() time.Duration {
+	length := c.agentLeaseEnd.Sub(c.listedAt)
+	if c.heartbeat.Draining {
+		length = min(length, drainingLease)
+	}
+	return length
+}
+
 // workerLeaseEnd returns the latest reading of the worker's clock at which the lease of the current instance may end.
 // The instance must have answered a poll.
 func (c *Core) workerLeaseEnd() time.Duration {
--- a/sidecar/leaving_test.go
+++ b/sidecar/leaving_test.go
@@ -25,10 +25,12 @@
 			is := is.New(t)
 			c := newTestCore()
 			listAt(c, 0, Listing{Clock: 100 * time.Second})
-			say(c)
 			c.Sync(renewalFrom(c, time.Second))
 			at := time.Second
-			is.Equal(refuseAt(c, at), 105*time.Second) // Nobody knows yet that the worker does not listen.
+			poll, number, _ := c.NextPoll(start.Add(at))
+			is.Equal(poll.LeaseEnd, 105*time.Second) // Nobody knows yet that the worker ends.
+			say(c)
+			c.HandlePollFailure(start.Add(at), poll, number, KindNoWorker)
 			for ; at < 5200*time.Millisecond; at += 100 * time.Millisecond {
 				c.Sync(renewalFrom(c, at))
 				is.Equal(refuseAt(c, at), time.Duration(0)) // An extension that nobody receives would prolong the wait.
@@ -128,3 +130,22 @@
 	refuseAt(c, time.Second)
 	is.Equal(c.workerState().GetLapse(), poolpb.Lapse_CRASHED)
 }
+
+// Guards against tasks that wait for the whole lease of a worker that drained and has stopped listening.
+func TestTasksOfADrainedWorkerDoNotAwaitAWholeLease(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore()
+	listAt(c, 0, Listing{Clock: 100 * time.Second})
+	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 2, Draining: true})
+	for at := time.Duration(0); at <= 5*time.Second; at += 500 * time.Millisecond {
+		c.Sync(renewalFrom(c, at))
+		listAt(c, at, Listing{Clock: 100*time.Second + at})
+	}
+	poll, _, _ := c.NextPoll(start.Add(5100 * time.Millisecond))
+	is.Equal(poll.LeaseEnd, 105*time.Second+drainingLease)
+	refuseAt(c, 5200*time.Millisecond)
+	refuseAt(c, 7100*time.Millisecond)
+	is.True(!c.workerState().GetLapsed())
+	refuseAt(c, 7300*time.Millisecond)
+	is.Equal(c.workerState().GetLapse(), poolpb.Lapse_LEFT)
+}
