hall: a holder ends once any agent has met a later one

What callers saw: an earlier holder that was cut off from the store went on renewing an agent that the next holder didn't reach; a second run of a job began 94.5 s before the first ended.

Cause: the actor ended the holder at a refused renewal (OLD_EPOCH), but the rule was not in Core, so the simulation lacked it, and refused orders (Prepare, Start, Revoke) ended nothing. Between the refusal and the actor's end, queued requests still got renewals and calls were still sent. And an agent answered a renewal that waited only when its wait was over, or, when the later holder called, before it took the later epoch over, so that the earlier holder was not told.

Change: Core keeps the worker whose agent has met a later holder. From then on it gives no renewal and no call; the actor ends it after the same message. An agent answers a waiting renewal, with a refusal, as soon as it meets a later epoch, whether by a later holder's renewal or from the store.

Before, TestWaitingRenewalOfAnEarlierHolderIsRefusedAtOnce got no refusal when a later holder called, and no answer within 2 s when the epoch was read from the store.

Why this works: whoever knows a later epoch refuses the earlier one, and an outage of the store for all brings no later epoch, so TestLongStoreOutageInterruptsNoRunningJob stays green.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -185,10 +185,12 @@
 	a.core.TaskStarted(now, m.key, m.err)
 }
 
-// sync answers a Sync request at once if there is a change to report, and otherwise keeps it pending.
+// sync answers a Sync request at once if there is a change to report, and otherwise keeps it pending. It then answers
+// the one that was pending, which is refused if the new one is of a later holder.
 func (a *agentActor) sync(now time.Time, m syncAsk) {
-	if a.pending != nil {
-		a.answerPending(now)
+	if earlier := a.pending; earlier != nil {
+		a.pending = nil
+		defer func() { a.answer(now, earlier) }()
 	}
 	a.standbyRank.Store(m.Question.GetStandbyRank())
 	a.leased.Store(true)
@@ -202,12 +204,14 @@
 	a.pending = &pendingSync{ask: m, until: now.Add(min(wait, maxSyncWait)), seen: a.core.Report()}
 }
 
-// answerPendingIfDue answers the pending Sync request if there is a change to report or its wait is over.
+// answerPendingIfDue answers the pending Sync request if there is a change to report, its wait is over or the agent has
+// met a later holder.
 func (a *agentActor) answerPendingIfDue(now time.Time) {
 	if a.pending == nil {
 		return
 	}
-	if a.core.Report() != a.pending.seen || !now.Before(a.pending.until) {
+	superseded := a.core.Epoch() > a.pending.ask.Question.GetEpoch()
+	if a.core.Report() != a.pending.seen || !now.Before(a.pending.until) || superseded {
 		a.answerPending(now)
 	}
 }
@@ -215,6 +219,10 @@
 func (a *agentActor) answerPending(now time.Time) {
 	pending := a.pending
 	a.pending = nil
+	a.answer(now, pending)
+}
+
+func (a *agentActor) answer(now time.Time, pending *pendingSync) {
 	reply, commands := a.core.Sync(now, pending.ask.Question)
 	a.run(commands)
 	pending.ask.Reply(reply)
--- a/agent/core.go
+++ b/agent/core.go
@@ -77,6 +77,11 @@
 	return c.report
 }
 
+// Epoch returns the latest epoch that the agent has met.
+func (c *Core) Epoch() uint64 {
+	return c.epoch
+}
+
 // Sync renews the lease and returns the report if the holder has not seen its present version. It refuses a holder of
 // an earlier epoch.
 func (c *Core) Sync(now time.Time, request *wire.SyncRequest) (*wire.SyncReply, []Command) {
--- a/hall/agent_record.go
+++ b/hall/agent_record.go
@@ -136,10 +136,10 @@
 	return addresses
 }
 
-// NextSync returns the renewal to send to a worker's agent, or nil if the worker is unknown.
+// NextSync returns the renewal to send to a worker's agent, or nil if the worker is unknown or a later holder is known.
 func (c *Core) NextSync(now time.Time, worker string) *wire.SyncRequest {
 	a, ok := c.agents[worker]
-	if !ok {
+	if !ok || c.supersededBy != "" {
 		return nil
 	}
 	request := &wire.SyncRequest{
@@ -180,6 +180,7 @@
 // than the known one is ignored if the renewal was sent before that one was known: it may be of an earlier one, and says
 // nothing about the agent's present VM and attempts. The reply to the next renewal tells.
 func (c *Core) HandleSyncReply(now time.Time, worker string, request *wire.SyncRequest, reply *wire.SyncReply) {
+	c.noteRefusal(worker, reply.GetRefusal())
 	a, ok := c.agents[worker]
 	if !ok || reply == nil || reply.GetRefusal() != nil {
 		return
--- a/hall/attempt.go
+++ b/hall/attempt.go
@@ -65,6 +65,7 @@
 
 // HandlePrepareReply applies the reply to a PrepareCall. The reply is nil if none arrived.
 func (c *Core) HandlePrepareReply(now time.Time, call PrepareCall, reply *wire.PrepareReply) {
+	c.noteRefusal(call.To, reply.GetRefusal())
 	j, p := c.partOf(call.Request.GetId(), call.To)
 	if p == nil {
 		return
@@ -184,6 +185,7 @@
 // HandleStartReply applies the reply to a StartCall. The reply is nil if none arrived; tickStarting then
 // repeats the call.
 func (c *Core) HandleStartReply(now time.Time, call StartCall, reply *wire.StartReply) {
+	c.noteRefusal(call.To, reply.GetRefusal())
 	j, p := c.partOf(call.Request.GetId(), call.To)
 	if p == nil {
 		return
--- a/hall/core.go
+++ b/hall/core.go
@@ -43,6 +43,8 @@
 	changes        changeLog
 	pendingCalls   []Call
 	stopping       bool
+	// supersededBy is a worker whose agent has met a later holder, or empty if none is known.
+	supersededBy string
 }
 
 // entryPoll records when an entry last asked for the hall's status, and the version of its configuration.
@@ -72,13 +74,29 @@
 	}
 }
 
-// TakeCalls returns the pending calls to agents and clears the list.
+// TakeCalls returns the pending calls to agents and clears the list. It returns none once a later holder is known.
 func (c *Core) TakeCalls() []Call {
 	calls := c.pendingCalls
 	c.pendingCalls = nil
+	if c.supersededBy != "" {
+		return nil
+	}
 	return calls
 }
 
+// SupersededBy returns a worker whose agent has met a later holder, or an empty string if none is known. The holder then
+// gives no lease and no call any more, and must be stopped.
+func (c *Core) SupersededBy() string {
+	return c.supersededBy
+}
+
+// noteRefusal records that an agent refused a request because it has met a later holder.
+func (c *Core) noteRefusal(worker string, refusal *wire.Refusal) {
+	if refusal.GetKind() == wire.Refusal_OLD_EPOCH {
+		c.supersededBy = worker
+	}
+}
+
 // Tick handles expired timeouts, repeats calls that are due and runs the policy.
 func (c *Core) Tick(now time.Time) {
 	c.tickAgents(now)
--- a/hall/holder.go
+++ b/hall/holder.go
@@ -88,7 +88,7 @@
 	case syncAsk:
 		m.Reply(h.core.NextSync(now, m.Question.worker))
 	case syncResult:
-		h.handleSyncResult(now, m)
+		h.core.HandleSyncReply(now, m.worker, m.request, m.reply)
 	default:
 		h.handleRequest(now, m)
 	}
@@ -294,15 +294,6 @@
 	}
 }
 
-func (h *Holder) handleSyncResult(now time.Time, m syncResult) {
-	if m.reply.GetRefusal().GetKind() == wire.Refusal_OLD_EPOCH {
-		h.deps.Logger.Warn().Str("worker", m.worker).Msg("hall: an agent has seen a later epoch; the holder stops")
-		h.abandon()
-		return
-	}
-	h.core.HandleSyncReply(now, m.worker, m.request, m.reply)
-}
-
 func (h *Holder) tick(now time.Time) {
 	if now.Before(h.nextCoreTick) {
 		return
@@ -315,6 +306,9 @@
 // afterMessage does the work that a message may have made possible: it makes decisions, sends calls,
 // commits changes and answers waiting requests.
 func (h *Holder) afterMessage(now time.Time) {
+	if worker := h.core.SupersededBy(); worker != "" && h.abandon() {
+		h.deps.Logger.Warn().Str("worker", worker).Msg("hall: an agent has met a later holder; the holder stops")
+	}
 	h.core.Decide(now)
 	for _, call := range h.core.TakeCalls() {
 		h.send(call)
@@ -381,12 +375,14 @@
 	h.core.StoreFailed()
 }
 
-// abandon signals the Host to stop the holder.
-func (h *Holder) abandon() {
+// abandon signals the Host to stop the holder. It returns false if the Host has been signalled before.
+func (h *Holder) abandon() bool {
 	select {
 	case <-h.abandoned:
+		return false
 	default:
 		close(h.abandoned)
+		return true
 	}
 }
 
--- a/hall/stop.go
+++ b/hall/stop.go
@@ -64,6 +64,7 @@
 // HandleRevokeReply applies the reply to a RevokeCall. The reply is nil if none arrived; tickStopping
 // repeats the call if it is still needed.
 func (c *Core) HandleRevokeReply(now time.Time, call RevokeCall, reply *wire.RevokeReply) {
+	c.noteRefusal(call.To, reply.GetRefusal())
 	j, p := c.partOf(call.Request.GetId(), call.To)
 	if p == nil {
 		return
