hall: a new holder awaits the leases that an earlier one gives until it learns of it

If the reply is lost that tells an earlier holder, cut off from the store, of the next one, a second run of a job began 12.75 s before the first ended.

Cause: the next holder took each lease for renewed at its takeover at the latest. The earlier holder goes on until an agent refuses it, which happens after the agent has met the next one, and later if a reply is lost. Before any agent has met the next holder, nobody can tell the earlier one at all.

Change: leases of earlier holders have ended (earlierEndBy) when noticeTime and the longest lease, and 1%, have passed since the first reply of any agent. noticeTime is a renewal whose reply is lost, held back for a third of the lease at most, its time-out, the delay after it and a late reply. Until the first reply no part is counted as lost, and no shorter lease is recorded. This one bound takes the place of the two that were set for each agent at the takeover and for parts on unlisted VMs; leasesEndBy of an agent now holds what this holder gave itself.

Tests: TestNewHolderAwaitsAnEarlierOneThatMissesAReply failed with 12.75 s and TestNewHolderThatReachesNoAgentLosesNoPart with a part counted as lost; both pass. TestHolderAndAgentCutOffTogether states what holds in the case that remains (passed before, too). Changed: TestLengthOfLeasesIsRecordedFirst expects the longer bound, and none before the first reply. TestHolderAwaitsItsOwnLeasesOnAReplacedVM is new, since TestNewHolderAwaitsTheLeasesOnAReplacedVM stays within the new bound and no longer notices that the holder's own leases are cut.

Why this works: a renewal runs from the agent's clock reading before it was sent, so what the earlier holder gave before it learned ends a lease after that at the latest.

--- a/hall/agent_leases.go
+++ b/hall/agent_leases.go
@@ -6,7 +6,7 @@
 // next holder knows how long they last, whatever number of agents it counts.
 type agentLeases struct {
 	// earlier is the longest lease that an agent may have from an earlier holder. All such leases have ended at
-	// earlierEndBy, which is zero until the jobs have been loaded.
+	// earlierEndBy, which is zero until an agent has met this holder: before, nobody can tell an earlier one of it.
 	earlier      time.Duration
 	earlierEndBy time.Time
 	// recorded is the longest lease that the row allows, whichever of the transactions in flight is carried out.
@@ -27,6 +27,30 @@
 	return c.settings.withDrift(c.leases.earlier)
 }
 
+// agentMet records that an agent has met this holder. Earlier holders learn it from this agent within noticeTime.
+func (c *Core) agentMet(now time.Time) {
+	if c.leases.earlierEndBy.IsZero() {
+		c.leases.earlierEndBy = c.earlierLeasesEndBy(now)
+	}
+}
+
+// earlierLeasesEndBy returns when all leases of earlier holders have ended if an agent meets this holder now.
+func (c *Core) earlierLeasesEndBy(now time.Time) time.Time {
+	return now.Add(c.settings.withDrift(noticeTime(c.leases.earlier) + c.leases.earlier))
+}
+
+// leasesEndBy returns when an agent's leases have ended, given when those of this holder have.
+func (c *Core) leasesEndBy(now, own time.Time) time.Time {
+	earlier := c.leases.earlierEndBy
+	if earlier.IsZero() {
+		earlier = c.earlierLeasesEndBy(now)
+	}
+	if earlier.After(own) {
+		return earlier
+	}
+	return own
+}
+
 // LeaseToRecord returns the longest lease that an agent may have, for the next transaction to record. Shorter leases
 // than recorded before are recorded once the leases of earlier holders have ended.
 func (c *Core) LeaseToRecord(now time.Time) time.Duration {
--- a/hall/agent_leases_test.go
+++ b/hall/agent_leases_test.go
@@ -56,8 +56,11 @@
 	next := NewCore(simHall, "next", 3, lease, settings)
 	next.SetVMs(now, vms[:1])
 	next.Restore(now, Snapshot{})
-	is.Equal(next.LeaseToRecord(now.Add(settings.withDrift(lease))), lease)
-	is.Equal(next.LeaseToRecord(now.Add(settings.withDrift(lease)+1)), settings.AgentLease)
+	is.Equal(next.LeaseToRecord(now.Add(time.Hour)), lease) // Earlier holders can't have learned of this one.
+	next.HandleSyncReply(now, "w0", next.NextSync(now, "w0"), &wire.SyncReply{})
+	bound := settings.withDrift(noticeTime(lease) + lease)
+	is.Equal(next.LeaseToRecord(now.Add(bound)), lease)
+	is.Equal(next.LeaseToRecord(now.Add(bound+1)), settings.AgentLease)
 	next.RecordingLease(settings.AgentLease)
 	next.SetVMs(now, vms)
 	request := next.NextSync(now, "w0")
--- a/hall/agent_link.go
+++ b/hall/agent_link.go
@@ -110,3 +110,10 @@
 		l.root.Send(l.holder, revokeResult{call: call, reply: reply})
 	}
 }
+
+// noticeTime bounds how long an earlier holder goes on giving leases once an agent that both reach has met a later
+// holder, if the reply to one renewal is lost: that renewal, which the agent may hold back for a part of the longest
+// lease, the delay after it, and the next one, which the agent refuses at once.
+func noticeTime(longestLease time.Duration) time.Duration {
+	return longestLease/syncsPerLease + callTimeout + maxReconnectDelay + callTimeout
+}
--- a/hall/agent_record.go
+++ b/hall/agent_record.go
@@ -45,8 +45,8 @@
 	lastReport       uint64
 	lastReply        time.Time
 	unreachableSince time.Time
-	// leasesEndBy is the latest time until which leases of the agent's tasks can be valid, unless the agent
-	// receives another renewal.
+	// leasesEndBy is the latest time until which leases can be valid that this holder gave, unless the agent receives
+	// another renewal. Core.leasesEndBy adds those of earlier holders.
 	leasesEndBy time.Time
 	pendingAcks []*wire.AttemptId
 	standbyRank int32
@@ -71,10 +71,6 @@
 	}
 	for name, a := range c.agents {
 		a.listed = listed[name]
-		if a.leasesEndBy.IsZero() {
-			// An earlier holder may have renewed the agent's lease just before this holder took the hall.
-			a.leasesEndBy = now.Add(c.earlierLeaseBound())
-		}
 	}
 	c.rankStandbys()
 	c.tickAgents(now)
@@ -86,6 +82,7 @@
 		vm:               vm,
 		drained:          slices.Contains(c.config.GetDrainedWorkers(), vm.Name),
 		unreachableSince: now,
+		leasesEndBy:      now,
 	}
 	c.agents[vm.Name] = a
 	c.policy.AddWorker(policyWorker(vm))
@@ -185,6 +182,7 @@
 	if !ok || reply == nil || reply.GetRefusal() != nil {
 		return
 	}
+	c.agentMet(now)
 	sameIncarnation := a.incarnation == reply.GetIncarnation()
 	if !sameIncarnation && request.GetIncarnation() != a.incarnation {
 		return
@@ -299,7 +297,7 @@
 	for _, name := range sortedKeys(c.agents) {
 		a := c.agents[name]
 		c.updateAvailability(now, a)
-		if now.After(a.leasesEndBy) && c.unreachable(now, a) {
+		if now.After(c.leasesEndBy(now, a.leasesEndBy)) && c.unreachable(now, a) {
 			c.loseParts(now, a)
 		}
 	}
--- a/hall/part.go
+++ b/hall/part.go
@@ -42,7 +42,8 @@
 	completed   bool
 	// ran is true if a task of the part was reported to have run.
 	ran bool
-	// leasesEndBy is when the leases of the part's tasks on a replaced or unknown VM end, or zero.
+	// leasesEndBy is when the leases that this holder gave to the part's tasks on a replaced or unknown VM end; zero if the
+	// VM is the agent's.
 	leasesEndBy time.Time
 	// callPending is true while a call about the part awaits its reply; nextCallAt is the earliest time of
 	// the next call.
--- a/hall/restart_test.go
+++ b/hall/restart_test.go
@@ -122,6 +122,19 @@
 	}
 }
 
+// A holder awaits the leases that it gave itself on a VM that is replaced long after it has taken the hall.
+func TestHolderAwaitsItsOwnLeasesOnAReplacedVM(t *testing.T) {
+	is := is.New(t)
+	s := newSim(2, 8)
+	s.run(2 * time.Second)
+	s.submit("transcode", repeatableSpec("3m"))
+	s.run(time.Minute)
+	s.replaceCutOffVM(s.node(s.row("transcode").GetPlacement()[0].GetWorker()))
+	s.run(5 * time.Minute)
+	s.checkOneAtATime(t)
+	is.Equal(s.row("transcode").GetState(), wire.JobState_FINISHED)
+}
+
 // An acknowledgement that an earlier holder's attempt calls for doesn't delete the end of a later attempt.
 func TestLateAcknowledgementDoesNotDeleteAnotherAttemptsEnd(t *testing.T) {
 	is := is.New(t)
--- a/hall/restore.go
+++ b/hall/restore.go
@@ -22,7 +22,6 @@
 // Restore loads the hall's jobs. SetVMs and SetConfiguration must be called before. Placed jobs continue;
 // their agents' reports update their parts.
 func (c *Core) Restore(now time.Time, snapshot Snapshot) {
-	c.leases.earlierEndBy = now.Add(c.earlierLeaseBound())
 	var changes []change
 	for _, stored := range snapshot.Ended {
 		j := c.restoreEnded(now, stored)
@@ -124,7 +123,7 @@
 	}
 	for _, p := range j.parts {
 		if _, ok := c.agents[p.worker]; !ok {
-			p.leasesEndBy = now.Add(c.earlierLeaseBound())
+			p.leasesEndBy = now
 		}
 	}
 	c.stopJob(now, j, causeLost, "A worker of it is not listed any more.")
--- a/hall/sim_test.go
+++ b/hall/sim_test.go
@@ -87,6 +87,8 @@
 	agentLease time.Duration
 	// unreachable is a node with which the holder exchanges no messages, though others do; or nil.
 	unreachable *node
+	// isolated is true if the holder exchanges no messages with any node.
+	isolated bool
 }
 
 func newSim(workers int, guarantee int32) *sim {
@@ -289,7 +291,7 @@
 	failed := func() {
 		s.send(what+" unanswered", h.process, func() { answerOnce(unanswered) }, nil)
 	}
-	if n.partitioned || h.unreachable == n {
+	if n.partitioned || h.unreachable == n || h.isolated {
 		failed()
 		return
 	}
--- a/hall/state.go
+++ b/hall/state.go
@@ -61,7 +61,7 @@
 			Leaving:       a.leaving,
 			Drained:       a.drained,
 			ConfigVersion: a.configVersion,
-			LeaseLeftMS:   max(0, a.leasesEndBy.Sub(now).Milliseconds()),
+			LeaseLeftMS:   max(0, c.leasesEndBy(now, a.leasesEndBy).Sub(now).Milliseconds()),
 		})
 	}
 	return state
--- a/hall/stop.go
+++ b/hall/stop.go
@@ -48,7 +48,7 @@
 // a replaced or unknown VM have ended.
 func (c *Core) tickStopping(now time.Time, j *job) {
 	for _, p := range j.parts {
-		if !p.leasesEndBy.IsZero() && !p.terminal() && now.After(p.leasesEndBy) {
+		if !p.leasesEndBy.IsZero() && !p.terminal() && now.After(c.leasesEndBy(now, p.leasesEndBy)) {
 			p.state = partLost
 		}
 		if p.terminal() || p.callPending || now.Before(p.nextCallAt) || !p.leasesEndBy.IsZero() {
