Let the holder raise the fencing number of each agent's calls

Callers saw: a task started again after its success, or beside another run, on the next instance of a worker that comes back under its name; the calls of its agent before a restart were carried out there. Cause: all calls under one holder had one number, its epoch, so the worker could not tell them apart. Change: renewals and orders carry, in place of the epoch, a number that begins one above the version of the lease's row that the takeover replaced, and rises when a reply is of another incarnation of the agent, or shows another instance of a worker whose name may recur. It stays within the versions that this holder's row has had, so it is below each later holder's. A refusal by an agent means a later holder only if its number is above them. Why it works: a worker does nothing for a lower number than it has accepted, and earlier agents pass the number on as it is (docs/design/fencing.md).

--- a/holder/agent_link.go
+++ b/holder/agent_link.go
@@ -39,6 +39,7 @@
 	committed uint64
 	// lastReply is the agent's newest reply.
 	lastReply *poolpb.SyncReply
+	fencing   fencing
 	// wantFullReport is true if the agent must send a report although the holder has seen its last one.
 	wantFullReport bool
 	// closed is true once the holder has given the link up.
@@ -47,6 +48,7 @@
 
 func newAgentLink(h *Holder, a pool.AgentAddress) *agentLink {
 	return &agentLink{
+		fencing:   fencing{writer: h.writer, number: h.firstNumber()},
 		holder:    h,
 		agent:     a.Agent,
 		address:   a.Address,
@@ -144,6 +146,7 @@
 	if isSame && reply.GetLeaseToken() <= last.GetLeaseToken() || !isSame && known != last.GetIncarnation() {
 		return false
 	}
+	l.fencing.handleReply(reply, isSame)
 	l.lastReply = reply
 	l.wantFullReport = l.wantFullReport && reply.GetWorker() == nil
 	return true
@@ -183,7 +186,7 @@
 	defer cancel()
 	l.mu.Lock()
 	request := &poolpb.SyncRequest{
-		Epoch:       l.holder.writer.Epoch(),
+		Epoch:       l.fencing.next(l.lastReply),
 		LeaseToken:  l.lastReply.GetLeaseToken(),
 		Incarnation: l.lastReply.GetIncarnation(),
 		Instance:    l.instance.String(),
@@ -208,9 +211,13 @@
 	if !l.holder.leaseValid(l.holder.now()) {
 		return &poolpb.OrderReply{}
 	}
+	number, ok := l.numberFor(orders)
+	if !ok {
+		return &poolpb.OrderReply{}
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	reply, err := rpc.Call[poolpb.OrderReply](ctx, l.client, orderMethod, orderRequest(epoch, orders))
+	reply, err := rpc.Call[poolpb.OrderReply](ctx, l.client, orderMethod, orderRequest(number, orders))
 	if err != nil {
 		l.holder.host.deps.Logger.Warn().Err(err).Str("agent", l.agent).Int("starts", len(orders.Starts)).Int("stops", len(orders.Stops)).
 			Uint64("epoch", epoch).Strs("runs", orderedRuns(orders)).Msg("holder: no reply to orders; their outcome is unknown")
@@ -219,6 +226,17 @@
 	return reply
 }
 
+// numberFor returns the fencing number for orders; ok is false if they name another incarnation of the agent than its
+// last reply.
+func (l *agentLink) numberFor(orders pool.Orders) (number uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if orders.Grant.Incarnation != l.lastReply.GetIncarnation() {
+		return 0, false
+	}
+	return l.fencing.next(l.lastReply), true
+}
+
 // orderedRuns returns the names of the runs that orders are for, at most maxLoggedRuns: those to start, then those to
 // stop.
 func orderedRuns(orders pool.Orders) []string {
--- a/holder/fenced_writer.go
+++ b/holder/fenced_writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -23,20 +24,23 @@
 	name    string
 	address string
 	epoch   uint64
-	version uint64
-	onRetry func(error)
+	// replaced is the version of the row that Acquire has replaced, and version that of the row at present.
+	replaced uint64
+	version  atomic.Uint64
+	onRetry  func(error)
 }
 
 // Acquire takes a pool, given the version of its lease's row. It also returns a time no later than the commit
 // (store.Outcome.Sent), from which the lease counts. The function onRetry is called with the error of each failed
 // try of a transaction.
 func Acquire(ctx context.Context, s store.Store, poolName, name, address string, version uint64, onRetry func(error)) (*FencedWriter, time.Time, error) {
-	w := &FencedWriter{store: s, pool: poolName, name: name, address: address, version: version, onRetry: onRetry}
+	w := &FencedWriter{store: s, pool: poolName, name: name, address: address, replaced: version, onRetry: onRetry}
+	w.version.Store(version)
 	sent, err := w.write(ctx, nil, false)
 	if err != nil {
 		return nil, time.Time{}, err
 	}
-	w.epoch = w.version
+	w.epoch = w.LastVersion()
 	return w, sent, nil
 }
 
@@ -45,6 +49,17 @@
 	return w.epoch
 }
 
+// FirstNumber returns the lowest fencing number of this holding: one above all of the holdings before it.
+func (w *FencedWriter) FirstNumber() uint64 {
+	return w.replaced + 1
+}
+
+// LastVersion returns the last version of the lease's row that this holding is known to have written. It is below all
+// fencing numbers of later holdings. It is safe for concurrent use.
+func (w *FencedWriter) LastVersion() uint64 {
+	return w.version.Load()
+}
+
 // Commit writes rows and renews the lease in one transaction. It retries until the outcome is known or ctx is
 // done. It returns a time no later than the commit, from which the lease counts.
 func (w *FencedWriter) Commit(ctx context.Context, writes []store.Write) (time.Time, error) {
@@ -68,7 +83,7 @@
 	}
 	guard := store.Guard{
 		Key:     pool.LeaseKey(w.pool),
-		Version: w.version,
+		Version: w.LastVersion(),
 		Value:   pool.Encode(row),
 		Matches: func(found store.Row) bool { return transactionOf(found) == row.GetTransaction() },
 	}
@@ -80,7 +95,7 @@
 		}
 		return time.Time{}, &Error{Op: "commit", Kind: kind, Err: err}
 	}
-	w.version = outcome.Version
+	w.version.Store(outcome.Version)
 	return outcome.Sent, nil
 }
 
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -84,6 +84,8 @@
 	// the agents of the pool at that version.
 	intakeVersion uint64
 	initialAgents []pool.AgentAddress
+	// started is set once the links to the initial agents are open.
+	started bool
 	// placementScheduled is true while a placementDue message is scheduled.
 	placementScheduled bool
 	// lost is closed when another process holds the pool. flushed is closed when a stopRequest was received
@@ -161,6 +163,7 @@
 		h.setAgent(a)
 	}
 	h.initialAgents = nil
+	h.started = true
 	go h.followIntake()
 	go h.runTicker()
 }
@@ -305,7 +308,7 @@
 }
 
 func (h *Holder) handleSyncResult(m syncResult) {
-	if m.reply.GetOldEpoch() {
+	if m.reply.GetOldEpoch() && h.isOfLaterHolder(m.reply.GetEpoch()) {
 		h.abandon()
 		return
 	}
@@ -320,13 +323,28 @@
 }
 
 func (h *Holder) handleOrderResults(now time.Time, m orderResults) {
-	if m.reply.GetOldEpoch() {
+	if m.reply.GetOldEpoch() && h.isOfLaterHolder(m.reply.GetEpoch()) {
 		h.abandon()
 		return
 	}
 	h.core.HandleResults(now, m.orders, resultsFrom(m.reply))
 }
 
+// isOfLaterHolder reports whether a fencing number is of a later holder. An agent also refuses a message that a later
+// one of this holder, with a higher number, has overtaken.
+func (h *Holder) isOfLaterHolder(number uint64) bool {
+	return number > h.writer.LastVersion()
+}
+
+// firstNumber returns the first fencing number of a new link. Only the links of the agents that the holder finds begin
+// with the lowest one: an agent that is added later may have had another link.
+func (h *Holder) firstNumber() uint64 {
+	if h.started {
+		return h.writer.LastVersion()
+	}
+	return h.writer.FirstNumber()
+}
+
 // sendOrders sends the orders that are due.
 func (h *Holder) sendOrders(now time.Time) {
 	for _, orders := range h.core.TakeOrders(now) {
