Let agents rely on the raised fencing number, and wait where there is none

Callers saw: a task started again after its success, or an end forgotten unread, on the next instance of a worker that comes back under its name, after its agent was restarted too. Cause: the new agent knows neither the unanswered starts nor the unanswered polls with a committed number of the one before it, and took both for none. Its own unanswered polls no longer block starts once the next instance refuses them. A late poll for the instance before counts in the worker's lease until it is refused: it could extend the lease after the first listing. Changed tests: newTestCore, newRestartingWorker and TestUnansweredOrderTimesOutSoon say that there was no agent before theirs (earlierCallsUntil). What they check is within one incarnation, and is unchanged; a fresh agent would now wait first. Why it works: docs/design/fencing.md.

--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -366,7 +366,11 @@
 	}
 	a.lastSync = now
 	if a.core.epoch != epoch {
-		a.logger.Info().Uint64("epoch", a.core.epoch).Str("holder", request.GetHolder()).Msg("agent: new holder")
+		text := "agent: new holder"
+		if request.GetIncarnation() == a.core.incarnation {
+			text = "agent: fencing number raised" // A new holder doesn't know the incarnation yet.
+		}
+		a.logger.Info().Uint64("epoch", a.core.epoch).Str("holder", request.GetHolder()).Msg(text)
 	}
 	if a.core.epoch != epoch || a.core.committed != committed {
 		a.pollNow()
--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -40,8 +40,16 @@
 type Core struct {
 	incarnation string
 	startedAt   time.Time
+	// earlierCallsUntil is the time until which calls of earlier incarnations may still reach the worker.
+	earlierCallsUntil time.Time
 
-	epoch uint64
+	// epoch is the highest fencing number in the holders' messages, and ownEpoch the first one that only this
+	// incarnation was given; 0 if there is none. answeredEpoch is the highest number in a poll that the current instance
+	// has answered, and epochAtSwitch the value of epoch when it became the current one.
+	epoch         uint64
+	ownEpoch      uint64
+	answeredEpoch uint64
+	epochAtSwitch uint64
 	// agentLeaseEnd is the end of the lease that the holder has given the agent. Up to then the agent may extend the
 	// worker's lease. longestRenewal is the longest lease that a renewal gave; 0 before the first such renewal.
 	agentLeaseEnd  time.Time
@@ -86,6 +94,12 @@
 	// if it has sent none.
 	extendedTo   time.Duration
 	earlierLease earlierLease
+	// lateLeasesUntil is the time until which an unanswered poll or start with a lease may still reach the worker.
+	// Until earlierLeasesUntil, such a call for the previous instance may reach the current one, whose lease may last
+	// until its clock reads lateLeaseEnd.
+	lateLeasesUntil    time.Time
+	earlierLeasesUntil time.Time
+	lateLeaseEnd       time.Duration
 	// totalPause is the total time for which the VM has been paused (suspended with all its processes), and
 	// totalPauseAtListing its value when the last listing arrived.
 	totalPause          time.Duration
@@ -120,7 +134,7 @@
 
 // NewCore returns the state of an agent that has just started. The incarnation must be unique among all agents.
 func NewCore(now time.Time, incarnation string) *Core {
-	return &Core{incarnation: incarnation, startedAt: now, reportNumber: 1, earlierLease: unknownLease{}}
+	return &Core{incarnation: incarnation, startedAt: now, earlierCallsUntil: now.Add(lateCallLimit), reportNumber: 1, earlierLease: unknownLease{}}
 }
 
 // ReportNumber returns the number of the current report. It increases with each change that the holder has to
@@ -129,13 +143,13 @@
 	return c.reportNumber
 }
 
-// Sync applies a renewal from a holder. It reports whether the renewal is stale, that is of an earlier epoch than the
-// agent has seen; a stale renewal changes nothing.
+// Sync applies a renewal from a holder. It reports whether the renewal is stale, that is of a lower fencing number than
+// the agent has seen; a stale renewal changes nothing.
 func (c *Core) Sync(request *poolpb.SyncRequest) (stale bool) {
-	if request.GetEpoch() < c.epoch {
+	c.recordOwnNumber(request.GetEpoch(), request.GetIncarnation())
+	if c.ObserveEpoch(request.GetEpoch()) {
 		return true
 	}
-	c.epoch = request.GetEpoch()
 	c.renewalInterval = time.Duration(request.GetWaitMs()) * time.Millisecond
 	c.longestRenewal = max(c.longestRenewal, time.Duration(request.GetLeaseMs())*time.Millisecond)
 	if request.GetIncarnation() == c.incarnation {
@@ -225,6 +239,7 @@
 		c.deliveredCommitted = max(c.deliveredCommitted, poll.Committed)
 	}
 	c.estimateClockAtStart(listing.Clock)
+	c.recordAnsweredNumber(now, poll, listing)
 	first := c.listingNumber == 0
 	c.listingNumber = number
 	c.updateReady()
@@ -347,6 +362,9 @@
 	if poll.Committed > 0 {
 		c.lateForgetUntil = now.Add(lateCallLimit)
 	}
+	if poll.LeaseEnd > 0 {
+		c.lateLeasesUntil = now.Add(lateCallLimit)
+	}
 }
 
 // LapseUnseenWorker records that nothing runs on the worker any more if no instance of it has answered since the
@@ -366,7 +384,7 @@
 		return 0, poolpb.OrderResult_OTHER_INSTANCE
 	case c.heartbeat.Draining:
 		return 0, poolpb.OrderResult_DRAINING
-	case c.orderExpired(now, request) || now.Before(c.startsBlockedUntil):
+	case c.orderExpired(now, request) || c.earlierForgetMayArrive(now):
 		return 0, poolpb.OrderResult_LATE
 	case c.capacityShrunk(request):
 		return 0, poolpb.OrderResult_ROOM
@@ -407,7 +425,8 @@
 	}).AnyNegative()
 }
 
-// ObserveEpoch records a holder's epoch. It reports whether the epoch is stale, that is earlier than one seen before.
+// ObserveEpoch records the fencing number of a holder's message. It reports whether the message is stale, that is of a
+// lower number than one seen before.
 func (c *Core) ObserveEpoch(epoch uint64) (stale bool) {
 	if epoch < c.epoch {
 		return true
--- a/sidecar/core_test.go
+++ b/sidecar/core_test.go
@@ -16,6 +16,7 @@
 // newTestCore returns the state of an agent that has a lease from a holder and has received a heartbeat.
 func newTestCore() *Core {
 	c := NewCore(start, "agent")
+	c.earlierCallsUntil = time.Time{} // There was no agent before it.
 	c.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 1, Capacity: job.Shape{Accelerators: 8}})
 	c.Sync(renewalFrom(c, 0))
 	return c
--- a/sidecar/instances.go
+++ b/sidecar/instances.go
@@ -168,6 +168,10 @@
 	c.deliveredCommitted = 0
 	c.leaveReceivedAt = time.Time{}
 	c.startsBlockedUntil = c.lateForgetUntil
+	c.earlierLeasesUntil = c.lateLeasesUntil
+	c.lateLeaseEnd = 0
+	c.answeredEpoch = 0
+	c.epochAtSwitch = c.epoch
 	c.reportNumber++
 }
 
--- a/sidecar/instances_test.go
+++ b/sidecar/instances_test.go
@@ -81,6 +81,7 @@
 func newRestartingWorker() (*restartingWorker, *Agent, *poolpb.SyncRequest) {
 	worker := &restartingWorker{instance: instanceNamed("first"), listed: map[*poolpb.EndedTask]bool{}}
 	agent := New(clocktest.New(), worker, metrics.NewSet(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+	agent.core.earlierCallsUntil = time.Time{} // There was no agent before it.
 	agent.Heartbeat(Heartbeat{Instance: worker.instance, Sequence: 1})
 	renewal := &poolpb.SyncRequest{Epoch: 7, Incarnation: agent.core.incarnation, LeaseMs: 4000}
 	agent.sync(agent.now(), renewal)
--- a/sidecar/lease.go
+++ b/sidecar/lease.go
@@ -75,13 +75,14 @@
 // workerLeaseEnd returns the latest reading of the worker's clock at which the lease of the current instance may end.
 // The instance must have answered a poll.
 func (c *Core) workerLeaseEnd() time.Duration {
+	own := max(c.extendedTo, c.lateLeaseEnd)
 	switch l := c.earlierLease.(type) {
 	case limitedLease:
-		return max(c.extendedTo, l.end)
+		return max(own, l.end)
 	case noLease:
-		return c.extendedTo
+		return own
 	default:
-		return max(c.extendedTo, c.workerClockAtStart+c.longestAgentLease())
+		return max(own, c.workerClockAtStart+c.longestAgentLease())
 	}
 }
 
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -55,10 +55,10 @@
 // forgettableEnd returns the number of the last ended run that the next poll allows the worker to forget, or 0. A
 // poll contains only the worker's name, and the worker's next instance, which numbers its ended runs from 1 again,
 // would take the number for its own. So the number is sent only once, in a poll that is answered at once, and only if
-// no pending start could run and end in the next instance. If each poll contained the number, a worker that restarts
+// no pending start, of this incarnation or an earlier one, could run and end in the next instance. If each poll contained the number, a worker that restarts
 // between two polls would always forget such an ended run before it has listed it.
 func (c *Core) forgettableEnd(now time.Time) uint64 {
-	if c.committed == c.deliveredCommitted || c.listingNumber == 0 || c.silent || c.heartbeat.Instance.NameMayRecur() && c.hasUnlistedStart(now) {
+	if c.committed == c.deliveredCommitted || c.listingNumber == 0 || c.silent || c.earlierAgentsRecent(now) || c.heartbeat.Instance.NameMayRecur() && c.hasUnlistedStart(now) {
 		return 0
 	}
 	return c.committed
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -49,7 +49,7 @@
 func (s *Service) Order(request *poolpb.OrderRequest, reply *poolpb.OrderReply) error {
 	a := s.agent
 	a.mu.Lock()
-	stale := a.core.ObserveEpoch(request.GetEpoch())
+	stale := a.core.ObserveOrder(request)
 	reply.Epoch = a.core.epoch
 	if stale {
 		a.logEarlierHolder(request.GetEpoch(), "order")
--- a/sidecar/service_test.go
+++ b/sidecar/service_test.go
@@ -45,6 +45,7 @@
 		is := is.New(t)
 		worker := &unresponsiveWorker{unanswered: 3}
 		agent := New(clocktest.New(), worker, metrics.NewSet(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+		agent.core.earlierCallsUntil = time.Time{} // There was no agent before it.
 		agent.Heartbeat(Heartbeat{Instance: instanceNamed("first"), Sequence: 1})
 		agent.sync(time.Now(), &poolpb.SyncRequest{Epoch: 7, Incarnation: agent.core.incarnation, LeaseMs: 4000})
 		agent.pollOnce(t.Context())
--- a/sidecar/starts.go
+++ b/sidecar/starts.go
@@ -67,16 +67,26 @@
 	if !previous.SharesName(listing.Instance) {
 		c.pendingStarts = nil
 		c.startsBlockedUntil = time.Time{}
+		c.earlierLeasesUntil = time.Time{}
 		return
 	}
 	for _, s := range c.pendingStarts {
 		if !s.answered && now.Before(s.expiresAt) && !listing.contains(s.task, s.run) {
 			c.revokedStarts = append(c.revokedStarts, &poolpb.StopOrder{Task: s.task, Run: s.run})
+			c.earlierLeasesUntil = laterOf(c.earlierLeasesUntil, s.expiresAt)
 		}
 	}
 	c.pendingStarts = slices.DeleteFunc(c.pendingStarts, func(s pendingStart) bool { return s.answered })
 }
 
+// laterOf returns the later of two times.
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // TakeRevokedStarts returns the stop orders that the current instance needs for starts sent to the previous one. It
 // returns each once, and again after revokeAgain.
 func (c *Core) TakeRevokedStarts() []*poolpb.StopOrder {
