Let agents report that starts wait, and poll without a wait meanwhile

Cause: after a restart of the agent beside a young instance, starts wait for the answer to a poll with the raised number. A long poll in flight held that back by up to 0.4 s, and the holder was told that the agent was ready. Change: while starts wait, polls have no wait, and the report says not ready. TestReadinessChangeEndsDelayedRenewals says, as newTestCore does, that there was no agent before its own; what it checks is unchanged. Why it works: the raised number comes with the holder's next renewal, which ends the wait between two polls; the poll that follows is answered at once.

--- a/sidecar/core.go
+++ b/sidecar/core.go
@@ -86,7 +86,7 @@
 	totalPauseAtPoll time.Duration
 	// workerClockAtStart is an upper bound of the reading of the worker's clock at the agent's start.
 	workerClockAtStart time.Duration
-	// reportedReady is the value of ready in the last report to the holder.
+	// reportedReady is the value of reportsReady in the last report to the holder.
 	reportedReady bool
 	// listedAt is the time, by the agent's clock, at which the last listing arrived.
 	listedAt time.Time
@@ -126,8 +126,10 @@
 	revokedStarts []*poolpb.StopOrder
 	// lateForgetUntil is the time until which an unanswered poll with a committed number may still reach the worker.
 	// Until startsBlockedUntil, such a poll for the previous instance may reach the current one.
+	// startsBlocked is set if starts waited for such a poll, also of an earlier incarnation, at the last listing.
 	lateForgetUntil    time.Time
 	startsBlockedUntil time.Time
+	startsBlocked      bool
 	// reportAfterPoll, unless 0, is a poll number. The next listing after it changes the report in any case.
 	reportAfterPoll uint64
 }
@@ -202,7 +204,7 @@
 		Ended:        c.listing.Ended,
 		Lapsed:       c.instanceEnded,
 		Lapse:        c.lapse,
-		NotReady:     !c.ready(),
+		NotReady:     !c.reportsReady(),
 	}
 }
 
@@ -242,6 +244,7 @@
 	c.recordAnsweredNumber(now, poll, listing)
 	first := c.listingNumber == 0
 	c.listingNumber = number
+	c.startsBlocked = c.earlierForgetMayArrive(now)
 	c.updateReady()
 	progress := len(listing.Running) > 0 && now.Sub(c.reportedAt) >= max(progressInterval, c.renewalInterval)
 	due := c.reportAfterPoll > 0 && number > c.reportAfterPoll
--- a/sidecar/fencing_test.go
+++ b/sidecar/fencing_test.go
@@ -139,3 +139,20 @@
 	failPollAt(c, 10*time.Second)
 	is.True(c.workerState().GetLapsed())
 }
+
+// Guards against a holder that places tasks on a worker whose agent starts nothing yet, and against a long poll by which
+// the raised number reaches the worker up to 0.4 s later.
+func TestAgentReportsThatStartsWait(t *testing.T) {
+	is := is.New(t)
+	c := newYoungCore()
+	renewed(c, 0, 7, "earlier")
+	listAt(c, 0, Listing{Clock: 500 * time.Millisecond})
+	is.True(c.workerState().GetNotReady())
+	poll, _, _ := c.NextPoll(start)
+	is.Equal(poll.Wait, time.Duration(0))
+	renewed(c, 0, 8, c.incarnation)
+	listAt(c, 0, Listing{Clock: 500 * time.Millisecond})
+	is.True(!c.workerState().GetNotReady())
+	poll, _, _ = c.NextPoll(start)
+	is.Equal(poll.Wait, pollWait)
+}
--- a/sidecar/instances.go
+++ b/sidecar/instances.go
@@ -181,10 +181,15 @@
 	return c.heartbeatReceived && len(c.unverified) == 0 && !c.heartbeatPredatesAgent()
 }
 
-// updateReady changes the report if the value of ready has changed. Without this report the holder repeats its orders
+// reportsReady reports whether the agent tells the holder that it carries out starts.
+func (c *Core) reportsReady() bool {
+	return c.ready() && !c.startsBlocked
+}
+
+// updateReady changes the report if the value of reportsReady has changed. Without this report the holder repeats its orders
 // shortly after each refusal.
 func (c *Core) updateReady() (changed bool) {
-	if c.reportedReady == c.ready() {
+	if c.reportedReady == c.reportsReady() {
 		return false
 	}
 	c.reportedReady = !c.reportedReady
--- a/sidecar/poll.go
+++ b/sidecar/poll.go
@@ -26,7 +26,7 @@
 	}
 	poll.LeaseEnd = c.extendWorkerLease(now)
 	poll.Committed = c.forgettableEnd(now)
-	if c.listingNumber > 0 && poll.Committed == 0 && !c.hasUndeliveredEnds() && !c.silent && c.pauseSinceListing() == 0 {
+	if c.listingNumber > 0 && poll.Committed == 0 && !c.startsBlocked && !c.hasUndeliveredEnds() && !c.silent && c.pauseSinceListing() == 0 {
 		poll.Wait = pollWait
 	}
 	return poll, c.pollNumber, true
--- a/sidecar/service_test.go
+++ b/sidecar/service_test.go
@@ -80,6 +80,7 @@
 func TestReadinessChangeEndsDelayedRenewals(t *testing.T) {
 	is := is.New(t)
 	agent := New(clocktest.New(), &singleInstanceWorker{}, metrics.NewSet(), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+	agent.core.earlierCallsUntil = time.Time{} // There was no agent before it.
 	holdRenewal := func() <-chan struct{} {
 		_, changed := agent.sync(time.Now(), &poolpb.SyncRequest{Epoch: 7, Incarnation: agent.core.incarnation, SeenReport: agent.core.ReportNumber(), LeaseMs: 4000})
 		return changed
