Model of leases where names recur beside a holder that raises the fencing number

TestLeasesWhereNamesRecur can't pass by design: its holder raises no number, and its late starts and leases may reach the next instance before any other call, which no number can refuse. TestLeasesWhereNamesRecurAndNumbersRise is the same model with a holder that raises the number; starts and leases that come before the first call with it are lost. In the model of TestLeasesWhereNamesRecur and TestLeasesAcrossRestarts orders go through ObserveOrder, as in the agent; nothing else changes for them.

--- a/sidecar/lease_model_test.go
+++ b/sidecar/lease_model_test.go
@@ -22,6 +22,9 @@
 		clocksRestart bool
 		// longestLease is the longest lease that a worker accepts, counted from the arrival of the call.
 		longestLease time.Duration
+		// numbersRise is set if the holder raises the fencing number with each incarnation and instance that it learns of.
+		// What reaches an instance before its first call with that number can't be refused; such starts and leases are lost.
+		numbersRise bool
 	}
 
 	// pollInFlight is a poll that the agent has sent. The agent sends one at a time.
@@ -199,7 +202,7 @@
 func (m *leaseModel) renew(t *rapid.T) {
 	lease := rapid.IntRange(0, 4).Draw(t, "lease") > 0
 	if rapid.IntRange(0, 4).Draw(t, "reply lost") > 3 {
-		m.agent.Sync(m.renewal(lease))
+		m.deliverRenewal(m.renewal(lease))
 		return
 	}
 	m.renewOnce(lease)
@@ -219,11 +222,14 @@
 }
 
 func (m *leaseModel) renewOnce(lease bool) {
-	request := m.renewal(lease)
-	m.agent.Sync(request)
+	request, known := m.renewal(lease), m.lastReply.GetIncarnation()
+	m.deliverRenewal(request)
 	m.lastReply, m.lastReplyAt = m.agent.Reply(m.now, request), m.now
 	m.pausedSinceReply = false
 	state := m.lastReply.GetWorker()
+	if m.numbersRise && (m.lastReply.GetIncarnation() != known || state != nil && state.GetInstance() != m.reported.GetInstance()) {
+		m.epoch++
+	}
 	if state == nil {
 		return
 	}
@@ -236,6 +242,15 @@
 	}
 }
 
+// deliverRenewal makes the agent receive a renewal. The first one that names the agent and the worker's instance has the
+// number from which on the worker refuses calls for earlier instances.
+func (m *leaseModel) deliverRenewal(request *poolpb.SyncRequest) {
+	m.agent.Sync(request)
+	if w := m.worker; w.fence == 0 && request.GetIncarnation() == m.agent.incarnation && request.GetInstance() == w.id.String() {
+		w.fence = request.GetEpoch()
+	}
+}
+
 // startDraining makes the worker report in all further heartbeats that it is draining.
 func (m *leaseModel) startDraining(*rapid.T) { m.worker.draining = true }
 
--- a/sidecar/lease_steps_test.go
+++ b/sidecar/lease_steps_test.go
@@ -86,10 +86,20 @@
 		longest = maxLease
 	}
 	lapsedAt := m.lastGivenAt.Add(slowed(longest) + settings.LeaseMargin + blur)
-	if listedAt := m.agent.listedAt.Add(settings.LeaseMargin + m.agent.pauseSinceListing()); listedAt.After(lapsedAt) {
-		return listedAt
+	return laterOf(lapsedAt, m.agent.listedAt.Add(m.lateLease()+settings.LeaseMargin+m.agent.pauseSinceListing()))
+}
+
+// lateLease returns how long after the last listing the worker's lease may last by calls for an earlier instance, if the
+// numbers rise: for the longest lease, and until they can't arrive any more if the worker doesn't refuse them.
+func (m *leaseModel) lateLease() time.Duration {
+	if !m.numbersRise || m.agent.listingNumber == 0 {
+		return 0
+	}
+	end := m.agent.lateLeaseEnd
+	if l, ok := m.agent.earlierLease.(limitedLease); ok {
+		end = max(end, l.end)
 	}
-	return lapsedAt
+	return slowed(min(max(0, end-m.agent.listing.Clock), maxLease+lateCallLimit))
 }
 
 // order sends a start, a new one or one that is repeated. It may be carried out late, and its answer may be lost.
@@ -98,7 +108,7 @@
 		Epoch: m.epoch, Instance: m.reported.GetInstance(), Incarnation: m.lastReply.GetIncarnation(),
 		LeaseToken: m.lastReply.GetLeaseToken(), LeaseMs: int32(pool.DefaultSettings().AgentLease.Milliseconds()),
 	}
-	if request.GetInstance() == "" || m.agent.ObserveEpoch(m.epoch) {
+	if request.GetInstance() == "" || m.agent.ObserveOrder(request) {
 		return
 	}
 	leaseEnd, verdict := m.agent.CheckStart(m.now, request)
@@ -162,6 +172,16 @@
 // carryOut makes the worker carry out a call, and checks its effect.
 func (m *leaseModel) carryOut(t *rapid.T, call workerCall) callEffect {
 	w := m.worker
+	if id, _ := call.addressee(); m.numbersRise && id != w.id && !w.isFenced() {
+		switch {
+		case call.start != nil:
+			return callEffect{}
+		case call.poll != nil:
+			poll := *call.poll
+			poll.LeaseEnd = 0
+			call.poll = &poll
+		}
+	}
 	effect := w.carryOut(call)
 	if effect.fault != "" {
 		t.Fatal(effect.fault)
@@ -217,7 +237,7 @@
 	for range rounds {
 		rapid.Check(t, func(t *rapid.T) {
 			m := newLeaseModel(t, sites)
-			t.Repeat(map[string]func(*rapid.T){
+			actions := map[string]func(*rapid.T){
 				"":              m.check,
 				"wait":          m.wait,
 				"renew":         m.renew,
@@ -230,11 +250,28 @@
 				"heartbeat":     m.heartbeat,
 				"restart agent": m.restartAgent,
 				"disturb":       m.disturb,
-			})
+			}
+			if sites.numbersRise {
+				actions["restart both"] = m.restartBoth
+			}
+			t.Repeat(actions)
 		})
 	}
 }
 
+// restartBoth restarts the worker and its agent while a start or a committed number is late, and makes the agent ready.
+func (m *leaseModel) restartBoth(t *rapid.T) {
+	if rapid.Bool().Draw(t, "late start") {
+		m.order(t)
+	} else {
+		m.lose(t)
+	}
+	m.restartWorker(t)
+	m.restartAgent(t)
+	m.settle(t)
+	m.settle(t)
+}
+
 // disturb does what would end most runs if it happened often.
 func (m *leaseModel) disturb(t *rapid.T) {
 	disturbances := map[string]func(*rapid.T){
@@ -261,3 +298,8 @@
 func TestLeasesWhereNamesRecur(t *testing.T) {
 	checkLeases(t, leaseSites{namesRecur: true, clocksRestart: true, longestLease: 6 * time.Second})
 }
+
+// The same beside a holder that raises the fencing number, without the starts and leases that no number can refuse.
+func TestLeasesWhereNamesRecurAndNumbersRise(t *testing.T) {
+	checkLeases(t, leaseSites{namesRecur: true, clocksRestart: true, longestLease: 6 * time.Second, numbersRise: true})
+}
--- a/sidecar/lease_worker_test.go
+++ b/sidecar/lease_worker_test.go
@@ -30,8 +30,10 @@
 		// clockZero is the reading of the VM's clock at which the clock of this instance read 0.
 		clockZero time.Duration
 		// longestLease is the longest lease that the worker accepts, counted from the arrival of the call.
-		longestLease        time.Duration
-		epoch               uint64
+		longestLease time.Duration
+		epoch        uint64
+		// fence is the number that the agent was first given for this instance; 0 before.
+		fence               uint64
 		leaseEnd            time.Duration
 		sequence            uint64
 		draining            bool
@@ -137,6 +139,11 @@
 	return effect
 }
 
+// isFenced reports whether the instance has accepted a call with the number that the agent was given for it.
+func (w *leasedWorker) isFenced() bool {
+	return w.fence > 0 && w.epoch >= w.fence
+}
+
 // rejection returns how the worker rejects a poll for an instance: as for another one, or for its epoch.
 func (w *leasedWorker) rejection(id instance.ID) Kind {
 	if id.SharesName(w.id) {
