--- a/sidecar/instances.go
+++ b/sidecar/instances.go
@@ -168,13 +168,17 @@
 	c.deliveredCommitted = 0
 	c.leaveReceivedAt = time.Time{}
 	c.startsBlockedUntil = c.lateForgetUntil
+	c.earlierLeasesUntil = c.lateLeasesUntil
+	c.lateLeaseEnd = 0
+	c.answeredEpoch = 0
+	c.epochAtSwitch = c.epoch
 	c.reportNumber++
 }
 
-// ready reports whether the agent carries out starts: it knows the current instance, and no poll for an earlier one may
-// reach that. The end of such a block takes effect with the next listing.
+// ready reports whether the agent carries out starts: it knows the current instance, and at its last listing no poll for
+// an earlier one could reach it any more.
 func (c *Core) ready() bool {
-	return c.knowsInstance() && c.startsBlockedUntil.IsZero()
+	return c.knowsInstance() && !c.startsBlocked
 }
 
 // knowsInstance reports whether the agent knows the current instance. No instance may wait for verification, and the
@@ -189,13 +193,6 @@
 	return c.heartbeatReceived && !c.heartbeatPredatesAgent()
 }
 
-// endStartBlock ends the block of starts once no poll for an earlier instance can arrive any more.
-func (c *Core) endStartBlock(now time.Time) {
-	if !now.Before(c.startsBlockedUntil) {
-		c.startsBlockedUntil = time.Time{}
-	}
-}
-
 // updateReady changes the report if the value of ready has changed. Without this report the holder repeats its orders
 // shortly after each refusal.
 func (c *Core) updateReady() (changed bool) {
