Poll at once with a raised fencing number only if starts wait for it

Cause: each raised number began a poll, so a long one was in flight when the holder's first orders came, and only the poll after it showed their effect. Change: a raised number begins a poll only while starts wait for its answer; a new holder's does as before. Evidence: TestRaisedNumberIsPolledWithAtOnceOnlyIfStartsWait fails with either cut. Why it works: the first orders end the wait between two polls, as before, and the poll that follows shows them.

--- a/sidecar/agent.go
+++ b/sidecar/agent.go
@@ -366,13 +366,9 @@
 	}
 	a.lastSync = now
 	if a.core.epoch != epoch {
-		text := "agent: new holder"
-		if request.GetIncarnation() == a.core.incarnation {
-			text = "agent: fencing number raised" // A new holder doesn't know the incarnation yet.
-		}
-		a.logger.Info().Uint64("epoch", a.core.epoch).Str("holder", request.GetHolder()).Msg(text)
+		a.handleNumber(request)
 	}
-	if a.core.epoch != epoch || a.core.committed != committed {
+	if a.core.committed != committed {
 		a.pollNow()
 	}
 	if request.GetIncarnation() != a.core.incarnation || request.GetSeenReport() != a.core.ReportNumber() {
@@ -380,3 +376,19 @@
 	}
 	return false, a.changed
 }
+
+// handleNumber logs a higher fencing number, and polls the worker at once with that of a new holder, or if starts wait for
+// the answer. Otherwise a long poll would be in flight when the holder's first orders come, and hold their effect back from
+// the holder. The lock must be held.
+func (a *Agent) handleNumber(request *poolpb.SyncRequest) {
+	entry := a.logger.Info().Uint64("epoch", a.core.epoch).Str("holder", request.GetHolder())
+	if request.GetIncarnation() != a.core.incarnation {
+		entry.Msg("agent: new holder") // It doesn't know the incarnation yet.
+		a.pollNow()
+		return
+	}
+	entry.Msg("agent: fencing number raised")
+	if a.core.startsBlocked {
+		a.pollNow()
+	}
+}
--- a/sidecar/fencing_test.go
+++ b/sidecar/fencing_test.go
@@ -156,3 +156,24 @@
 	poll, _, _ = c.NextPoll(start)
 	is.Equal(poll.Wait, pollWait)
 }
+
+// Guards against a long poll that begins with each raised number, and is in flight when the holder's first orders come.
+func TestRaisedNumberIsPolledWithAtOnceOnlyIfStartsWait(t *testing.T) {
+	is := is.New(t)
+	_, agent, renewal := newRestartingWorker()
+	polls := func(number uint64, incarnation string) bool {
+		renewal.Epoch, renewal.Incarnation = number, incarnation
+		agent.sync(agent.now(), renewal)
+		select {
+		case <-agent.wake:
+			return true
+		default:
+			return false
+		}
+	}
+	polls(7, "")
+	is.True(!polls(8, agent.core.incarnation))
+	is.True(polls(9, "")) // a new holder
+	agent.core.startsBlocked = true
+	is.True(polls(10, agent.core.incarnation))
+}
