holder: a pool is released after a transaction without an answer

Cause: a stopping holder waits 2 s for its last transaction. If the store carried that out and its answer came later, the release checked for the version before it, and its conflict was read as a later holder's. Change: the writer keeps the identifier of its last transaction. If the row in the release's conflict is that one's, the release is sent again with its version. The store's error for a replaced guard now has the row. Why this works: a row with the identifier of this holder's own transaction shows that nobody replaced the lease since.

--- a/holder/fenced_writer.go
+++ b/holder/fenced_writer.go
@@ -27,7 +27,9 @@
 	// replaced is the version of the row that Acquire has replaced, and version that of the row at present.
 	replaced uint64
 	version  atomic.Uint64
-	onRetry  func(error)
+	// lastCommit identifies the last transaction of Commit. Its outcome may be unknown when the pool is released.
+	lastCommit atomic.Pointer[string]
+	onRetry    func(error)
 }
 
 // Acquire takes a pool, given the version of its lease's row. It also returns a time no later than the commit
@@ -71,9 +73,19 @@
 func (w *FencedWriter) Release(ctx context.Context) error {
 	handover := store.Write{Key: pool.HandoverKey(w.pool), Value: pool.Encode(&poolpb.HandoverRow{Holder: w.name, Epoch: w.epoch})}
 	_, err := w.write(ctx, []store.Write{handover}, true)
+	if row, ok := store.ConflictRow(err, pool.LeaseKey(w.pool)); ok && w.wroteLast(row) {
+		w.version.Store(row.Version)
+		_, err = w.write(ctx, []store.Write{handover}, true)
+	}
 	return err
 }
 
+// wroteLast reports whether the last transaction of Commit wrote a lease's row.
+func (w *FencedWriter) wroteLast(row store.Row) bool {
+	last := w.lastCommit.Load()
+	return last != nil && transactionOf(row) == *last
+}
+
 func (w *FencedWriter) write(ctx context.Context, writes []store.Write, release bool) (time.Time, error) {
 	row := &poolpb.HolderRow{
 		Holder:      w.name,
@@ -81,6 +93,9 @@
 		Transaction: uuid.NewString(),
 		Released:    release,
 	}
+	if !release {
+		w.lastCommit.Store(&row.Transaction)
+	}
 	guard := store.Guard{
 		Key:     pool.LeaseKey(w.pool),
 		Version: w.LastVersion(),
--- a/store/error.go
+++ b/store/error.go
@@ -32,7 +32,8 @@
 		// Op is the operation that failed.
 		Op   string
 		Kind Kind
-		// Rows are the current rows of the checks, for KindConflict. Rows that do not exist have version 0.
+		// Rows are the current rows of the checks, for KindConflict, or that of the guard, for KindGuardReplaced. Rows that
+		// do not exist have version 0.
 		Rows []Row
 		// RetryAfter is the delay that the store requests before the next attempt, for KindRefused; 0 for none.
 		RetryAfter time.Duration
--- a/store/guarded_commit.go
+++ b/store/guarded_commit.go
@@ -92,6 +92,6 @@
 	case row.Version > 0 && guard.Matches(row):
 		return Outcome{Stamp: Stamp{Version: row.Version}, Sent: first, Version: row.Version}, nil
 	default:
-		return Outcome{}, &Error{Op: "settle", Kind: KindGuardReplaced, Err: err}
+		return Outcome{}, &Error{Op: "settle", Kind: KindGuardReplaced, Rows: []Row{row}, Err: err}
 	}
 }
