--- a/sidecar/instances.go
+++ b/sidecar/instances.go
@@ -270,7 +270,7 @@
 // incarnation of the agent. Another one has ended if it refuses refusalsUntilEnded connections in a row.
 func (c *Core) handleRefusal(now time.Time) {
 	c.refusals++
-	if !c.leaving && c.saidThatItEnds(now) {
+	if !c.leaving && c.announcedEnd(now) {
 		c.leaving = true
 		c.reportNumber++
 	}
@@ -297,15 +297,15 @@
 // markProcessEnded records that the worker's process no longer exists. The worker has left if it said so before;
 // otherwise it has crashed.
 func (c *Core) markProcessEnded(now time.Time) {
-	if c.leaving || c.saidThatItEnds(now) {
+	if c.leaving || c.announcedEnd(now) {
 		c.markEnded(now, poolpb.Lapse_LEFT)
 		return
 	}
 	c.markEnded(now, poolpb.Lapse_CRASHED)
 }
 
-// saidThatItEnds reports whether the worker is draining or has sent a leave message recently.
-func (c *Core) saidThatItEnds(now time.Time) bool {
+// announcedEnd reports whether the worker is draining or has sent a leave message recently.
+func (c *Core) announcedEnd(now time.Time) bool {
 	return c.heartbeat.Draining || c.leftRecently(now)
 }
 
