program/soak: a watch that did not look counts no idle time, and ends its faults

The trace: the test's own loop was behind its schedule (job 20 was submitted 12 s late), so that it ran neither apply nor observe for 27 s: the faults that should last 2 s of each 10 went on, and the killed gateway was not launched again. Then it got no CPU from 03:59:23.0 to 27.6 (no submission in between); in that time the holders' logs show some 150 tasks started, and the watch, which had not looked, counted all of it as idle. Change: faults are applied and the jobs observed at least once for each submission, also behind schedule. A job's idle time begins anew after more than 0.5 s without an observation; the log says how often that was. The bounds are as they were.

--- a/program/soak/crash_test.go
+++ b/program/soak/crash_test.go
@@ -74,11 +74,7 @@
 				w.killAt = time.Now().Add(after + time.Second)
 			}
 		}
-		for end := start.Add(time.Duration(id) * jobInterval); time.Now().Before(end); {
-			w.killHolder(time.Now())
-			w.observe(time.Now())
-			time.Sleep(pollInterval)
-		}
+		w.observeUntil(start.Add(time.Duration(id)*jobInterval), func() { w.killHolder(time.Now()) })
 		if w.killTarget != nil && !w.killTarget.Running() {
 			w.relaunchTarget()
 		}
--- a/program/soak/progress_test.go
+++ b/program/soak/progress_test.go
@@ -29,6 +29,9 @@
 	watchedWorkers = 11
 	// pollInterval is the time between observations of the runs.
 	pollInterval = 20 * time.Millisecond
+	// maxObservationGap is the longest time between two observations in which a job counts as idle if it is idle at
+	// both. On a busy machine the watch may not run for seconds, while tasks start and end.
+	maxObservationGap = 500 * time.Millisecond
 	// maxIdle is how long a job may have no running task while there is ample capacity for it.
 	maxIdle = 3 * time.Second
 	// takeoverAllowance is added to maxIdle for a change of holder, since a lease of 1.9 s has to expire.
@@ -71,6 +74,9 @@
 
 		jobs              []*watchedJob
 		acceleratorsInUse int
+		observedAt        time.Time
+		// gaps counts the times without an observation that were longer than maxObservationGap.
+		gaps int
 		// killTarget is the gateway that was killed by the current fault, or that is to be killed at killAt. It is nil
 		// if there is none.
 		killTarget *cluster.Program
@@ -125,11 +131,7 @@
 	start := time.Now()
 	for id := 1; id <= *watchedJobCount; id++ {
 		w.submit(random, id)
-		for end := start.Add(time.Duration(id) * jobInterval); time.Now().Before(end); {
-			w.apply(fault, time.Since(start))
-			w.observe(time.Now())
-			time.Sleep(pollInterval)
-		}
+		w.observeUntil(start.Add(time.Duration(id)*jobInterval), func() { w.apply(fault, time.Since(start)) })
 	}
 	w.setFaults(fakes.WorkerFaults{})
 	w.relaunchTarget()
@@ -185,8 +187,25 @@
 	}
 }
 
+// observeUntil observes the jobs until a time is over, and at least once. It injects faults before each observation.
+func (w *progressWatch) observeUntil(end time.Time, inject func()) {
+	for {
+		inject()
+		w.observe(time.Now())
+		if !time.Now().Before(end) {
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
 // observe updates for each job whether it has ended, and how long it has been idle.
 func (w *progressWatch) observe(now time.Time) {
+	if !w.observedAt.IsZero() && now.Sub(w.observedAt) > maxObservationGap {
+		w.gaps++
+		w.forgetIdleTimes()
+	}
+	w.observedAt = now
 	inUse, idle := 0, []*watchedJob{}
 	for _, j := range w.jobs {
 		if j.ended {
@@ -208,6 +227,13 @@
 	}
 }
 
+// forgetIdleTimes counts the time for which jobs are idle anew.
+func (w *progressWatch) forgetIdleTimes() {
+	for _, j := range w.jobs {
+		j.idleSince = time.Time{}
+	}
+}
+
 func (w *progressWatch) taskCounts(j *watchedJob) (running, done int) {
 	for i := range j.tasks {
 		runs, ended := w.Runs.TaskState(fmt.Sprintf("%s.0.0.%d", jobName(j.id), i))
@@ -285,5 +311,5 @@
 			failed++
 		}
 	}
-	t.Logf("%d jobs, %d failed, longest time without a running task %s", len(w.jobs), failed, worst)
+	t.Logf("%d jobs, %d failed, longest time without a running task %s; %d times without an observation", len(w.jobs), failed, worst, w.gaps)
 }
