review: jobs of one tenant at priority 0 keep another's guarantee from it

Seen: a tenant with 8 guaranteed GPUs fills all 88 with jobs of priority 0 whose tasks last. A job of priority 0 of another tenant, within its guarantee of 16, is accepted and begins none of its tasks in 25 s; the bound of RECLAIM is 2.9 s. Only groups of a lower priority are ever preempted.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -29,7 +29,8 @@
 }
 
 var scenarios = map[string]scenario{
-	"wide": {config: config(), play: playWide},
+	"wide":      {config: config(), play: playWide},
+	"guarantee": {config: config(), play: playGuarantee},
 }
 
 func main() {
