review: an accepted job with a guess of 30 days for its tasks never runs

Seen: on an idle system a job of two tasks that last, with est_ms of 30 days, is accepted with 200 and never runs. GET says queued, the count of waiting jobs is 0. The row holds the guess as int32 milliseconds, which 24.9 days exceed; the holder skips the row as malformed (LOST).

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -31,6 +31,7 @@
 var scenarios = map[string]scenario{
 	"wide":      {config: config(), play: playWide},
 	"guarantee": {config: config(), play: playGuarantee},
+	"estimate":  {config: config(), play: playEstimate},
 }
 
 func main() {
