review: one heartbeat of another writer takes a worker out of service for good

Seen: a heartbeat whose id ends with a newline is acknowledged with 200. The sidecar then waits for an answer to a poll that it can't send, and refuses all starts for good.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -31,7 +31,7 @@
 var scenarios = map[string]scenario{
 	"wide":      {config: config(), play: playWide},
 	"guarantee": {config: config(), play: playGuarantee},
-	"estimate":  {config: config(), play: playEstimate},
+	"heartbeat": {config: config(), play: playHeartbeat},
 }
 
 func main() {
