--- a/review/_standin/config.go
+++ b/review/_standin/config.go
@@ -2,8 +2,8 @@
 
 // Tenants, keys and queues of the configuration. The queues are those of the smallest deployment's sheet.
 const (
-	lecturesKey = "d4a3hwrr6x73d3zji9n7"
-	libraryKey  = "3hh2b9wu3fexd9dnn2ct"
+	lecturesKey = "key-of-lectures"
+	libraryKey  = "key-of-library"
 
 	lecturesGuaranteed = 16
 	libraryGuaranteed  = 8
@@ -12,9 +12,9 @@
 )
 
 var (
-	captions   = queue{name: "caption-gen", host: "nony24.example", prefix: "/pufi791/"}
-	transcodes = queue{name: "lecture-transcode", host: "nony24.example", prefix: "/lohu930/"}
-	thumbnails = queue{name: "archive-thumbs", host: "ficu95.example", prefix: "/pule252/"}
+	captions   = queue{name: "caption-gen", host: "captions.example", prefix: "/captions/"}
+	transcodes = queue{name: "lecture-transcode", host: "lectures.example", prefix: "/transcodes/"}
+	thumbnails = queue{name: "archive-thumbs", host: "archive.example", prefix: "/thumbnails/"}
 )
 
 type object = map[string]any
