--- a/review/_second/advice.go
+++ b/review/_second/advice.go
@@ -11,27 +11,36 @@
 	"time"
 )
 
-// Times of the advice service: decide_ms, each_ms and valid_ms of the queue.
-const (
-	decideTime  = 20 * time.Millisecond
-	eachTime    = 2 * time.Millisecond
-	ticketValid = 10 * time.Second
-)
+// policy holds decide_ms, each_ms and valid_ms of a queue.
+type policy struct {
+	decide, each, valid time.Duration
+}
+
+// config returns the policy's entry in a configuration.
+func (p policy) config() map[string]any {
+	return map[string]any{"decide_ms": p.decide.Milliseconds(), "each_ms": p.each.Milliseconds(), "valid_ms": p.valid.Milliseconds()}
+}
 
 // adviceService is a stand-in of the advice service. It allows every worker. Workers ask it about tickets once the
 // queue's policy is in force.
 type adviceService struct {
 	rec *record
+	// turn is held by the call that the service works on.
+	turn sync.Mutex
 
 	mu      sync.Mutex
+	policy  policy
 	inForce bool
 	// tickets holds the end of each ticket, by step, worker and text.
 	tickets map[string]time.Time
 	refused int
+	// calls counts the calls, and asked those for each job.
+	calls int
+	asked map[string]int
 }
 
 func newAdviceService(rec *record, address string) (*adviceService, error) {
-	a := &adviceService{rec: rec, tickets: map[string]time.Time{}}
+	a := &adviceService{rec: rec, tickets: map[string]time.Time{}, asked: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /advise", a.advise)
 	listener, err := net.Listen("tcp", address)
@@ -43,10 +52,10 @@
 }
 
 // putInForce makes workers require tickets from now on.
-func (a *adviceService) putInForce() {
+func (a *adviceService) putInForce(p policy) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.inForce = true
+	a.inForce, a.policy = true, p
 	a.rec.log("workers require tickets from now on")
 }
 
@@ -59,17 +68,25 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	time.Sleep(decideTime + time.Duration(len(body.Workers))*eachTime)
+	a.turn.Lock()
+	defer a.turn.Unlock()
+	a.mu.Lock()
+	p := a.policy
+	a.mu.Unlock()
+	time.Sleep(p.decide + time.Duration(len(body.Workers))*p.each)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	good := [][]string{}
 	for _, id := range body.Workers {
 		text := fmt.Sprintf("%08x", rand.Uint32())
-		a.tickets[body.Step+" "+id+" "+text] = time.Now().Add(ticketValid)
+		a.tickets[body.Step+" "+id+" "+text] = time.Now().Add(p.valid)
 		good = append(good, []string{id, text})
 	}
-	a.rec.log("advice: asked for %s and %d workers", body.Step, len(body.Workers))
-	reply(w, http.StatusOK, map[string]any{"good": good, "valid_ms": ticketValid.Milliseconds()})
+	a.asked[jobOf(body.Step)]++
+	if a.calls++; a.calls <= 20 || a.calls%20 == 0 {
+		a.rec.log("advice: call %d, for %s and %d workers", a.calls, body.Step, len(body.Workers))
+	}
+	reply(w, http.StatusOK, map[string]any{"good": good, "valid_ms": p.valid.Milliseconds()})
 }
 
 // admits reports whether a start on a worker may go on.
@@ -86,3 +103,10 @@
 	}
 	return false
 }
+
+// callsFor returns the number of calls for a job.
+func (a *adviceService) callsFor(id string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.asked[id]
+}
--- a/review/_second/case_policy.go
+++ b/review/_second/case_policy.go
@@ -12,6 +12,9 @@
 	policyWork     = 2 * time.Second
 )
 
+// newPolicy is the policy that the queue gets.
+var newPolicy = policy{decide: 20 * time.Millisecond, each: 2 * time.Millisecond, valid: 10 * time.Second}
+
 // playNewPolicy submits a job with times, and changes the configuration of its queue between two of them. The
 // disruption is what changes: the queue gets a policy; without it, its goal_ms changes.
 func playNewPolicy(p *play) []string {
@@ -27,19 +30,19 @@
 		Steps:   []step{{Count: 2, CPU: need.CPU, MemMB: need.MemMB, GPU: need.GPU, EstMs: policyWork.Milliseconds()}},
 		Repeats: policyRepeats, FirstMs: first.UnixMilli(), IntervalMs: policyInterval.Milliseconds(),
 	}
-	before := &waitedJob{id: newJobID(), tasks: 2 * policyRepeats, need: need, repeats: policyRepeats, dueAt: first}
+	before := &waitedJob{id: newJobID(), tasks: 2 * policyRepeats, need: need, repeats: policyRepeats, interval: policyInterval, dueAt: first}
 	if status, _ := c.call("POST", p.fronts[0], queuePath+before.id, body); status/100 != 2 {
 		panic(fmt.Sprintf("the job was not accepted: %d", status))
 	}
 	time.Sleep(time.Until(first.Add(2500 * time.Millisecond)))
 	changed := route("rec-pipeline", 4000)
 	if p.trouble {
-		changed["advice"] = map[string]any{"decide_ms": decideTime.Milliseconds(), "each_ms": eachTime.Milliseconds(), "valid_ms": ticketValid.Milliseconds()}
+		changed["advice"] = newPolicy.config()
 	}
 	p.configure(9, []string{"rec-pipeline"}, changed)
 	time.Sleep(configTime)
 	if p.trouble {
-		p.advice.putInForce()
+		p.advice.putInForce(newPolicy)
 	}
 	after := &waitedJob{id: newJobID(), tasks: 2, need: need, dueAt: time.Now()}
 	body.Repeats, body.FirstMs, body.IntervalMs = 0, 0, 0
--- a/review/_second/client.go
+++ b/review/_second/client.go
@@ -17,14 +17,13 @@
 type (
 	// step is a step of a job on the wire.
 	step struct {
-		Count      int    `json:"count"`
-		CPU        int    `json:"cpu,omitempty"`
-		MemMB      int    `json:"mem_mb,omitempty"`
-		GPU        int    `json:"gpu,omitempty"`
-		EstMs      int64  `json:"est_ms,omitempty"`
-		Checkpoint bool   `json:"checkpoint,omitempty"`
-		Label      string `json:"constraints,omitempty"`
-		Lasting    bool   `json:"long_running,omitempty"`
+		Count      int   `json:"count"`
+		CPU        int   `json:"cpu,omitempty"`
+		MemMB      int   `json:"mem_mb,omitempty"`
+		GPU        int   `json:"gpu,omitempty"`
+		EstMs      int64 `json:"est_ms,omitempty"`
+		Checkpoint bool  `json:"checkpoint,omitempty"`
+		Gang       bool  `json:"gang,omitempty"`
 	}
 
 	// jobBody is a job on the wire.
--- a/review/_second/main.go
+++ b/review/_second/main.go
@@ -23,11 +23,10 @@
 
 // cases maps the name of each case to the function that plays it. The function returns the violations of the rule.
 var cases = map[string]func(p *play) []string{
-	"wide-job":      playWideJob,
+	"large-orders":  playLargeOrders,
 	"moved-queue":   playMovedQueue,
 	"late-accept":   playLateAccept,
-	"long-estimate": playLongEstimate,
-	"rack-crashes":  playRackCrashes,
+	"starved-queue": playStarvedQueue,
 	"new-policy":    playNewPolicy,
 }
 
