--- a/review/_second/case_starved.go
+++ b/review/_second/case_starved.go
@@ -25,7 +25,6 @@
 // of one more task than there are workers, each of a whole worker's accelerators. Rule LOST is judged on the last jobs,
 // when no other comes any more.
 func playStarvedQueue(p *play) []string {
-	p.runs.quiet = true
 	p.addSite("rec-pipeline", 11)
 	queue := route("rec-pipeline", 3000)
 	queue["advice"] = starvedPolicy.config()
