gateway, pool: an identifier is one job, whatever pool its queue has now

Cause: the rows of a job were keyed by the pool that its queue has now. Nothing told where an identifier had been accepted, and the condition of the write ("not there") was one of the present pool alone. A gateway that is behind in its configuration, or a write that is carried out late, met no condition of the other pool.

Change: the rows of callers lie in 16 parts common to all pools, keyed by the identifier, and the job's row names its pool. Gateways go on from there; holders take the rows that name their pool. Waiting jobs are counted over all pools. A public queue shows only its own jobs, since an identifier now finds those of all pools. Rows under the earlier keys are read, cancelled and deleted as before. One write for each acceptance, as before; a holder reads 16 parts more at a takeover.

Why it works: the key of an identifier no longer depends on anything that changes, so all writes of an acceptance meet the same condition and all readers the same row.

--- a/gateway/cancel.go
+++ b/gateway/cancel.go
@@ -25,9 +25,8 @@
 	if err != nil || record.cancelled {
 		return err
 	}
-	key := pool.CancelKey(t.queue.Pool, record.id)
-	row := pool.Encode(pool.CancelRow(g.follower.StoreClock(g.now())))
-	txn := store.Txn{Writes: []store.Write{{Key: key, Value: row}}}
-	outcomeUnknown, err := g.retry(ctx, call, func(ctx context.Context) error { return g.write(ctx, t.queue.Pool, txn) })
+	row := pool.Encode(pool.CancelRow(record.pool, g.follower.StoreClock(g.now())))
+	txn := store.Txn{Writes: []store.Write{{Key: record.keys.Cancel, Value: row}}}
+	outcomeUnknown, err := g.retry(ctx, call, func(ctx context.Context) error { return g.write(ctx, record.pool, txn) })
 	return writeError(op, outcomeUnknown, err)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 var (
 	errStoreUnavailable = errors.New("the store is unavailable")
 	errConfigStale      = errors.New("the configuration may be out of date")
+	errNoPool           = errors.New("it names no pool")
 )
 
 type (
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,6 +15,8 @@
 	"hollyfork.example/hollyfork/clock/clocktest"
 	"hollyfork.example/hollyfork/job"
 	"hollyfork.example/hollyfork/malformed"
+	"hollyfork.example/hollyfork/platform/fakes"
+	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
 )
 
@@ -34,11 +37,60 @@
 	panic("the store was followed")
 }
 
+// memoryStore is a store without faults.
+type memoryStore struct {
+	*fakes.Store
+}
+
+func newMemoryStore() memoryStore {
+	return memoryStore{fakes.NewStore(time.Now())}
+}
+
+func (m memoryStore) Commit(_ context.Context, txn store.Txn) (store.Stamp, error) {
+	version, found, ok := m.Apply(txn)
+	if !ok {
+		return store.Stamp{}, &store.Error{Op: "commit", Kind: store.KindConflict, Rows: found}
+	}
+	return store.Stamp{Version: version}, nil
+}
+
+func (m memoryStore) Read(_ context.Context, r store.Range) (store.Page, error) {
+	return store.Page{Rows: m.Rows(r)}, nil
+}
+
+func (memoryStore) Follow(context.Context, string, uint64, time.Duration) (store.Page, error) {
+	panic("the store was followed")
+}
+
+// intakeRows returns all rows of the intake table.
+func (m memoryStore) intakeRows(pools ...string) []store.Row {
+	var rows []store.Row
+	for _, name := range pools {
+		for _, part := range pool.IntakeParts(name) {
+			for _, row := range m.Rows(store.Range{Table: pool.IntakeTable, Part: part}) {
+				if !slices.ContainsFunc(rows, func(known store.Row) bool { return known.Key == row.Key }) {
+					rows = append(rows, row)
+				}
+			}
+		}
+	}
+	return rows
+}
+
+// noNotifier loses all notices.
+type noNotifier struct{}
+
+func (noNotifier) Notify(string, store.Row, time.Duration) {}
+
 func newTestGateway(config *catalog.Catalog) *Gateway {
+	return newTestGatewayOn(failingStore{}, config)
+}
+
+func newTestGatewayOn(s store.Store, config *catalog.Catalog) *Gateway {
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	follower := NewFollower(clocktest.Stopped(now), nil, logger, malformed.New(logger, metrics.NewSet()))
 	follower.apply(now, Update{Catalog: config})
-	return New(failingStore{}, store.NewDirectReader(failingStore{}), nil, follower, metrics.NewSet(), logger, malformed.New(logger, metrics.NewSet()))
+	return New(s, store.NewDirectReader(s), noNotifier{}, follower, metrics.NewSet(), logger, malformed.New(logger, metrics.NewSet()))
 }
 
 func testConfig(version uint64, key string) *catalog.Catalog {
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -35,7 +36,7 @@
 	if err != nil {
 		return 0, err
 	}
-	row, err := g.readRow(ctx, op, call, pool.StateKey(t.queue.Pool, record.id))
+	row, err := g.readRow(ctx, op, call, pool.StateKey(record.pool, record.id))
 	if err != nil {
 		return 0, err
 	}
@@ -51,47 +52,75 @@
 
 // jobRecord is the part of a job that callers write.
 type jobRecord struct {
-	id        job.ID
+	id job.ID
+	// pool is the pool that the job was accepted for, which may differ from that of its queue now.
+	pool      string
+	keys      pool.JobKeys
 	cancelled bool
 }
 
 // findJob reads the rows that callers wrote for the job that a call names.
 func (g *Gateway) findJob(ctx context.Context, op string, call Call, t target) (jobRecord, error) {
-	id := job.ID(t.rest)
 	if !job.ValidID(t.rest) {
 		return jobRecord{}, &Error{Op: op, Kind: KindNoJob}
 	}
-	page, err := g.read(ctx, op, call, pool.JobRange(t.queue.Pool, id))
+	id := job.ID(t.rest)
+	record, found, err := g.readJob(ctx, op, call, t, jobRecord{id: id, keys: pool.KeysOf(id)})
+	if found || err != nil {
+		return record, err
+	}
+	for _, poolName := range g.poolsOf(t) {
+		legacy := jobRecord{id: id, pool: poolName, keys: pool.LegacyKeysOf(poolName, id)}
+		if legacy, found, err = g.readJob(ctx, op, call, t, legacy); found || err != nil {
+			return legacy, err
+		}
+	}
+	return jobRecord{}, &Error{Op: op, Kind: KindNoJob}
+}
+
+// poolsOf returns the pools that may have jobs of a target's queue, that of the queue first: a job stays with the pool
+// that it was accepted for.
+func (g *Gateway) poolsOf(t target) []string {
+	pools := []string{t.queue.Pool}
+	for _, name := range g.follower.Catalog().Pools {
+		if name != t.queue.Pool {
+			pools = append(pools, name)
+		}
+	}
+	return pools
+}
+
+// readJob reads the rows of a job under the keys of a record. It reports whether there is a job that the caller may
+// read.
+func (g *Gateway) readJob(ctx context.Context, op string, call Call, t target, record jobRecord) (jobRecord, bool, error) {
+	page, err := g.read(ctx, op, call, record.keys.Range())
 	if err != nil {
-		return jobRecord{}, err
+		return jobRecord{}, false, err
 	}
-	record := jobRecord{id: id}
-	exists := false
+	found := false
 	for _, row := range page.Rows {
 		switch row.Key {
-		case pool.JobKey(t.queue.Pool, id):
-			if exists, err = g.mayRead(op, t, row); err != nil {
-				return jobRecord{}, err
+		case record.keys.Job:
+			content := &poolpb.JobRow{}
+			if err := proto.Unmarshal(row.Value, content); err != nil {
+				// The workspace is unknown: it is not known whether the job exists for this caller.
+				return jobRecord{}, false, g.malformedRowError(op, malformed.Job, row, err)
+			}
+			if record.pool = cmp.Or(content.GetPool(), record.pool); record.pool == "" {
+				return jobRecord{}, false, g.malformedRowError(op, malformed.Job, row, errNoPool)
 			}
-		case pool.CancelKey(t.queue.Pool, id):
+			found = t.mayRead(content)
+		case record.keys.Cancel:
 			record.cancelled = g.isCancelled(row)
 		}
 	}
-	if !exists {
-		return jobRecord{}, &Error{Op: op, Kind: KindNoJob}
-	}
-	return record, nil
+	return record, found, nil
 }
 
 // mayRead reports whether the caller may read a job: the job belongs to the caller's workspace, or the queue is
-// public. If the row can't be decoded, the workspace is unknown, and mayRead returns an error instead of reporting
-// that the job does not exist.
-func (g *Gateway) mayRead(op string, t target, row store.Row) (bool, error) {
-	content := &poolpb.JobRow{}
-	if err := proto.Unmarshal(row.Value, content); err != nil {
-		return false, g.malformedRowError(op, malformed.Job, row, err)
-	}
-	return content.GetWorkspace() == t.workspace || t.queue.Public, nil
+// public and the job's.
+func (t target) mayRead(row *poolpb.JobRow) bool {
+	return row.GetWorkspace() == t.workspace || t.queue.Public && row.GetQueue() == t.queue.Name
 }
 
 // isCancelled reports whether a row cancels its job. It records a malformed row.
@@ -155,18 +184,34 @@
 	if err != nil {
 		return 0, err
 	}
+	total := 0
+	for _, poolName := range g.poolsOf(t) {
+		row, err := g.readSummary(ctx, op, call, poolName)
+		if err != nil {
+			return 0, err
+		}
+		count, err := pool.WaitingOf(row, t.queue.Name)
+		if err != nil {
+			err = g.malformedRowError(op, malformed.Summary, row, err)
+		}
+		if err != nil && poolName == t.queue.Pool {
+			return 0, err
+		}
+		total += count
+	}
+	return total, nil
+}
+
+// readSummary reads the numbers of a pool's waiting jobs.
+func (g *Gateway) readSummary(ctx context.Context, op string, call Call, poolName string) (store.Row, error) {
 	var row store.Row
-	_, err = g.retry(ctx, call, func(ctx context.Context) error {
+	_, err := g.retry(ctx, call, func(ctx context.Context) error {
 		var err error
-		row, err = g.recent.Recent(ctx, pool.SummaryKey(t.queue.Pool), maxCountAge)
+		row, err = g.recent.Recent(ctx, pool.SummaryKey(poolName), maxCountAge)
 		return err
 	})
 	if err != nil {
-		return 0, readError(op, err)
-	}
-	count, err := pool.WaitingOf(row, t.queue.Name)
-	if err != nil {
-		return 0, g.malformedRowError(op, malformed.Summary, row, err)
+		return row, readError(op, err)
 	}
-	return count, nil
+	return row, nil
 }
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -37,10 +37,10 @@
 	return g.accept(ctx, call, t.queue.Pool, j)
 }
 
-// accept writes a job's row unless it exists.
+// accept writes a job's row unless it exists. The job stays with the pool that the row names.
 func (g *Gateway) accept(ctx context.Context, call Call, poolName string, j job.Job) error {
-	key := pool.JobKey(poolName, j.ID)
-	row := pool.Encode(pool.JobRow(j, g.follower.StoreClock(g.now())))
+	key := pool.KeysOf(j.ID).Job
+	row := pool.Encode(pool.JobRow(poolName, j, g.follower.StoreClock(g.now())))
 	txn := store.Txn{
 		Checks: []store.Check{{Key: key}},
 		Writes: []store.Write{{Key: key, Value: row}},
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -298,7 +298,7 @@
 	for _, item := range h.host.decodeIntake(page.Rows, clocks) {
 		switch i := item.(type) {
 		case pool.NewJob:
-			h.core.AddJob(now, i.Job)
+			h.core.AddJob(now, i)
 		case pool.Cancellation:
 			h.core.CancelJob(now, i.ID)
 		case pool.AgentAddress:
--- a/holder/intake.go
+++ b/holder/intake.go
@@ -33,12 +33,17 @@
 		if err != nil {
 			continue
 		}
-		switch item.(type) {
-		case nil:
+		switch i := item.(type) {
 		case pool.NewJob:
-			jobs = append(jobs, item)
-		default:
-			others = append(others, item)
+			if i.Pool == h.pool {
+				jobs = append(jobs, i)
+			}
+		case pool.Cancellation:
+			if i.Pool == h.pool {
+				others = append(others, i)
+			}
+		case pool.AgentAddress:
+			others = append(others, i)
 		}
 	}
 	return append(jobs, others...)
--- a/holder/load.go
+++ b/holder/load.go
@@ -45,7 +45,7 @@
 	items := h.decodeIntake(intake.Rows, r.clocks)
 	for _, item := range items {
 		if j, ok := item.(pool.NewJob); ok {
-			r.core.AddJob(now, j.Job)
+			r.core.AddJob(now, j)
 		}
 	}
 	h.restoreStates(now, r.core, states.Rows)
--- a/model/holder.go
+++ b/model/holder.go
@@ -55,7 +55,7 @@
 		return
 	}
 	if j, ok := item.(pool.NewJob); ok {
-		sim.core.AddJob(sim.now, j.Job)
+		sim.core.AddJob(sim.now, j)
 	}
 }
 
--- a/model/simulation.go
+++ b/model/simulation.go
@@ -147,11 +147,11 @@
 
 func (sim *simulation) accept(a *Arrival) {
 	a.Job.Accepted = sim.now
-	key := pool.JobKey(poolName, a.Job.ID)
+	key := pool.KeysOf(a.Job.ID).Job
 	sim.version++
-	sim.rows[key] = store.Row{Key: key, Value: pool.Encode(pool.JobRow(a.Job, sim.storeClock())), Version: sim.version}
+	sim.rows[key] = store.Row{Key: key, Value: pool.Encode(pool.JobRow(poolName, a.Job, sim.storeClock())), Version: sim.version}
 	if !sim.noHolder {
-		sim.core.AddJob(sim.now, a.Job)
+		sim.core.AddJob(sim.now, pool.NewJob{Job: a.Job, Pool: poolName})
 		sim.decideSoon()
 	}
 }
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -11,9 +11,14 @@
 	"hollyfork.example/wire/poolpb"
 )
 
-// maxBatchJobs keeps a transaction below the store's limit of 100 entries: a job whose rows are deleted
-// takes three. The rest is left for the lease, the summary, the paces and the rows of removed agents.
-const maxBatchJobs = 30
+// A transaction has 100 entries at most. The rest of a batch is left for the lease, the summary, the paces and
+// the rows of removed agents.
+const (
+	// maxBatchWrites is the maximum number of rows of jobs in a batch.
+	maxBatchWrites = 90
+	// maxJobWrites is the maximum number of rows of one job: it has two keys more in earlier releases.
+	maxJobWrites = 5
+)
 
 type (
 	// Batch is a set of rows to be committed in one transaction.
@@ -48,12 +53,11 @@
 		return nil
 	}
 	b := &Batch{}
-	count := min(len(c.dirty), maxBatchJobs)
-	for _, j := range c.dirty[:count] {
-		j.dirty = false
-		b.add(c.name, j)
+	for len(c.dirty) > 0 && len(b.Writes)+maxJobWrites <= maxBatchWrites {
+		c.dirty[0].dirty = false
+		b.add(c.name, c.dirty[0])
+		c.dirty = c.dirty[1:]
 	}
-	c.dirty = c.dirty[count:]
 	c.addSummary(b)
 	c.addAgentRemovals(b)
 	if write, due := c.pacesRow(); due {
@@ -70,9 +74,7 @@
 	item := batchItem{job: j, changes: j.changes}
 	b.items = append(b.items, item)
 	if j.toRemove {
-		for _, key := range []store.Key{JobKey(pool, j.job.ID), CancelKey(pool, j.job.ID), StateKey(pool, j.job.ID)} {
-			b.Writes = append(b.Writes, store.Write{Key: key, Delete: true})
-		}
+		b.Writes = append(b.Writes, j.removals(pool)...)
 		return
 	}
 	for _, g := range j.groups {
@@ -86,6 +88,24 @@
 	b.Writes = append(b.Writes, store.Write{Key: StateKey(pool, j.job.ID), Value: Encode(j.row())})
 }
 
+// removals returns the deletions of a job's rows.
+func (j *jobState) removals(pool string) []store.Write {
+	keys := []store.Key{StateKey(pool, j.job.ID)}
+	if j.hasRows {
+		of := KeysOf(j.job.ID)
+		keys = append(keys, of.Job, of.Cancel)
+	}
+	if j.hasLegacyRows {
+		of := LegacyKeysOf(pool, j.job.ID)
+		keys = append(keys, of.Job, of.Cancel)
+	}
+	writes := make([]store.Write, len(keys))
+	for i, key := range keys {
+		writes[i] = store.Write{Key: key, Delete: true}
+	}
+	return writes
+}
+
 // addSummary adds the row with the numbers of waiting jobs if it has changed.
 func (c *Core) addSummary(b *Batch) {
 	waiting := c.waitingByQueue()
@@ -177,9 +197,10 @@
 // rowLayout is the current version of the layout of rows.
 const rowLayout = 1
 
-// CancelRow returns the row for a cancellation at a reading of the store's clock.
-func CancelRow(at time.Duration) *poolpb.CancelRow {
-	return &poolpb.CancelRow{Layout: rowLayout, CancelledMs: at.Milliseconds()}
+// CancelRow returns the row for a cancellation, which the holder of a pool applies, at a reading of the store's
+// clock.
+func CancelRow(poolName string, at time.Duration) *poolpb.CancelRow {
+	return &poolpb.CancelRow{Pool: poolName, Layout: rowLayout, CancelledMs: at.Milliseconds()}
 }
 
 // row returns the job's row of the state table.
--- a/pool/core.go
+++ b/pool/core.go
@@ -108,11 +108,17 @@
 	c.settings.FreshFor = 2*interval + c.settings.RenewalSlack
 }
 
-// AddJob adds an accepted job. It does nothing if the job is already known.
-func (c *Core) AddJob(now time.Time, j job.Job) {
-	if _, known := c.jobs[j.ID]; known {
-		return
-	}
+// AddJob adds an accepted job of the pool, unless it is already known.
+func (c *Core) AddJob(now time.Time, added NewJob) {
+	state, known := c.jobs[added.Job.ID]
+	if !known {
+		state = c.addNewJob(now, added.Job)
+	}
+	state.hasRows = state.hasRows || !added.Legacy
+	state.hasLegacyRows = state.hasLegacyRows || added.Legacy
+}
+
+func (c *Core) addNewJob(now time.Time, j job.Job) *jobState {
 	state := newJob(now, j)
 	for _, g := range state.groups {
 		// A job may see several changes of holder in a row. Its groups must not wait for preferred
@@ -122,6 +128,7 @@
 		}
 	}
 	c.addState(state)
+	return state
 }
 
 func (c *Core) addState(j *jobState) {
--- a/pool/decide_test.go
+++ b/pool/decide_test.go
@@ -56,7 +56,7 @@
 	for id := 1; c.readyCount(now) < waiting; id++ {
 		j := randomLoadJob(random, id)
 		j.Accepted = now
-		c.AddJob(now, j)
+		c.AddJob(now, NewJob{Job: j})
 		c.Decide(now)
 		for _, w := range c.workers {
 			for _, m := range w.members {
@@ -93,7 +93,7 @@
 				id++
 				j := randomLoadJob(random, id)
 				j.Accepted = now
-				c.AddJob(now, j)
+				c.AddJob(now, NewJob{Job: j})
 				c.endRandomRun(now, random)
 				b.StartTimer()
 				began := time.Now()
@@ -188,7 +188,7 @@
 			for id := range 12 {
 				j := randomLoadJob(random, 1<<20+id)
 				j.Accepted = now
-				c.AddJob(now, j)
+				c.AddJob(now, NewJob{Job: j})
 			}
 			c.addFailureHistory(now, random)
 			for _, w := range c.sortedWorkers()[:workers/4] {
@@ -216,7 +216,7 @@
 	now := time.Unix(1000, 0)
 	passes := 0
 	for i := range 1000 {
-		c.AddJob(now, oneTask(i, time.Second))
+		c.AddJob(now, NewJob{Job: oneTask(i, time.Second)})
 		if c.NextDecisionIn(now) == 0 {
 			c.Decide(now)
 			passes++
@@ -228,7 +228,7 @@
 	c.Decide(now)
 	is.Equal(c.NextDecisionIn(now), decideInterval) // nothing has changed
 	now = now.Add(50 * time.Millisecond)
-	c.AddJob(now, oneTask(1000, time.Second))
+	c.AddJob(now, NewJob{Job: oneTask(1000, time.Second)})
 	is.Equal(c.NextDecisionIn(now), time.Duration(0))
 }
 
--- a/pool/intake.go
+++ b/pool/intake.go
@@ -23,11 +23,17 @@
 	// NewJob is an accepted job.
 	NewJob struct {
 		Job job.Job
+		// Pool is the pool that the job was accepted for.
+		Pool string
+		// Legacy reports that the row lies under the key of earlier releases.
+		Legacy bool
 	}
 
 	// Cancellation is a caller's request to end a job.
 	Cancellation struct {
 		ID job.ID
+		// Pool is the pool whose holder applies the cancellation.
+		Pool string
 	}
 
 	// AgentAddress is the address of an agent. It is empty if the agent's row was deleted.
@@ -106,7 +112,22 @@
 	if err := CheckCancel(row); err != nil {
 		return nil, err
 	}
-	return Cancellation{ID: id}, nil
+	content := &poolpb.CancelRow{}
+	_ = proto.Unmarshal(row.Value, content) // CheckCancel has decoded it
+	poolName, err := poolOfRow(row.Key, content.GetPool())
+	return Cancellation{ID: id, Pool: poolName}, err
+}
+
+// poolOfRow returns the pool of a row that a caller wrote: the pool that the row names or, under the keys of
+// earlier releases, the one that its part belongs to.
+func poolOfRow(key store.Key, named string) (string, error) {
+	if !inJobPart(key) {
+		named = poolOfPart(key.Part)
+	}
+	if named == "" {
+		return "", &Error{Op: "decode row " + key.Name, Kind: KindCorrupt}
+	}
+	return named, nil
 }
 
 // CheckCancel returns an error if a row is not a valid cancellation: a row that cannot be decoded
@@ -155,7 +176,11 @@
 	if !validTerms(j) {
 		return nil, &Error{Op: "decode job " + string(id), Kind: KindCorrupt}
 	}
-	return NewJob{Job: j}, nil
+	poolName, err := poolOfRow(row.Key, content.GetPool())
+	if err != nil {
+		return nil, err
+	}
+	return NewJob{Job: j, Pool: poolName, Legacy: !inJobPart(row.Key)}, nil
 }
 
 // validTerms reports whether the terms are within the ranges that gateways write.
@@ -192,9 +217,11 @@
 	return step
 }
 
-// JobRow returns the row for an accepted job. The time of acceptance is a reading of the store's clock.
-func JobRow(j job.Job, accepted time.Duration) *poolpb.JobRow {
+// JobRow returns the row for a job that was accepted for a pool. The time of acceptance is a reading of the
+// store's clock.
+func JobRow(poolName string, j job.Job, accepted time.Duration) *poolpb.JobRow {
 	row := &poolpb.JobRow{
+		Pool:       poolName,
 		Queue:      j.Queue,
 		Workspace:  j.Workspace,
 		Spec:       j.Spec,
--- a/pool/jobstate.go
+++ b/pool/jobstate.go
@@ -49,8 +49,11 @@
 		// unreadable reports that the job's state row could not be decoded. None of its tasks is
 		// started, and ends of its runs are ignored, until its caller cancels it.
 		unreadable bool
-		// toRemove reports that the job's rows are to be deleted.
-		toRemove bool
+		// toRemove reports that the job's rows are to be deleted. hasRows and hasLegacyRows tell under which
+		// keys callers have written some.
+		toRemove      bool
+		hasRows       bool
+		hasLegacyRows bool
 	}
 )
 
--- a/pool/key_test.go
+++ b/pool/key_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/store"
 )
 
 func TestAgentRowsAreSpreadOverParts(t *testing.T) {
@@ -23,6 +25,42 @@
 	}
 }
 
+// All rows of an ended job are deleted, also those under the keys of earlier releases. A request that comes again after
+// an upgrade leaves rows under both.
+func TestRowsOfEndedJobsAreDeleted(t *testing.T) {
+	began := time.Unix(9000, 0)
+	j := oneTask(1, time.Second)
+	current, legacy := KeysOf(j.ID), LegacyKeysOf("pool", j.ID)
+	for name, test := range map[string]struct {
+		added []NewJob
+		keys  []store.Key
+	}{
+		"present keys": {[]NewJob{{Job: j}}, []store.Key{current.Job, current.Cancel}},
+		"earlier keys": {[]NewJob{{Job: j, Legacy: true}}, []store.Key{legacy.Job, legacy.Cancel}},
+		"both":         {[]NewJob{{Job: j, Legacy: true}, {Job: j}}, []store.Key{current.Job, current.Cancel, legacy.Job, legacy.Cancel}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := New("pool", DefaultSettings(), nil)
+			for _, added := range test.added {
+				c.AddJob(began, added)
+			}
+			c.CancelJob(began, j.ID)
+			is.True(c.TakeBatch() != nil)
+			c.BatchCommitted(began)
+			c.Tick(began) // the job is not live any more
+			c.Tick(began.Add(c.settings.KeepEnded))
+			var deleted []store.Key
+			for _, w := range c.TakeBatch().Writes {
+				if w.Delete {
+					deleted = append(deleted, w.Key)
+				}
+			}
+			is.Equal(deleted, append([]store.Key{StateKey("pool", j.ID)}, test.keys...))
+		})
+	}
+}
+
 // Rows under the keys of earlier releases are read, and deleted with their agents.
 func TestLegacyAgentRowsAreReadAndDeleted(t *testing.T) {
 	is := is.New(t)
--- a/pool/malformed_test.go
+++ b/pool/malformed_test.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		if j, ok := item.(NewJob); ok {
-			core.AddJob(now, j.Job)
+			core.AddJob(now, j)
 			continue
 		}
 		items = append(items, item)
@@ -89,24 +89,26 @@
 	good := oneTask(1, time.Second)
 	id := good.ID
 	edited := func(edit func(*poolpb.JobRow)) []byte {
-		row := JobRow(good, 0)
+		row := JobRow("pool", good, 0)
 		edit(row)
 		return Encode(row)
 	}
 	for name, row := range map[string]store.Row{
-		"a cancellation without a layout":   {Key: CancelKey("pool", id), Value: Encode(&poolpb.CancelRow{CancelledMs: 5})},
-		"an undecodable cancellation":       {Key: CancelKey("pool", id), Value: []byte("not a row")},
-		"an empty cancellation":             {Key: CancelKey("pool", id)},
+		"a cancellation without a layout":   {Key: KeysOf(id).Cancel, Value: Encode(&poolpb.CancelRow{CancelledMs: 5})},
+		"an undecodable cancellation":       {Key: KeysOf(id).Cancel, Value: []byte("not a row")},
+		"an empty cancellation":             {Key: KeysOf(id).Cancel},
 		"an agent without an address":       {Key: AgentKey("pool", "a"), Value: Encode(&poolpb.AgentRow{})},
 		"an agent with a malformed address": {Key: AgentKey("pool", "a"), Value: Encode(&poolpb.AgentRow{Address: "here"})},
 		"an undecodable agent":              {Key: AgentKey("pool", "a"), Value: []byte{0xff}},
-		"a job without steps":               {Key: JobKey("pool", id), Value: edited(func(r *poolpb.JobRow) { r.Steps = nil })},
-		"an undecodable job":                {Key: JobKey("pool", id), Value: []byte{0xff}},
-		"an empty job":                      {Key: JobKey("pool", id)},
-		"a job with negative attempts":      {Key: JobKey("pool", id), Value: edited(func(r *poolpb.JobRow) { r.Attempts = -1 })},
-		"a job with a negative priority":    {Key: JobKey("pool", id), Value: edited(func(r *poolpb.JobRow) { r.Priority = -1 })},
-		"a job with a negative step":        {Key: JobKey("pool", id), Value: edited(func(r *poolpb.JobRow) { r.Steps[0].Count = -1 })},
-		"a job under a key of another ID":   {Key: JobKey("pool", "x"), Value: edited(func(*poolpb.JobRow) {})},
+		"a job without steps":               {Key: KeysOf(id).Job, Value: edited(func(r *poolpb.JobRow) { r.Steps = nil })},
+		"an undecodable job":                {Key: KeysOf(id).Job, Value: []byte{0xff}},
+		"a job of no pool":                  {Key: KeysOf(id).Job, Value: edited(func(r *poolpb.JobRow) { r.Pool = "" })},
+		"a cancellation of no pool":         {Key: KeysOf(id).Cancel, Value: Encode(&poolpb.CancelRow{Layout: rowLayout})},
+		"an empty job":                      {Key: KeysOf(id).Job},
+		"a job with negative attempts":      {Key: KeysOf(id).Job, Value: edited(func(r *poolpb.JobRow) { r.Attempts = -1 })},
+		"a job with a negative priority":    {Key: KeysOf(id).Job, Value: edited(func(r *poolpb.JobRow) { r.Priority = -1 })},
+		"a job with a negative step":        {Key: KeysOf(id).Job, Value: edited(func(r *poolpb.JobRow) { r.Steps[0].Count = -1 })},
+		"a job under a key of another ID":   {Key: KeysOf("x").Job, Value: edited(func(*poolpb.JobRow) {})},
 		"a row of another kind":             {Key: store.Key{Table: IntakeTable, Part: "pool", Name: "job/1/other"}},
 	} {
 		item, err := DecodeIntake(row, Clock{})
@@ -137,7 +139,7 @@
 		"rounds beyond the job": {Layout: rowLayout, DoneRounds: []int32{4}},
 	} {
 		core := New("pool", DefaultSettings(), nil)
-		core.AddJob(time.Unix(1000, 0), good)
+		core.AddJob(time.Unix(1000, 0), NewJob{Job: good})
 		key := StateKey("pool", good.ID)
 		if err := core.RestoreState(time.Unix(1000, 0), store.Row{Key: key, Value: Encode(row), Version: 1}); err == nil {
 			t.Errorf("%s is read", name)
@@ -155,12 +157,12 @@
 		good := map[store.Key]store.Row{}
 		for id := range rapid.IntRange(0, 5).Draw(t, "jobs") {
 			j := gang(id, rapid.IntRange(1, 3).Draw(t, "tasks"), 1, time.Second)
-			good[JobKey("pool", j.ID)] = store.Row{Key: JobKey("pool", j.ID), Value: Encode(JobRow(j, clock)), Version: 1}
+			good[KeysOf(j.ID).Job] = store.Row{Key: KeysOf(j.ID).Job, Value: Encode(JobRow("pool", j, clock)), Version: 1}
 			if rapid.Bool().Draw(t, "has run") {
 				good[StateKey("pool", j.ID)] = store.Row{Key: StateKey("pool", j.ID), Value: Encode(drawState(t, j)), Version: 1}
 			}
 			if rapid.Bool().Draw(t, "cancelled") {
-				good[CancelKey("pool", j.ID)] = store.Row{Key: CancelKey("pool", j.ID), Value: Encode(CancelRow(clock)), Version: 1}
+				good[KeysOf(j.ID).Cancel] = store.Row{Key: KeysOf(j.ID).Cancel, Value: Encode(CancelRow("pool", clock)), Version: 1}
 			}
 		}
 		good[AgentKey("pool", "a")] = store.Row{Key: AgentKey("pool", "a"), Value: Encode(&poolpb.AgentRow{Address: "10.0.0.1:1"}), Version: 1}
@@ -196,7 +198,7 @@
 // drawBadRow returns an unreadable row under one of the keys that a holder reads.
 func drawBadRow(t *rapid.T) store.Row {
 	id := job.ID(fmt.Sprintf("%016x", rapid.IntRange(100, 200).Draw(t, "id")))
-	key := rapid.SampledFrom([]store.Key{JobKey("pool", id), JobKey("pool", id+"0"), AgentKey("pool", string(id)), CancelKey("pool", id), StateKey("pool", id)}).Draw(t, "key")
+	key := rapid.SampledFrom([]store.Key{KeysOf(id).Job, KeysOf(id + "0").Job, AgentKey("pool", string(id)), KeysOf(id).Cancel, StateKey("pool", id)}).Draw(t, "key")
 	noise := append([]byte{0xff}, rapid.SliceOfN(rapid.Byte(), 0, 50).Draw(t, "noise")...) // no field has this tag
 	return store.Row{Key: key, Value: noise, Version: 1}
 }
@@ -213,7 +215,7 @@
 	f.Fuzz(func(t *testing.T, content []byte) {
 		core := New("pool", DefaultSettings(), nil)
 		now := time.Unix(1000, 0)
-		core.AddJob(now, good)
+		core.AddJob(now, NewJob{Job: good})
 		err := core.RestoreState(now, store.Row{Key: StateKey("pool", good.ID), Value: content, Version: 1})
 		if err != nil && len(core.waitingRounds(now)) != 0 {
 			t.Error("the tasks of the unreadable job are ready to be placed")
@@ -224,14 +226,14 @@
 }
 
 func FuzzIntake(f *testing.F) {
-	f.Add("job/0000000000000001/spec", Encode(JobRow(gang(1, 3, 1, time.Second), 0)))
-	f.Add("job/0000000000000001/cancel", Encode(CancelRow(1)))
+	f.Add("job/0000000000000001/spec", Encode(JobRow("pool", gang(1, 3, 1, time.Second), 0)))
+	f.Add("job/0000000000000001/cancel", Encode(CancelRow("pool", 1)))
 	f.Add("agent/a", Encode(&poolpb.AgentRow{Address: "10.0.0.1:1"}))
-	for _, variant := range fakes.Mutations(3, Encode(JobRow(gang(1, 3, 1, time.Second), time.Minute)), 2000) {
+	for _, variant := range fakes.Mutations(3, Encode(JobRow("pool", gang(1, 3, 1, time.Second), time.Minute)), 2000) {
 		f.Add("job/0000000000000001/spec", variant)
 	}
 	f.Fuzz(func(t *testing.T, name string, content []byte) {
-		item, err := DecodeIntake(store.Row{Key: store.Key{Table: IntakeTable, Part: "pool", Name: name}, Value: content, Version: 1}, Clock{})
+		item, err := DecodeIntake(store.Row{Key: store.Key{Table: IntakeTable, Part: jobPart(0), Name: name}, Value: content, Version: 1}, Clock{})
 		if err != nil {
 			return
 		}
@@ -241,7 +243,7 @@
 				t.Errorf("the invalid job %+v is accepted", i.Job)
 			}
 			core := New("pool", DefaultSettings(), nil)
-			core.AddJob(time.Unix(1000, 0), i.Job)
+			core.AddJob(time.Unix(1000, 0), i)
 			core.Tick(time.Unix(1000, 0))
 			core.Decide(time.Unix(1000, 0))
 		case AgentAddress:
--- a/pool/row_test.go
+++ b/pool/row_test.go
@@ -64,7 +64,7 @@
 	// A step can only follow earlier ones.
 	j.Steps[0], j.Steps[1] = j.Steps[1], j.Steps[0]
 	clock := Clock{Now: time.Unix(5000, 0), Store: 9 * time.Second}
-	row := store.Row{Key: JobKey("pool", j.ID), Value: Encode(JobRow(j, clock.Store))}
+	row := store.Row{Key: KeysOf(j.ID).Job, Value: Encode(JobRow("pool", j, clock.Store))}
 	item, err := DecodeIntake(row, clock)
 	is.NoErr(err)
 	is.Equal(item.(NewJob).Job, j)
@@ -81,7 +81,7 @@
 	is.Equal(sim.state(j.ID), Done)
 	rowsOf := func() int {
 		count := 0
-		for _, key := range []store.Key{JobKey("pool", j.ID), StateKey("pool", j.ID)} {
+		for _, key := range []store.Key{KeysOf(j.ID).Job, StateKey("pool", j.ID)} {
 			if _, found := sim.rows[key]; found {
 				count++
 			}
--- a/pool/sim_test.go
+++ b/pool/sim_test.go
@@ -222,7 +222,7 @@
 		if err != nil {
 			sim.t.Fatal(err)
 		}
-		core.AddJob(sim.now, item.(NewJob).Job)
+		core.AddJob(sim.now, item.(NewJob))
 	}
 	for _, key := range keys {
 		if key.Table == IntakeTable {
@@ -284,9 +284,9 @@
 		j.Terms.Attempts = 3
 	}
 	sim.jobs[j.ID] = j
-	key := JobKey("pool", j.ID)
-	sim.rows[key] = store.Row{Key: key, Value: Encode(JobRow(j, sim.storeClock()))}
-	sim.core.AddJob(sim.now, j)
+	key := KeysOf(j.ID).Job
+	sim.rows[key] = store.Row{Key: key, Value: Encode(JobRow("pool", j, sim.storeClock()))}
+	sim.core.AddJob(sim.now, NewJob{Job: j})
 }
 
 // guarantee adds a workspace with a guaranteed number of accelerators.
--- a/program/cluster/cluster.go
+++ b/program/cluster/cluster.go
@@ -55,12 +55,25 @@
 	Advice *fakes.AdviceService
 
 	t testing.TB
+	// pools are the names of all pools.
+	pools []string
 	// storeAddress is the address of the store itself, without a proxy.
 	storeAddress string
 	// adviceAddress is the address of the advice service; empty if there is none.
 	adviceAddress string
 }
 
+// Config is what tests vary in the configuration.
+type Config struct {
+	Version int
+	// Key is the key of the only workspace.
+	Key string
+	// Pool is the pool of the only queue.
+	Pool string
+	// Advised is true if the queue's policy allows only some workers to run its steps.
+	Advised bool
+}
+
 // Main runs the tests of a package that uses clusters. In a process that a cluster has started, it runs the program of
 // that process instead. TestMain of the package has to call it.
 func Main(m *testing.M) {
@@ -95,7 +108,7 @@
 func start(t testing.TB, gateways, workers int, advice *fakes.AdviceService, instances fakes.InstanceConfig) *Cluster {
 	t.Helper()
 	reportPrograms(t)
-	c := &Cluster{t: t, Store: fakes.NewStore(time.Now()), Runs: fakes.NewRecorder(Attempts), Fleet: fakes.NewFleet(), Advice: advice}
+	c := &Cluster{t: t, pools: []string{fakes.PoolName}, Store: fakes.NewStore(time.Now()), Runs: fakes.NewRecorder(Attempts), Fleet: fakes.NewFleet(), Advice: advice}
 	if advice != nil {
 		service := httptest.NewServer(advice)
 		t.Cleanup(service.Close)
@@ -106,7 +119,7 @@
 	c.storeAddress = strings.TrimPrefix(server.URL, "http://")
 	c.Configure(1, APIKey)
 	for i := range workers {
-		c.addWorker(i, instances)
+		c.addWorker(fakes.PoolName, i, instances)
 	}
 	for i := range gateways {
 		c.addGateway(i)
@@ -117,19 +130,35 @@
 	return c
 }
 
+// AddWorker adds a worker, with its sidecar, to another pool. Later configurations have the pool.
+func (c *Cluster) AddWorker(poolName string) {
+	c.t.Helper()
+	c.pools = append(c.pools, poolName)
+	c.addWorker(poolName, len(c.Workers), fakes.InstanceConfig{ReuseID: true})
+}
+
 // Configure writes a version of the configuration with a single API key.
 func (c *Cluster) Configure(version int, key string) {
+	c.Apply(Config{Version: version, Key: key, Pool: fakes.PoolName, Advised: c.Advice != nil})
+}
+
+// Apply writes a version of the configuration.
+func (c *Cluster) Apply(config Config) {
 	const form = `{"version":%d,
 		"routes":[{"name":"captions","host":%q,"prefix":%q,"type":"unsafe","timeout_ms":3000,"goal_ms":1000,
-			"priority":0,"service":"encoders","attempts":%d,"stretch":2.0%s}],
-		"services":[{"name":"encoders"}],
+			"priority":0,"service":%q,"attempts":%d,"stretch":2.0%s}],
+		"services":[%s],
 		"limits":{"max_body_bytes":65536},
 		"tenants":[{"name":"lectures","api_keys":[%q],"guaranteed":{"gpu":8}}]}`
 	policy := ""
-	if c.Advice != nil {
+	if config.Advised {
 		policy = `,"advice":{"decide_ms":1,"each_ms":1,"valid_ms":3000}`
 	}
-	c.Store.Put("op", "", "config", fmt.Appendf(nil, form, version, host, Prefix, Attempts, policy, key))
+	services := make([]string, len(c.pools))
+	for i, name := range c.pools {
+		services[i] = fmt.Sprintf(`{"name":%q}`, name)
+	}
+	c.Store.Put("op", "", "config", fmt.Appendf(nil, form, config.Version, host, Prefix, config.Pool, Attempts, policy, strings.Join(services, ","), config.Key))
 }
 
 // DataCentre returns the data centre of the worker with a number. Workers alternate between two data centres.
@@ -147,7 +176,7 @@
 	c.Store.Remove("op", "", "evacuate/"+dataCentre)
 }
 
-func (c *Cluster) addWorker(number int, instances fakes.InstanceConfig) {
+func (c *Cluster) addWorker(poolName string, number int, instances fakes.InstanceConfig) {
 	c.t.Helper()
 	done := make(chan struct{})
 	c.t.Cleanup(func() { close(done) })
@@ -161,6 +190,7 @@
 	c.t.Cleanup(server.Stop)
 	c.Fleet.Add(w, server)
 	w.SetAdvice(c.Advice)
+	w.SetPool(poolName)
 	w.SetZone(DataCentre(number))
 	w.SetInstanceConfig(instances)
 	go w.Run(done)
@@ -168,8 +198,8 @@
 
 	holders := c.freeAddress()
 	fromHolder, toStore := c.proxy(holders), c.proxy(c.storeAddress)
-	config := fmt.Sprintf("[sidecar]\nname = sidecar-%d\npool = encoders\nholders = %s\nadvertise = %s\nheartbeats = %s\nworker = %s\n\n[platform]\nstore = %s\n",
-		number, holders, fromHolder.Address(), control, address, toStore.Address())
+	config := fmt.Sprintf("[sidecar]\nname = sidecar-%d\npool = %s\nholders = %s\nadvertise = %s\nheartbeats = %s\nworker = %s\n\n[platform]\nstore = %s\n",
+		number, poolName, holders, fromHolder.Address(), control, address, toStore.Address())
 	p := c.start(sidecarProgram, number, config)
 	p.Proxies = []*fakes.Proxy{fromHolder, toStore}
 	c.Sidecars = append(c.Sidecars, p)
--- a/program/pooltest/malformed_test.go
+++ b/program/pooltest/malformed_test.go
@@ -53,8 +53,8 @@
 	c.AwaitState(4, "running")
 	const unknownID = "00000000000000ff"
 	for _, key := range []struct{ table, part, name string }{
-		{pool.IntakeTable, pool.JobKey("encoders", unknownID).Part, pool.JobKey("encoders", unknownID).Name},
-		{pool.IntakeTable, pool.CancelKey("encoders", "0000000000000001").Part, pool.CancelKey("encoders", "0000000000000001").Name},
+		{pool.IntakeTable, pool.KeysOf(unknownID).Job.Part, pool.KeysOf(unknownID).Job.Name},
+		{pool.IntakeTable, pool.KeysOf("0000000000000001").Cancel.Part, pool.KeysOf("0000000000000001").Cancel.Name},
 		{pool.IntakeTable, pool.AgentKey("encoders", "nobody").Part, pool.AgentKey("encoders", "nobody").Name},
 		{pool.StateTable, "encoders", pool.StateKey("encoders", unknownID).Name},
 		{pool.StateTable, "encoders", "a name that nobody gives"},
--- a/program/soak/soak_test.go
+++ b/program/soak/soak_test.go
@@ -263,7 +263,7 @@
 			_ = w.PostHeartbeat("i-stranger", string(noise)) // the agent refuses it or does not listen
 		}
 	case 1:
-		for _, key := range []store.Key{pool.JobKey(fakes.PoolName, unknownID), pool.CancelKey(fakes.PoolName, unknownID), pool.AgentKey(fakes.PoolName, string(unknownID))} {
+		for _, key := range []store.Key{pool.KeysOf(unknownID).Job, pool.KeysOf(unknownID).Cancel, pool.AgentKey(fakes.PoolName, string(unknownID))} {
 			s.Store.Put(key.Table, key.Part, key.Name, noise)
 		}
 	case 2:
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
 )
 
@@ -53,7 +54,7 @@
 		j := pathJob(len(p.jobs)+1, p.now)
 		p.jobs = append(p.jobs, j)
 		if h.core != nil {
-			h.post(func() { h.core.AddJob(p.now, j) })
+			h.post(func() { h.core.AddJob(p.now, pool.NewJob{Job: j}) })
 		}
 	}
 	if p.chance(0.1) && h.core != nil {
