gateway, pool: a cancelled submission is not accepted later

Cause: the gateway found no row, answered without a write, and nothing was left that the job's row, carried out late, would meet. Its condition was on the job's row alone.

Change: the job's row has the condition that no cancellation is there, and the cancellation of an unknown job is written, on the condition that there is no job. A malformed cancellation cancels nothing, as before: its version becomes the condition.

Why it works: the store orders the two writes, whoever sent them and however late: whichever comes second finds the other's row.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,8 @@
 	errStoreUnavailable = errors.New("the store is unavailable")
 	errConfigStale      = errors.New("the configuration may be out of date")
 	errNoPool           = errors.New("it names no pool")
+	errWithdrawn        = errors.New("the identifier was cancelled a short time ago")
+	errManyWithdrawals  = errors.New("the workspace has cancelled too many unknown jobs")
 )
 
 type (
@@ -60,6 +62,8 @@
 		malformed *malformed.Registry
 		metrics   *metrics.Set
 		stopping  atomic.Bool
+		// withdrawals counts the cancellations of unknown jobs.
+		withdrawals withdrawalCounter
 	}
 
 	// target is the queue and the path in it that a call addresses, and the workspace of the caller.
--- a/gateway/moved_queue_test.go
+++ b/gateway/moved_queue_test.go
@@ -56,7 +56,8 @@
 		item, err := pool.DecodeIntake(row, pool.Clock{})
 		is.NoErr(err)
 		if c, ok := item.(pool.Cancellation); ok {
-			is.Equal(c, pool.Cancellation{ID: movedID, Pool: "p1"}) // the holder of its pool cancels it
+			is.Equal(c.ID, job.ID(movedID))
+			is.Equal(c.Pool, "p1") // the holder of its pool cancels it
 			cancelled++
 		}
 	}
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -39,18 +39,41 @@
 
 // accept writes a job's row unless it exists. The job stays with the pool that the row names.
 func (g *Gateway) accept(ctx context.Context, call Call, poolName string, j job.Job) error {
-	key := pool.KeysOf(j.ID).Job
+	keys := pool.KeysOf(j.ID)
 	row := pool.Encode(pool.JobRow(poolName, j, g.follower.StoreClock(g.now())))
-	txn := store.Txn{
-		Checks: []store.Check{{Key: key}},
-		Writes: []store.Write{{Key: key, Value: row}},
-	}
-	outcomeUnknown, err := g.retry(ctx, call, func(ctx context.Context) error { return g.write(ctx, poolName, txn) })
+	cancel := store.Check{Key: keys.Cancel}
+	outcomeUnknown, err := g.retry(ctx, call, func(ctx context.Context) error {
+		err := g.write(ctx, poolName, store.Txn{
+			Checks: []store.Check{{Key: keys.Job}, cancel},
+			Writes: []store.Write{{Key: keys.Job, Value: row}},
+		})
+		if found, ok := store.ConflictRow(err, keys.Cancel); ok && found.Version != cancel.Version && !g.isCancelled(found) {
+			// A malformed row cancels nothing.
+			cancel.Version = found.Version
+			return &store.Error{Op: "commit", Kind: store.KindRefused, Err: err}
+		}
+		return err
+	})
 	if store.KindOf(err) == store.KindConflict {
+		return g.conflictError(keys, err)
+	}
+	return writeError("submit", outcomeUnknown, err)
+}
+
+// conflictError returns the error for the caller when the row of a job could not be written because one of its rows
+// exists.
+func (g *Gateway) conflictError(keys pool.JobKeys, err error) error {
+	const op = "submit"
+	if row, ok := store.ConflictRow(err, keys.Job); !ok || row.Version > 0 {
 		// The job is already accepted: by an earlier try, by an earlier request or by another gateway.
 		return nil
 	}
-	return writeError("submit", outcomeUnknown, err)
+	// The identifier was cancelled: no try was carried out, and none will be while the row is there.
+	retryAfter := pool.WithdrawalAge
+	if row, ok := store.ConflictRow(err, keys.Cancel); ok {
+		retryAfter = pool.WithdrawalEnd(row) - g.follower.StoreClock(g.now())
+	}
+	return &Error{Op: op, Kind: KindUnavailable, RetryAfter: min(max(retryAfter, RetryAfter), pool.WithdrawalAge), Err: errWithdrawn}
 }
 
 // write commits a transaction and notifies the pool's holder of the written rows. If the store is known to be
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -52,6 +52,11 @@
 		reply   pool.AdviceReply
 		err     error
 	}
+	// sweepResult is the outcome of a transaction that deletes old rows.
+	sweepResult struct {
+		txn store.Txn
+		err error
+	}
 	// orderResults carries an agent's reply to orders.
 	orderResults struct {
 		orders pool.Orders
@@ -141,6 +146,8 @@
 		h.handleSyncResult(m)
 	case orderResults:
 		h.handleOrderResults(now, m)
+	case sweepResult:
+		h.core.HandleSweep(m.txn, m.err)
 	case adviceResult:
 		h.core.HandleAdviceReply(now, m.request, m.reply, m.err == nil)
 	case mailbox.Ask[snapshotRequest, pool.Snapshot]:
@@ -181,9 +188,20 @@
 		h.askAdvice(now)
 	}
 	h.commit(now)
+	h.sweep(now)
 	h.updateCommittedEnds()
 }
 
+// sweep deletes rows that are too old. The conditions of the transactions make them safe without the lease.
+func (h *Holder) sweep(now time.Time) {
+	for _, txn := range h.core.TakeSweep(now) {
+		go func() {
+			_, err := h.host.deps.Store.Commit(h.ctx, txn)
+			h.send(sweepResult{txn: txn, err: err})
+		}()
+	}
+}
+
 // decide runs a placing pass, or schedules one that is due before the next tick.
 func (h *Holder) decide(now time.Time) {
 	wait := h.core.NextDecisionIn(now)
@@ -300,7 +318,7 @@
 		case pool.NewJob:
 			h.core.AddJob(now, i)
 		case pool.Cancellation:
-			h.core.CancelJob(now, i.ID)
+			h.core.CancelJob(now, i)
 		case pool.AgentAddress:
 			h.handleAgentAddress(now, i)
 		}
--- a/holder/load.go
+++ b/holder/load.go
@@ -92,7 +92,7 @@
 func (r *restoredPool) apply(now time.Time, item pool.Intake) {
 	switch i := item.(type) {
 	case pool.Cancellation:
-		r.core.CancelJob(now, i.ID)
+		r.core.CancelJob(now, i)
 	case pool.AgentAddress:
 		r.core.AddAgent(now, i.Agent)
 		r.agents = append(r.agents, i)
--- a/pool/core.go
+++ b/pool/core.go
@@ -70,6 +70,9 @@
 	adviceInFlight bool
 	nextAdviceAt   time.Time
 
+	// withdrawals are the cancellations of unknown jobs.
+	withdrawals withdrawals
+
 	// committedSummary is the last committed number of waiting jobs by queue.
 	committedSummary map[string]int
 }
@@ -116,6 +119,10 @@
 	}
 	state.hasRows = state.hasRows || !added.Legacy
 	state.hasLegacyRows = state.hasLegacyRows || added.Legacy
+	if _, withdrawn := c.withdrawals.byJob[added.Job.ID]; withdrawn {
+		// A gateway of an earlier release wrote the job's row without regard to the cancellation.
+		c.CancelJob(now, Cancellation{ID: added.Job.ID})
+	}
 }
 
 func (c *Core) addNewJob(now time.Time, j job.Job) *jobState {
@@ -138,13 +145,17 @@
 	c.liveJobs[j.job.ID] = j
 }
 
-// CancelJob ends a job at the request of its caller, unless it has already ended.
-func (c *Core) CancelJob(now time.Time, id job.ID) {
-	j, known := c.jobs[id]
-	if !known || j.state.ended() {
+// CancelJob ends a job at the request of its caller, unless it has already ended. The cancellation of an unknown job is
+// kept for WithdrawalAge.
+func (c *Core) CancelJob(now time.Time, cancellation Cancellation) {
+	j, known := c.jobs[cancellation.ID]
+	if !known {
+		c.withdrawals.add(cancellation)
 		return
 	}
-	c.endJob(now, j, Cancelled, "its caller cancelled it")
+	if !j.state.ended() {
+		c.endJob(now, j, Cancelled, "its caller cancelled it")
+	}
 }
 
 // SetTimeOfDayOffset sets the difference between the time of day, at which rounds of repeating jobs are
--- a/pool/intake.go
+++ b/pool/intake.go
@@ -34,6 +34,9 @@
 		ID job.ID
 		// Pool is the pool whose holder applies the cancellation.
 		Pool string
+		// Version is the version of the row; 0 if it is unknown. At is when it was written.
+		Version uint64
+		At      time.Time
 	}
 
 	// AgentAddress is the address of an agent. It is empty if the agent's row was deleted.
@@ -69,7 +72,7 @@
 	case strings.HasSuffix(name, jobSuffix):
 		return decodeJob(row, jobIDOf(name, jobSuffix), clock)
 	case strings.HasSuffix(name, cancelSuffix):
-		return decodeCancel(row, jobIDOf(name, cancelSuffix))
+		return decodeCancel(row, jobIDOf(name, cancelSuffix), clock)
 	default:
 		return nil, &Error{Op: "decode row " + name, Kind: KindCorrupt}
 	}
@@ -108,14 +111,14 @@
 	return AgentAddress{Agent: agent, Address: content.GetAddress()}, nil
 }
 
-func decodeCancel(row store.Row, id job.ID) (Intake, error) {
+func decodeCancel(row store.Row, id job.ID, clock Clock) (Intake, error) {
 	if err := CheckCancel(row); err != nil {
 		return nil, err
 	}
 	content := &poolpb.CancelRow{}
 	_ = proto.Unmarshal(row.Value, content) // CheckCancel has decoded it
 	poolName, err := poolOfRow(row.Key, content.GetPool())
-	return Cancellation{ID: id, Pool: poolName}, err
+	return Cancellation{ID: id, Pool: poolName, Version: row.Version, At: clock.Time(time.Duration(content.GetCancelledMs()) * time.Millisecond)}, err
 }
 
 // poolOfRow returns the pool of a row that a caller wrote: the pool that the row names or, under the keys of
--- a/pool/key_test.go
+++ b/pool/key_test.go
@@ -45,7 +45,7 @@
 			for _, added := range test.added {
 				c.AddJob(began, added)
 			}
-			c.CancelJob(began, j.ID)
+			c.CancelJob(began, Cancellation{ID: j.ID})
 			is.True(c.TakeBatch() != nil)
 			c.BatchCommitted(began)
 			c.Tick(began) // the job is not live any more
--- a/pool/malformed_test.go
+++ b/pool/malformed_test.go
@@ -34,7 +34,7 @@
 	is.Equal(sim.starts, 2)
 	is.Equal(sim.state(oneTask(2, 0).ID), Done)
 	is.Equal(sim.core.Snapshot(sim.now).Jobs["unreadable"], 1)
-	sim.core.CancelJob(sim.now, oneTask(1, 0).ID)
+	sim.core.CancelJob(sim.now, Cancellation{ID: oneTask(1, 0).ID})
 	sim.run(time.Second)
 	state, err := StateOf(sim.rows[key])
 	is.NoErr(err)
@@ -76,7 +76,7 @@
 	for _, item := range items {
 		switch i := item.(type) {
 		case Cancellation:
-			core.CancelJob(now, i.ID)
+			core.CancelJob(now, i)
 		case AgentAddress:
 			core.AddAgent(now, i.Agent)
 		}
--- a/program/pooltest/store_test.go
+++ b/program/pooltest/store_test.go
@@ -145,6 +145,24 @@
 	is.Equal(c.Runs.StartCount(), 12)
 }
 
+// Guards against UNASKED: a job is submitted with an unknown outcome and cancelled, and the store carries its write out
+// seconds later.
+func TestCancelledSubmissionNeverRuns(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(t, 2, 2)
+	c.Store.SetFaults(fakes.StoreFaults{LateName: "job/0000000000000001/spec", LateBy: 3 * time.Second})
+	status, _ := c.Gateways[0].Call(http.MethodPost, cluster.JobPath(1), cluster.APIKey, cluster.TasksJob(2, "60s"))
+	is.Equal(status, http.StatusGatewayTimeout)
+	status, _ = c.Gateways[1].Call(http.MethodDelete, cluster.JobPath(1), cluster.APIKey, "")
+	is.Equal(status, http.StatusGone)
+	time.Sleep(4 * time.Second)
+	is.Equal(c.Runs.StartCount(), 0)
+	is.Equal(c.JobState(1), "")
+	c.Submit(2, cluster.TasksJob(2, "100ms"))
+	c.AwaitState(2, "done")
+	is.Equal(c.Runs.StartCount(), 2)
+}
+
 func TestLostChangeHistoryIsDetected(t *testing.T) {
 	c := cluster.New(t, 2, 2)
 	c.Store.TruncateHistory()
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -60,7 +60,7 @@
 	if p.chance(0.1) && h.core != nil {
 		j := p.jobs[p.random.IntN(len(p.jobs))]
 		p.note("job %s is cancelled", j.ID)
-		h.post(func() { h.core.CancelJob(p.now, j.ID) })
+		h.post(func() { h.core.CancelJob(p.now, pool.Cancellation{ID: j.ID}) })
 	}
 }
 
