pool: an accepted job follows the policy that its queue has now

Cause: whether a queue has a policy was copied into the job's row at its acceptance, and both asking and placing went by the copy. Workers check the policy that is in force at the start.

Change: the policy of the queue in the active configuration counts, at any holder; a queue that is not configured any more leaves its jobs their term. A worker that requires a ticket is believed for 5 s, whatever the holder's configuration says.

Why it works: the copy is used only where nothing else is known, and each of the two that may be behind, holder and worker, is corrected by the other.

--- a/pool/advice.go
+++ b/pool/advice.go
@@ -15,6 +15,9 @@
 	// ticketMargin is how much longer a ticket must be valid when a task is placed with it. The commit and the
 	// order take about 30 ms, and several times that when the store is slow.
 	ticketMargin = 400 * time.Millisecond
+	// learnedPolicyPeriod is how long a job counts as advised after a worker rejected a start without a ticket. A
+	// holder is at most that far behind the worker's configuration.
+	learnedPolicyPeriod = 5 * time.Second
 	// adviceRetryDelay is the time without requests after the advice service did not reply to one.
 	adviceRetryDelay = 300 * time.Millisecond
 )
@@ -85,13 +88,35 @@
 	return a
 }
 
+// applyPolicy makes a job follow the policy that its queue has in the active configuration. A job whose queue is not
+// configured any more keeps the policy under which it was accepted.
+func (c *Core) applyPolicy(j *jobState) {
+	advised := j.job.Terms.Advised
+	if queue, known := c.catalog.Queue(j.job.Queue); known {
+		advised = queue.Terms.Advised
+	}
+	c.everAdvised = c.everAdvised || advised
+	if advised == j.advised {
+		return
+	}
+	j.advised, j.ticketsNeededUntil = advised, time.Time{}
+	for _, r := range j.rounds {
+		r.advice = nil // it is of another policy
+	}
+}
+
+// needsTicket reports whether starts of a job need a ticket of the advice service.
+func (c *Core) needsTicket(now time.Time, j *jobState) bool {
+	return j.advised || now.Before(j.ticketsNeededUntil)
+}
+
 // TakeAdviceRequest returns the next request to the advice service, for the first unplaced group in placement
 // order for which more tickets may help. Only one request is in flight at a time.
 func (c *Core) TakeAdviceRequest(now time.Time) (AdviceRequest, bool) {
 	if !c.everAdvised || c.adviceInFlight || now.Before(c.nextAdviceAt) {
 		return AdviceRequest{}, false
 	}
-	rounds := slices.DeleteFunc(c.waitingRounds(now), func(r readyRound) bool { return !r.job.job.Terms.Advised })
+	rounds := slices.DeleteFunc(c.waitingRounds(now), func(r readyRound) bool { return !c.needsTicket(now, r.job) })
 	if len(rounds) == 0 {
 		return AdviceRequest{}, false
 	}
--- a/pool/core.go
+++ b/pool/core.go
@@ -63,7 +63,7 @@
 	crashesCountedSince time.Time
 	// timeOfDayOffset is added to the time that methods are passed to get the time of day.
 	timeOfDayOffset time.Duration
-	// everAdvised reports that a job of a queue with an advice policy was added.
+	// everAdvised reports that there was a job of a queue with an advice policy.
 	everAdvised bool
 	// adviceInFlight reports that a request to the advice service awaits its reply. The next request
 	// is not sent before nextAdviceAt.
@@ -100,9 +100,14 @@
 // SetCatalog makes next the active configuration unless its version is older than, or the same as, the
 // active one.
 func (c *Core) SetCatalog(next *catalog.Catalog) {
-	if next.Version > c.catalog.Version {
-		c.catalog = next
+	if next.Version <= c.catalog.Version {
+		return
+	}
+	c.catalog = next
+	for _, j := range c.jobs {
+		c.applyPolicy(j)
 	}
+	c.capacityChanged = true
 }
 
 // SetRenewalInterval sets how often the holder calls agents whose state does not change, and derives
@@ -140,7 +145,7 @@
 
 func (c *Core) addState(j *jobState) {
 	c.capacityChanged = true
-	c.everAdvised = c.everAdvised || j.job.Terms.Advised
+	c.applyPolicy(j)
 	c.jobs[j.job.ID] = j
 	c.liveJobs[j.job.ID] = j
 }
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -172,7 +172,7 @@
 	switch {
 	case !w.hasLabel(step.Label):
 		return objectionLabel
-	case g.job.job.Terms.Advised && !g.round.ticket(g.step, w.instance).validForPlacement(p.now):
+	case p.core.needsTicket(p.now, g.job) && !g.round.ticket(g.step, w.instance).validForPlacement(p.now):
 		return objectionTicket
 	case w.interferes(step):
 		return objectionInterferes
--- a/pool/group.go
+++ b/pool/group.go
@@ -82,8 +82,10 @@
 		suspicion       suspicion
 		// crashedAt is when the last crash under the group was recorded.
 		crashedAt time.Time
-		// notBefore is the earliest time of the next placement after a crash.
+		// notBefore is the earliest time of the next placement after a crash or many rejections.
 		notBefore time.Time
+		// rejections counts the rejected starts since the last one that succeeded.
+		rejections rejections
 		// extraStarts counts the runs since minProvenCrashes workers have crashed under the group.
 		extraStarts int
 		// startLogs are the logs of the current run, and those of ended runs of which answers are under way.
--- a/pool/jobstate.go
+++ b/pool/jobstate.go
@@ -29,6 +29,10 @@
 		state    State
 		// anyCrash reports that a worker has crashed while it ran a task of the job.
 		anyCrash bool
+		// advised reports that the policy of the job's queue permits only some workers for a step. A worker has
+		// required a ticket although it does not, and starts have one until ticketsNeededUntil.
+		advised            bool
+		ticketsNeededUntil time.Time
 		// started reports that a task of the job was started.
 		started bool
 		endedAt time.Time
--- a/pool/order.go
+++ b/pool/order.go
@@ -188,11 +188,16 @@
 		return
 	}
 	g := m.group
-	c.emit(m.event(EventStartRejected, resultNames[result]))
+	if g.recordRejection(now, result); g.rejections.notable() {
+		c.emit(m.event(EventStartRejected, g.rejections.String()))
+	}
 	switch result {
 	case ResultRefused:
 		c.quarantine(now, m.worker, c.settings.RetryRefused, "it refuses starts")
 	case ResultTicketRejected:
+		if !c.needsTicket(now, g.job) {
+			g.job.ticketsNeededUntil, c.everAdvised = now.Add(learnedPolicyPeriod), true
+		}
 		g.round.dropTicket(g.step, m.instance)
 	case ResultNoCapacity:
 		m.worker.fullUntil = now.Add(c.settings.RetryRefused)
--- a/pool/pass.go
+++ b/pool/pass.go
@@ -229,7 +229,7 @@
 		avoidsSlow:       g.avoidsSlow,
 		usesHeadroom:     p.mayUseHeadroom(g),
 	}
-	if step.MaxPerWorker > 0 || g.job.job.Terms.Advised {
+	if step.MaxPerWorker > 0 || p.core.needsTicket(p.now, g.job) {
 		d.round, d.step = g.round, g.step
 	}
 	return d
--- a/pool/report.go
+++ b/pool/report.go
@@ -158,6 +158,7 @@
 		m.startedAt = now
 	}
 	c.emit(m.event(EventStarted, m.instance.String()))
+	g.rejections = rejections{}
 	g.job.started = true
 	if g.running() {
 		g.runningSince = now
--- a/pool/sim_order_test.go
+++ b/pool/sim_order_test.go
@@ -87,7 +87,7 @@
 		sim.capacityRefusals++ // the worker has shrunk and the holder has not received the new capacity yet
 		return ResultNoCapacity
 	}
-	if sim.jobs[s.Task.Job].Terms.Advised && sim.now.After(sim.tickets[s.Ticket]) {
+	if sim.requiresTicket(sim.jobs[s.Task.Job]) && sim.now.After(sim.tickets[s.Ticket]) {
 		return ResultTicketRejected
 	}
 	sim.checkStart(f, s)
@@ -96,6 +96,15 @@
 	return ResultOK
 }
 
+// requiresTicket reports whether workers require a ticket for a job's tasks: by the policy that its queue has in force, if
+// the test has set one, or by the job's terms.
+func (sim *simulation) requiresTicket(j job.Job) bool {
+	if required, known := sim.policyInForce[j.Queue]; known {
+		return required
+	}
+	return j.Terms.Advised
+}
+
 // startLate carries out a start whose reply was lost, if the worker is up and has the capacity. It may outlive the agent
 // that sent it, but a start that outlives both that agent and the worker's instance is dropped.
 func (sim *simulation) startLate(f *fakeWorker, agent string, id instance.ID, s Start) {
--- a/pool/sim_test.go
+++ b/pool/sim_test.go
@@ -53,6 +53,8 @@
 	epoch     int
 	// policy reports whether a worker may run the tasks of advised queues. It must be set if there are such tasks.
 	// A ticket is valid for ticketValidity.
+	// policyInForce tells of queues whether workers require tickets at present.
+	policyInForce  map[string]bool
 	policy         func(worker string) bool
 	ticketValidity time.Duration
 	tickets        map[string]time.Time
@@ -171,9 +173,11 @@
 		acknowledged: map[job.TaskID]bool{},
 		failures:     map[job.TaskID]int{},
 
-		tickets:     map[string]time.Time{},
-		tokenOwners: map[string]map[job.TaskID]bool{},
-		losesReply:  func() bool { return false },
+		tickets: map[string]time.Time{},
+
+		policyInForce: map[string]bool{},
+		tokenOwners:   map[string]map[job.TaskID]bool{},
+		losesReply:    func() bool { return false },
 
 		replyDelay:   3 * time.Millisecond,
 		refusalDelay: 20 * time.Millisecond,
@@ -210,6 +214,9 @@
 	sim.pausedUntil = time.Time{}
 	sim.readEvacuations = catalog.Evacuations{}
 	core := New("pool", sim.settings, func(e Event) { sim.events = append(sim.events, e) })
+	if sim.core != nil {
+		core.SetCatalog(sim.core.catalog)
+	}
 	for _, f := range sim.workers {
 		core.AddAgent(sim.now, f.name)
 	}
@@ -297,6 +304,15 @@
 	})
 }
 
+// configureQueue makes a configuration active in which a queue has a policy or none.
+func (sim *simulation) configureQueue(queue string, advised bool) {
+	sim.core.SetCatalog(&catalog.Catalog{
+		Version:    sim.core.catalog.Version + 1,
+		Queues:     []catalog.Queue{{Name: queue, Pool: "pool", Terms: job.Terms{Advised: advised}}},
+		Workspaces: sim.core.catalog.Workspaces,
+	})
+}
+
 // evacuate requests the evacuation of a data centre, unless it is evacuated already.
 func (sim *simulation) evacuate(dataCentre string) {
 	if sim.evacuations.Contains(dataCentre) {
--- a/pool/state.go
+++ b/pool/state.go
@@ -119,6 +119,9 @@
 		// WaitReason is the last emitted reason why the job has no placement, with the number of
 		// workers for each objection.
 		WaitReason string `json:"waits,omitempty"`
+		// Rejected is why workers have rejected the last starts of a task or gang, and how often in a row; that of
+		// the one that was rejected most often.
+		Rejected string `json:"rejected,omitempty"`
 		// Shortage is the last emitted number of tasks of a gang that would fit if other runs were
 		// stopped.
 		Shortage string `json:"lacks,omitempty"`
@@ -194,7 +197,11 @@
 		WaitReason: j.waitingReason(),
 		Shortage:   j.shortageText(),
 	}
+	var worst rejections
 	for _, g := range j.groups {
+		if g.rejections.count > worst.count {
+			worst = g.rejections
+		}
 		s.Failures += g.failures
 		s.Crashes = max(s.Crashes, g.crashCount())
 		if g.placed() {
@@ -204,6 +211,7 @@
 			s.Done++
 		}
 	}
+	s.Rejected = worst.String()
 	return s
 }
 
--- a/program/ctl_pools.go
+++ b/program/ctl_pools.go
@@ -230,9 +230,15 @@
 	return rows
 }
 
-// printWaitingJobs prints, for each job that waits without a placed task, why the workers do not take it.
+// printWaitingJobs prints for each job why its starts were rejected, and if it waits without a placed task, why the workers
+// do not take it.
 func (c *ctl) printWaitingJobs(jobs []pool.JobSnapshot) error {
 	for _, j := range jobs {
+		if j.Rejected != "" {
+			if _, err := fmt.Fprintf(c.stdout, "\njob %s: workers reject its starts: %s\n", j.ID, j.Rejected); err != nil {
+				return err
+			}
+		}
 		if j.WaitReason == "" {
 			continue
 		}
