pool: work within a guarantee gets back what equals use beyond theirs

Cause: victims of preemption were groups of lower priority alone. Nobody counted who uses more than guaranteed.

Change: if work of lower priority doesn't suffice, a job within its workspace's guarantee also preempts urgent work of workspaces whose use is beyond their guarantees, down to these; a gang that is partly within goes last. Lower priority goes first, and the least work lost. The cluster of the tests takes several workspaces.

Why it works: who reclaims uses no more than its guarantee and is no victim; who is a victim needs more than its guarantee and reclaims nothing.

--- a/pool/pass.go
+++ b/pool/pass.go
@@ -72,6 +72,7 @@
 		size             int
 		priority         int
 		guaranteed       bool
+		reclaims         bool
 		estimate         time.Duration
 		label            string
 		dataRack         string
@@ -219,6 +220,7 @@
 		size:             g.size,
 		priority:         g.job.job.Terms.Priority,
 		guaranteed:       p.guaranteed(g.job),
+		reclaims:         p.reclaims(g.job),
 		estimate:         step.Estimate,
 		label:            step.Label,
 		dataRack:         step.DataRack,
--- a/pool/preempt.go
+++ b/pool/preempt.go
@@ -34,6 +34,9 @@
 		workers  []*worker
 		capacity capacityBySlot
 		chosen   preemptionPlan
+		// beyond is the use of each workspace beyond its guarantee, once the chosen victims have stopped; nil if only
+		// work of lower priority may be preempted.
+		beyond map[string]int
 		// fitting holds the number of the group's tasks that fit on each worker once the chosen victims have
 		// stopped, by slot. total is their sum. options holds the cheapest way to fit one more task on each
 		// worker.
@@ -60,10 +63,14 @@
 )
 
 // preemptFor preempts groups of lower priority so that a group fits, and reports whether it did. A job within
-// its workspace's guarantee may preempt any amount of work; beyond the guarantee, the lost work must not exceed
+// its workspace's guarantee may preempt any amount of work and, if that of lower priority does not suffice, urgent
+// work that is beyond the guarantees of other workspaces. Beyond the guarantee, the lost work must not exceed
 // DisplaceFactor times the group's own work.
 func (p *pass) preemptFor(g *group, d *demandState) bool {
-	best, ok := p.bestPlan(g, d)
+	best, ok := p.bestPlan(g, d, false)
+	if !ok && d.reclaims && !g.avoidsSlow {
+		best, ok = p.bestPlan(g, d, true)
+	}
 	if !ok {
 		return false
 	}
@@ -75,10 +82,10 @@
 }
 
 // bestPlan returns the plan that loses the least work: within any one rack for a group that is kept in one
-// rack, else over all workers.
-func (p *pass) bestPlan(g *group, d *demandState) (preemptionPlan, bool) {
+// rack, else over all workers. If reclaims is set, victims include urgent work beyond guarantees.
+func (p *pass) bestPlan(g *group, d *demandState, reclaims bool) (preemptionPlan, bool) {
 	if !d.oneRack {
-		return p.newPreemptionPlanner(g, p.workers).plan()
+		return p.newPreemptionPlanner(g, p.workers, reclaims).plan()
 	}
 	racks := make([][]*worker, len(p.racks))
 	for i, w := range p.workers {
@@ -87,7 +94,7 @@
 	var best preemptionPlan
 	found := false
 	for _, workers := range racks {
-		next, ok := p.newPreemptionPlanner(g, workers).plan()
+		next, ok := p.newPreemptionPlanner(g, workers, reclaims).plan()
 		if ok && (!found || next.cost < best.cost) {
 			best, found = next, true
 		}
@@ -95,7 +102,7 @@
 	return best, found
 }
 
-func (p *pass) newPreemptionPlanner(g *group, workers []*worker) *preemptionPlanner {
+func (p *pass) newPreemptionPlanner(g *group, workers []*worker, reclaims bool) *preemptionPlanner {
 	pl := &preemptionPlanner{
 		pass:     p,
 		group:    g,
@@ -104,6 +111,9 @@
 		fitting:  make([]int, len(p.workers)),
 		options:  make([]workerOption, len(p.workers)),
 	}
+	if reclaims {
+		pl.beyond = p.beyondGuarantees()
+	}
 	for _, w := range workers {
 		pl.recount(w)
 	}
@@ -144,6 +154,7 @@
 				pl.recount(m.worker)
 			}
 		}
+		pl.recordReclaimed(v)
 		if v.spec().LongRunning {
 			clear(pl.options) // fewer tasks of its step may be preempted now
 		}
@@ -201,13 +212,13 @@
 	return result, true
 }
 
-// victimsOn returns the groups on a worker that may be preempted and are not chosen yet, those first that lose
-// the least work per core.
+// victimsOn returns the groups on a worker that may be preempted and are not chosen yet: those of lower priority first,
+// and among them those that lose the least work per core.
 func (pl *preemptionPlanner) victimsOn(w *worker) []victim {
 	var list []victim
 	for _, m := range w.members {
 		v := m.group
-		if v.job.job.Terms.Priority <= pl.group.job.job.Terms.Priority || v.ending || v.done || m.phase == memberStopping {
+		if !pl.isVictim(v) || v.ending || v.done || m.phase == memberStopping {
 			continue
 		}
 		i := slices.IndexFunc(list, func(other victim) bool { return other.group == v })
@@ -225,13 +236,15 @@
 	}
 	slices.SortFunc(list, func(a, b victim) int {
 		return cmp.Or(
+			compareBool(pl.partlyGuaranteed(a.group), pl.partlyGuaranteed(b.group)),
+			compareBool(pl.equal(a.group), pl.equal(b.group)),
 			cmp.Compare(a.costPerCore, b.costPerCore),
 			strings.Compare(string(a.group.job.job.ID), string(b.group.job.job.ID)),
 			cmp.Compare(a.group.step, b.group.step),
 			cmp.Compare(a.group.first, b.group.first),
 		)
 	})
-	return list
+	return pl.withinGuarantees(list)
 }
 
 // mayPreempt reports whether a group may be preempted together with the chosen victims and those in beside.
--- /dev/null
+++ b/pool/reclaim.go
@@ -0,0 +1,84 @@
+package pool
+
+// This file decides what a job within its workspace's guarantee gets back of the accelerators that urgent jobs of other
+// workspaces use beyond theirs (docs/design/reclaim.md).
+
+// reclaims reports whether a job may preempt urgent work that is beyond the guarantees of other workspaces: its own
+// workspace has a guarantee, and needs no more than that for urgent work.
+func (p *pass) reclaims(j *jobState) bool {
+	return p.guaranteed(j) && p.core.catalog.GuaranteedAccelerators(j.job.Workspace) > 0
+}
+
+// beyondGuarantees counts the accelerators that the urgent runs of each workspace use beyond its guarantee; it is negative
+// for a workspace that uses less. Runs that are stopping do not count.
+func (p *pass) beyondGuarantees() map[string]int {
+	beyond := map[string]int{}
+	for _, j := range p.core.liveJobs {
+		if j.job.Terms.Priority != 0 {
+			continue
+		}
+		if _, known := beyond[j.job.Workspace]; !known {
+			beyond[j.job.Workspace] = -p.core.catalog.GuaranteedAccelerators(j.job.Workspace)
+		}
+		for _, g := range j.groups {
+			if g.placed() && !g.ending && !g.done {
+				beyond[j.job.Workspace] += g.accelerators()
+			}
+		}
+	}
+	return beyond
+}
+
+// accelerators returns the number of accelerators that all tasks of the group take.
+func (g *group) accelerators() int {
+	return g.taskShape.Accelerators * g.size
+}
+
+// isVictim reports whether a group may be preempted for the planner's group, as far as priorities and guarantees decide:
+// work of lower priority and, where the planner reclaims, urgent work of workspaces that use more than their guarantee.
+func (pl *preemptionPlanner) isVictim(v *group) bool {
+	if v.job.job.Terms.Priority > pl.group.job.job.Terms.Priority {
+		return true
+	}
+	return pl.beyond[v.job.job.Workspace] > 0
+}
+
+// withinGuarantees returns the first of some victims on a worker, as many as leave each workspace its guarantee or take no
+// more than one group from it that is partly within.
+func (pl *preemptionPlanner) withinGuarantees(list []victim) []victim {
+	if pl.beyond == nil {
+		return list
+	}
+	kept := list[:0]
+	taken := map[string]int{}
+	for _, v := range list {
+		workspace := v.group.job.job.Workspace
+		if pl.equal(v.group) {
+			if pl.beyond[workspace]-taken[workspace] <= 0 {
+				continue
+			}
+			taken[workspace] += v.group.accelerators()
+		}
+		kept = append(kept, v)
+	}
+	return kept
+}
+
+// equal reports whether a victim has the priority of the planner's group.
+func (pl *preemptionPlanner) equal(v *group) bool {
+	return v.job.job.Terms.Priority == pl.group.job.job.Terms.Priority
+}
+
+// partlyGuaranteed reports whether preempting a group would take from its workspace's guarantee, too.
+func (pl *preemptionPlanner) partlyGuaranteed(v *group) bool {
+	return pl.equal(v) && v.accelerators() > pl.beyond[v.job.job.Workspace]
+}
+
+// recordReclaimed subtracts a chosen victim from what its workspace uses beyond its guarantee.
+func (pl *preemptionPlanner) recordReclaimed(v *group) {
+	if pl.beyond == nil || !pl.equal(v) {
+		return
+	}
+	pl.beyond[v.job.job.Workspace] -= v.accelerators()
+	clear(pl.options) // fewer groups of its workspace may be preempted now
+}
--- a/pool/reference_preempt_test.go
+++ b/pool/reference_preempt_test.go
@@ -12,8 +12,14 @@
 
 // preemptFor preempts groups of lower priority so that another fits. A job within its workspace's guarantee may
 // always preempt; beyond the guarantee only while the work lost is at most DisplaceFactor times the work of its group.
+// Within its guarantee it may also preempt equals of workspaces that use more than theirs, if nothing else suffices.
 func (p *referencePass) preemptFor(g *group) {
+	p.reclaiming = false
 	best, ok := p.bestPlan(g)
+	if !ok && p.guaranteed(g.job) && p.core.catalog.GuaranteedAccelerators(g.job.job.Workspace) > 0 {
+		p.reclaiming = true
+		best, ok = p.bestPlan(g)
+	}
 	if !ok {
 		return
 	}
@@ -121,7 +127,8 @@
 	var list []*group
 	for _, m := range w.members {
 		v := m.group
-		if v.job.job.Terms.Priority <= g.job.job.Terms.Priority || v.ending || v.done || m.phase == memberStopping {
+		lower := v.job.job.Terms.Priority > g.job.job.Terms.Priority
+		if !lower && p.excess(v.job.job.Workspace, chosen) <= 0 || v.ending || v.done || m.phase == memberStopping {
 			continue
 		}
 		if !slices.Contains(list, v) && !slices.Contains(chosen, v) && p.mayPreempt(v, g, slices.Concat(chosen, list)) {
@@ -129,15 +136,44 @@
 		}
 	}
 	value := func(v *group) float64 { return v.unsavedWork(p.now) / (v.referenceCapacityOn(w).Cores() + 1) }
+	equal := func(v *group) bool { return v.job.job.Terms.Priority == g.job.job.Terms.Priority }
+	takesGuaranteed := func(v *group) bool {
+		return equal(v) && v.spec().Shape.Accelerators*v.size > p.excess(v.job.job.Workspace, chosen)
+	}
 	slices.SortFunc(list, func(a, b *group) int {
 		return cmp.Or(
+			compareBool(takesGuaranteed(a), takesGuaranteed(b)),
+			compareBool(equal(a), equal(b)),
 			cmp.Compare(value(a), value(b)),
 			strings.Compare(string(a.job.job.ID), string(b.job.job.ID)),
 			cmp.Compare(a.step, b.step),
 			cmp.Compare(a.first, b.first),
 		)
 	})
-	return list
+	var left []*group
+	for _, v := range list {
+		if !equal(v) || p.excess(v.job.job.Workspace, slices.Concat(chosen, left)) > 0 {
+			left = append(left, v)
+		}
+	}
+	return left
+}
+
+// excess returns how many accelerators the urgent runs of a workspace use beyond its guarantee once some victims have
+// stopped; 0 unless the pass reclaims.
+func (p *referencePass) excess(workspace string, victims []*group) int {
+	if !p.reclaiming {
+		return 0
+	}
+	used := 0
+	for _, j := range p.core.liveJobs {
+		for _, g := range j.groups {
+			if j.job.Workspace == workspace && j.job.Terms.Priority == 0 && g.placed() && !g.ending && !g.done && !slices.Contains(victims, g) {
+				used += g.spec().Shape.Accelerators * g.size
+			}
+		}
+	}
+	return used - p.core.catalog.GuaranteedAccelerators(workspace)
 }
 
 // preempt stops the victims and assigns the capacity that they release to a group.
--- a/pool/reference_test.go
+++ b/pool/reference_test.go
@@ -32,6 +32,8 @@
 	workers []*worker
 	// headroomWorkers are those of the workers that have urgent headroom.
 	headroomWorkers []*worker
+	// reclaiming means that victims include urgent work beyond guarantees.
+	reclaiming bool
 	// urgentNeed is the capacity that unfinished jobs of priority 0 still need, in accelerators by workspace.
 	urgentNeed map[string]int
 }
--- a/program/cluster/cluster.go
+++ b/program/cluster/cluster.go
@@ -22,7 +22,7 @@
 const (
 	// Prefix is the path prefix of the only queue.
 	Prefix = "/encode/"
-	// APIKey is the key of the only workspace.
+	// APIKey is the key of the workspace "lectures", the only one at first.
 	APIKey = "key-of-lectures"
 	// Attempts is the maximum number of attempts of a task.
 	Attempts = 3
@@ -42,37 +42,48 @@
 // Without relays a gateway that is cut off from the store has no other way to it.
 var relays = flag.Bool("relays", true, "whether gateways of a cluster relay calls to the store for each other")
 
-// Cluster is the whole system as separate processes. Create it with New, NewWithInstances or NewAdvised.
-type Cluster struct {
-	Store    *fakes.Store
-	Gateways []*Program
-	Sidecars []*Program
-	Workers  []*fakes.Worker
-	Runs     *fakes.Recorder
-	// Fleet ends the runs of a gang together when a worker crashes.
-	Fleet *fakes.Fleet
-	// Advice is the advice service of the queue, or nil if the queue's policy does not require one.
-	Advice *fakes.AdviceService
-
-	t testing.TB
-	// pools are the names of all pools.
-	pools []string
-	// storeAddress is the address of the store itself, without a proxy.
-	storeAddress string
-	// adviceAddress is the address of the advice service; empty if there is none.
-	adviceAddress string
-}
+type (
+	// Cluster is the whole system as separate processes. Create it with New, NewWithInstances or NewAdvised.
+	Cluster struct {
+		Store    *fakes.Store
+		Gateways []*Program
+		Sidecars []*Program
+		Workers  []*fakes.Worker
+		Runs     *fakes.Recorder
+		// Fleet ends the runs of a gang together when a worker crashes.
+		Fleet *fakes.Fleet
+		// Advice is the advice service of the queue, or nil if the queue's policy does not require one.
+		Advice *fakes.AdviceService
+
+		t testing.TB
+		// pools are the names of all pools.
+		pools []string
+		// storeAddress is the address of the store itself, without a proxy.
+		storeAddress string
+		// adviceAddress is the address of the advice service; empty if there is none.
+		adviceAddress string
+	}
 
-// Config is what tests vary in the configuration.
-type Config struct {
-	Version int
-	// Key is the key of the only workspace.
-	Key string
-	// Pool is the pool of the only queue.
-	Pool string
-	// Advised is true if the queue's policy allows only some workers to run its steps.
-	Advised bool
-}
+	// Config is what tests vary in the configuration.
+	Config struct {
+		Version int
+		// Key is the key of the workspace "lectures", to which 8 accelerators are guaranteed.
+		Key string
+		// Others are the other workspaces.
+		Others []Workspace
+		// Pool is the pool of the only queue.
+		Pool string
+		// Advised is true if the queue's policy allows only some workers to run its steps.
+		Advised bool
+	}
+
+	// Workspace is a workspace with one key.
+	Workspace struct {
+		Name                   string
+		Key                    string
+		GuaranteedAccelerators int
+	}
+)
 
 // Main runs the tests of a package that uses clusters. In a process that a cluster has started, it runs the program of
 // that process instead. TestMain of the package has to call it.
@@ -149,7 +160,11 @@
 			"priority":0,"service":%q,"attempts":%d,"stretch":2.0%s}],
 		"services":[%s],
 		"limits":{"max_body_bytes":65536},
-		"tenants":[{"name":"lectures","api_keys":[%q],"guaranteed":{"gpu":8}}]}`
+		"tenants":[%s]}`
+	workspaces := workspaceJSON(Workspace{Name: "lectures", Key: config.Key, GuaranteedAccelerators: 8})
+	for _, w := range config.Others {
+		workspaces += "," + workspaceJSON(w)
+	}
 	policy := ""
 	if config.Advised {
 		policy = `,"advice":{"decide_ms":1,"each_ms":1,"valid_ms":3000}`
@@ -158,7 +173,11 @@
 	for i, name := range c.pools {
 		services[i] = fmt.Sprintf(`{"name":%q}`, name)
 	}
-	c.Store.Put("op", "", "config", fmt.Appendf(nil, form, config.Version, host, Prefix, config.Pool, Attempts, policy, strings.Join(services, ","), config.Key))
+	c.Store.Put("op", "", "config", fmt.Appendf(nil, form, config.Version, host, Prefix, config.Pool, Attempts, policy, strings.Join(services, ","), workspaces))
+}
+
+func workspaceJSON(w Workspace) string {
+	return fmt.Sprintf(`{"name":%q,"api_keys":[%q],"guaranteed":{"gpu":%d}}`, w.Name, w.Key, w.GuaranteedAccelerators)
 }
 
 // DataCentre returns the data centre of the worker with a number. Workers alternate between two data centres.
