pool: what a guarantee gets back is ordered by right over all workers

Over workers the cheapest option went first, so a gang that was partly within its guarantee could be preempted beside one of a workspace without any.

Change: a plan has the weakest right by which it preempts, and plans are ordered by it before the work lost. Plans without equals are as before. What workers give back together is counted in the order in which it is chosen.

Why it works: one comparison decides on a worker, over workers and over racks.

--- a/pool/decide_test.go
+++ b/pool/decide_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -12,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"hollyfork.example/hollyfork/instance"
+	"hollyfork.example/hollyfork/catalog"
 	"hollyfork.example/hollyfork/job"
 )
 
@@ -175,12 +178,33 @@
 	}
 }
 
+// makeUrgent makes most jobs urgent jobs of workspaces with the given guarantees. A further workspace has none running, a
+// guarantee for all that it needs, and some of the waiting jobs.
+func (c *Core) makeUrgent(random *rand.Rand, guaranteed []int) {
+	const owed = "owed"
+	next := &catalog.Catalog{Version: 1, Workspaces: []catalog.Workspace{{Name: owed, GuaranteedAccelerators: math.MaxInt32}}}
+	for i, accelerators := range guaranteed {
+		next.Workspaces = append(next.Workspaces, catalog.Workspace{Name: fmt.Sprint(i), GuaranteedAccelerators: accelerators})
+	}
+	c.SetCatalog(next)
+	for _, id := range slices.Sorted(maps.Keys(c.liveJobs)) {
+		j := c.liveJobs[id]
+		j.job.Terms.Priority = random.IntN(8) / 7
+		j.job.Workspace = fmt.Sprint(random.IntN(len(guaranteed)))
+		if j.state == Queued && random.IntN(4) == 0 {
+			j.job.Terms.Priority, j.job.Workspace = 0, owed
+		}
+	}
+}
+
 // The decisions are the same as those of the reference implementation, which tries each group on each worker.
 func TestDecisionsMatchTheReference(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		workers := rapid.IntRange(4, 40).Draw(t, "workers")
 		waiting := rapid.IntRange(1, 60).Draw(t, "waiting")
+		urgent := rapid.Bool().Draw(t, "most work is urgent")
+		guaranteed := rapid.SliceOfN(rapid.IntRange(0, 60), 3, 3).Draw(t, "guaranteed")
 		var lists [2][]string
 		for i, decide := range []func(*Core, time.Time){(*Core).referenceDecide, (*Core).Decide} {
 			random := rand.New(rand.NewPCG(seed, 0))
@@ -190,6 +214,9 @@
 				j.Accepted = now
 				c.AddJob(now, NewJob{Job: j})
 			}
+			if urgent {
+				c.makeUrgent(random, guaranteed)
+			}
 			c.addFailureHistory(now, random)
 			for _, w := range c.sortedWorkers()[:workers/4] {
 				if len(w.members) > 0 && w.members[0].group.size == 1 {
--- a/pool/preempt.go
+++ b/pool/preempt.go
@@ -21,6 +21,8 @@
 	// preemptionPlan is a set of groups to preempt so that another group fits.
 	preemptionPlan struct {
 		victims []*group
+		// right is the weakest right by which any victim is preempted.
+		right preemptionRight
 		// cost is the work that would be lost, in core-seconds.
 		cost float64
 	}
@@ -57,6 +59,7 @@
 	// per core of that capacity.
 	victim struct {
 		group       *group
+		right       preemptionRight
 		takes       job.Shape
 		costPerCore float64
 	}
@@ -95,13 +98,18 @@
 	found := false
 	for _, workers := range racks {
 		next, ok := p.newPreemptionPlanner(g, workers, reclaims).plan()
-		if ok && (!found || next.cost < best.cost) {
+		if ok && (!found || next.compare(best) < 0) {
 			best, found = next, true
 		}
 	}
 	return best, found
 }
 
+// compare orders plans by right, then by the work that would be lost.
+func (p preemptionPlan) compare(other preemptionPlan) int {
+	return cmp.Or(cmp.Compare(p.right, other.right), cmp.Compare(p.cost, other.cost))
+}
+
 func (p *pass) newPreemptionPlanner(g *group, workers []*worker, reclaims bool) *preemptionPlanner {
 	pl := &preemptionPlanner{
 		pass:     p,
@@ -143,6 +151,7 @@
 func (pl *preemptionPlanner) choose(next preemptionPlan) {
 	pl.chosen.victims = append(pl.chosen.victims, next.victims...)
 	pl.chosen.cost += next.cost
+	pl.chosen.right = max(pl.chosen.right, next.right)
 	for _, v := range next.victims {
 		for _, m := range v.members {
 			if !pl.pass.inPass(m.worker) || m.phase == memberGone {
@@ -172,7 +181,7 @@
 			o.plan, o.found = pl.planForWorker(w)
 			o.known = true
 		}
-		if o.found && (!found || o.plan.cost < best.cost) {
+		if o.found && (!found || o.plan.compare(best) < 0) {
 			best, found = o.plan, true
 		}
 	}
@@ -207,6 +216,7 @@
 	result := preemptionPlan{}
 	for _, v := range needed {
 		result.victims = append(result.victims, v.group)
+		result.right = max(result.right, v.right)
 		result.cost += v.group.unsavedWork(p.now)
 	}
 	return result, true
@@ -232,12 +242,12 @@
 		list[i].takes = list[i].takes.Add(v.taskShape)
 	}
 	for i, v := range list {
+		list[i].right = pl.rightOver(v.group)
 		list[i].costPerCore = v.group.unsavedWork(pl.pass.now) / (v.takes.Cores() + 1)
 	}
 	slices.SortFunc(list, func(a, b victim) int {
 		return cmp.Or(
-			compareBool(pl.partlyGuaranteed(a.group), pl.partlyGuaranteed(b.group)),
-			compareBool(pl.equal(a.group), pl.equal(b.group)),
+			cmp.Compare(a.right, b.right),
 			cmp.Compare(a.costPerCore, b.costPerCore),
 			strings.Compare(string(a.group.job.job.ID), string(b.group.job.job.ID)),
 			cmp.Compare(a.group.step, b.group.step),
--- a/pool/reclaim.go
+++ b/pool/reclaim.go
@@ -3,6 +3,19 @@
 // This file decides what a job within its workspace's guarantee gets back of the accelerators that urgent jobs of other
 // workspaces use beyond theirs (docs/design/reclaim.md).
 
+// Rights to preempt a victim, the strongest first.
+const (
+	// overLower is the right over work of lower priority.
+	overLower preemptionRight = iota
+	// overBeyond is the right over urgent work beyond its workspace's guarantee.
+	overBeyond
+	// overPartlyGuaranteed is the right over an urgent group that is beyond its workspace's guarantee in part.
+	overPartlyGuaranteed
+)
+
+// preemptionRight is the reason why a group may be preempted for another.
+type preemptionRight int
+
 // reclaims reports whether a job may preempt urgent work that is beyond the guarantees of other workspaces: its own
 // workspace has a guarantee, and needs no more than that for urgent work.
 func (p *pass) reclaims(j *jobState) bool {
@@ -43,8 +56,8 @@
 	return pl.beyond[v.job.job.Workspace] > 0
 }
 
-// withinGuarantees returns the first of some victims on a worker, as many as leave each workspace its guarantee or take no
-// more than one group from it that is partly within.
+// withinGuarantees returns those of some victims on a worker that may be preempted together: in their order, as long as
+// their workspaces use more than their guarantees.
 func (pl *preemptionPlanner) withinGuarantees(list []victim) []victim {
 	if pl.beyond == nil {
 		return list
@@ -52,11 +65,15 @@
 	kept := list[:0]
 	taken := map[string]int{}
 	for _, v := range list {
-		workspace := v.group.job.job.Workspace
-		if pl.equal(v.group) {
-			if pl.beyond[workspace]-taken[workspace] <= 0 {
+		if v.right > overLower {
+			workspace := v.group.job.job.Workspace
+			left := pl.beyond[workspace] - taken[workspace]
+			if left <= 0 {
 				continue
 			}
+			if v.group.accelerators() > left {
+				v.right = overPartlyGuaranteed
+			}
 			taken[workspace] += v.group.accelerators()
 		}
 		kept = append(kept, v)
@@ -64,19 +81,21 @@
 	return kept
 }
 
-// equal reports whether a victim has the priority of the planner's group.
-func (pl *preemptionPlanner) equal(v *group) bool {
-	return v.job.job.Terms.Priority == pl.group.job.job.Terms.Priority
-}
-
-// partlyGuaranteed reports whether preempting a group would take from its workspace's guarantee, too.
-func (pl *preemptionPlanner) partlyGuaranteed(v *group) bool {
-	return pl.equal(v) && v.accelerators() > pl.beyond[v.job.job.Workspace]
+// rightOver returns the right by which the planner's group preempts a victim.
+func (pl *preemptionPlanner) rightOver(v *group) preemptionRight {
+	switch {
+	case v.job.job.Terms.Priority > pl.group.job.job.Terms.Priority:
+		return overLower
+	case v.accelerators() <= pl.beyond[v.job.job.Workspace]:
+		return overBeyond
+	default:
+		return overPartlyGuaranteed
+	}
 }
 
 // recordReclaimed subtracts a chosen victim from what its workspace uses beyond its guarantee.
 func (pl *preemptionPlanner) recordReclaimed(v *group) {
-	if pl.beyond == nil || !pl.equal(v) {
+	if pl.rightOver(v) == overLower || pl.beyond == nil {
 		return
 	}
 	pl.beyond[v.job.job.Workspace] -= v.accelerators()
--- a/pool/reclaim_test.go
+++ b/pool/reclaim_test.go
@@ -92,6 +92,20 @@
 	is.Equal(sim.countEvents(EventPreempted), 0)
 }
 
+// Nothing is preempted if what is beyond a guarantee is too little, on one worker or over several.
+func TestNoMoreIsReclaimedThanIsBeyondAGuarantee(t *testing.T) {
+	for _, test := range []struct{ workers, guaranteed, tasks, accelerators int }{{1, 6, 1, 4}, {2, 12, 2, 4}} {
+		is := is.New(t)
+		sim := newReclaimSimulation(t, test.workers, test.guaranteed)
+		j := gang(100, test.tasks, test.accelerators, time.Minute)
+		j.Workspace = "lectures"
+		sim.submit(j)
+		sim.run(10 * time.Second)
+		is.Equal(sim.countEvents(EventPreempted), 0)
+		is.Equal(sim.runningOf("library"), 8*test.workers)
+	}
+}
+
 // A guarantee that is declared while others fill the pool counts at once; one that is withdrawn no longer protects.
 func TestReclaimFollowsChangedGuarantees(t *testing.T) {
 	is := is.New(t)
@@ -141,12 +155,13 @@
 	sim.guarantee("library", 8)
 	sim.guarantee("lectures", 16)
 	sim.run(300 * time.Millisecond)
-	partly := gang(1, 2, 8, time.Hour)
-	partly.Workspace = "library"
-	sim.submit(partly)
 	other := gang(2, 1, 8, time.Hour)
 	other.Workspace = "others"
 	sim.submit(other)
+	sim.run(10 * time.Second) // it would lose the most work
+	partly := gang(1, 2, 8, time.Hour)
+	partly.Workspace = "library"
+	sim.submit(partly)
 	sim.run(time.Second)
 	first := gang(100, 1, 8, time.Hour)
 	first.Workspace = "lectures"
--- a/pool/reference_preempt_test.go
+++ b/pool/reference_preempt_test.go
@@ -47,13 +47,18 @@
 	found := false
 	for _, name := range names {
 		next, ok := p.planForWorkers(g, racks[name])
-		if ok && (!found || next.cost < best.cost) {
+		if ok && (!found || comparePlans(next, best) < 0) {
 			best, found = next, true
 		}
 	}
 	return best, found
 }
 
+// comparePlans orders plans: those of lower work alone first, those that take from a guarantee last, and then by the work lost.
+func comparePlans(a, b preemptionPlan) int {
+	return cmp.Or(cmp.Compare(a.right, b.right), cmp.Compare(a.cost, b.cost))
+}
+
 // planForWorkers returns the victims that make a group fit on some workers. It adds the cheapest victims for one more
 // task until all tasks fit.
 func (p *referencePass) planForWorkers(g *group, workers []*worker) (preemptionPlan, bool) {
@@ -66,6 +71,7 @@
 		}
 		chosen.victims = append(chosen.victims, next.victims...)
 		chosen.cost += next.cost
+		chosen.right = max(chosen.right, next.right)
 		capacity = p.freeAndReleasing(chosen.victims)
 	}
 	return chosen, true
@@ -87,7 +93,7 @@
 	found := false
 	for _, w := range workers {
 		next, ok := p.planForWorker(g, w, capacity[w], chosen)
-		if ok && (!found || next.cost < best.cost) {
+		if ok && (!found || comparePlans(next, best) < 0) {
 			best, found = next, true
 		}
 	}
@@ -115,8 +121,14 @@
 		}
 	}
 	result := preemptionPlan{victims: needed}
-	for _, v := range needed {
+	for i, v := range needed {
 		result.cost += v.unsavedWork(p.now)
+		if v.job.job.Terms.Priority == g.job.job.Terms.Priority {
+			result.right = max(result.right, overBeyond)
+			if v.spec().Shape.Accelerators*v.size > p.excess(v.job.job.Workspace, slices.Concat(chosen, needed[:i])) {
+				result.right = overPartlyGuaranteed
+			}
+		}
 	}
 	return result, true
 }
