--- a/pool/intake.go
+++ b/pool/intake.go
@@ -2,7 +2,7 @@
 
 import (
 	"math"
-	"net"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -105,7 +105,8 @@
 	if err := proto.Unmarshal(row.Value, content); err != nil {
 		return nil, &Error{Op: "decode agent " + agent, Kind: KindCorrupt, Err: err}
 	}
-	if _, _, err := net.SplitHostPort(content.GetAddress()); err != nil {
+	address, err := netip.ParseAddrPort(content.GetAddress())
+	if err != nil || address.Port() == 0 {
 		return nil, &Error{Op: "decode agent " + agent, Kind: KindCorrupt, Err: err}
 	}
 	return AgentAddress{Agent: agent, Address: content.GetAddress()}, nil
--- a/relay/slot.go
+++ b/relay/slot.go
@@ -1,8 +1,9 @@
 package relay
 
 import (
+	"errors"
 	"fmt"
-	"net"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -63,6 +64,8 @@
 	}
 )
 
+var errNoPort = errors.New("its address has no port")
+
 func slotKey(number int) store.Key {
 	return store.Key{Table: Table, Part: part, Name: slotPrefix + strconv.Itoa(number)}
 }
@@ -81,7 +84,7 @@
 			continue
 		}
 		t.slots[number].version = row.Version
-		content, err := decodeSlot(row)
+		content, err := decodeSlot(row, page.Stamp.Clock)
 		if err != nil {
 			t.unreadable = append(t.unreadable, unreadableRow{row, err})
 			continue
@@ -99,16 +102,20 @@
 
 const millisPerCPU = 1000
 
-// decodeSlot decodes and validates the row of a slot.
-func decodeSlot(row store.Row) (*relaypb.GatewayRow, error) {
+// decodeSlot decodes and validates the row of a slot, which was read at the given reading of the store's clock. A row from
+// the future would never be stale.
+func decodeSlot(row store.Row, clock time.Duration) (*relaypb.GatewayRow, error) {
 	content := &relaypb.GatewayRow{}
 	if err := proto.Unmarshal(row.Value, content); err != nil {
 		return nil, err
 	}
-	if content.GetAnnouncedMs() < 0 || content.GetName() == "" || content.GetPowerMillis() < 0 {
+	if content.GetAnnouncedMs() < 0 || content.GetAnnouncedMs() > (clock+staleAfter).Milliseconds() || content.GetName() == "" || content.GetPowerMillis() < 0 {
 		return nil, fmt.Errorf("announced at %d ms by %q with power %d", content.GetAnnouncedMs(), content.GetName(), content.GetPowerMillis())
 	}
-	_, _, err := net.SplitHostPort(content.GetAddress())
+	address, err := netip.ParseAddrPort(content.GetAddress())
+	if err == nil && address.Port() == 0 {
+		err = errNoPort
+	}
 	return content, err
 }
 
--- a/relay/slot_test.go
+++ b/relay/slot_test.go
@@ -33,18 +33,18 @@
 	table := parseSlots(store.Page{
 		Stamp: store.Stamp{Clock: at},
 		Rows: []store.Row{
-			slotRow(t, 0, relayNamed("self", "a:1"), at),
-			slotRow(t, 1, relayNamed("fresh", "b:1"), at-staleAfter),
-			slotRow(t, 2, relayNamed("stale", "c:1"), at-staleAfter-time.Second),
+			slotRow(t, 0, relayNamed("self", "10.0.0.1:1"), at),
+			slotRow(t, 1, relayNamed("fresh", "10.0.0.2:1"), at-staleAfter),
+			slotRow(t, 2, relayNamed("stale", "10.0.0.3:1"), at-staleAfter-time.Second),
 			{Key: slotKey(3), Value: []byte{0xff}, Version: 4},
-			slotRow(t, MaxRelays, relayNamed("beyond", "d:1"), at),
+			slotRow(t, MaxRelays, relayNamed("beyond", "10.0.0.4:1"), at),
 		},
 	})
-	is.Equal(table.liveRelays("self"), []Gateway{relayNamed("fresh", "b:1")})
+	is.Equal(table.liveRelays("self"), []Gateway{relayNamed("fresh", "10.0.0.2:1")})
 	number, ok := table.slotOf("self")
 	is.True(ok)
 	is.Equal(number, 0)
-	is.Equal(table.claimable(relayNamed("new", "e:1")), []int{2, 3, 4, 5, 6, 7})
+	is.Equal(table.claimable(relayNamed("new", "10.0.0.5:1")), []int{2, 3, 4, 5, 6, 7})
 }
 
 // Guards against treating rows of other writers as gateways, whatever they contain as an address.
@@ -56,14 +56,17 @@
 		Rows: []store.Row{
 			slotRow(t, 0, relayNamed("empty", ""), at),
 			slotRow(t, 1, relayNamed("place", "here"), at),
-			slotRow(t, 2, relayNamed("early", "b:1"), -time.Hour),
+			slotRow(t, 2, relayNamed("early", "10.0.0.2:1"), -time.Hour),
 			{Key: slotKey(3), Value: []byte{0xff, 1}, Version: 1},
-			slotRow(t, 4, relayNamed("", "f:1"), at),
-			slotRow(t, 5, relayNamed("good", "c:1"), at),
+			slotRow(t, 4, relayNamed("", "10.0.0.6:1"), at),
+			slotRow(t, 5, relayNamed("good", "10.0.0.3:1"), at),
+			slotRow(t, 6, relayNamed("port", "10.0.0.7:99999"), at),
+			slotRow(t, 7, relayNamed("future", "10.0.0.8:1"), at+2*staleAfter),
 		},
 	})
-	is.Equal(table.liveRelays("self"), []Gateway{relayNamed("good", "c:1")})
-	is.Equal(len(table.unreadable), 5)
+	is.Equal(table.liveRelays("self"), []Gateway{relayNamed("good", "10.0.0.3:1")})
+	is.Equal(len(table.unreadable), 7)
+	is.Equal(table.claimable(relayNamed("new", "10.0.0.9:1")), []int{0, 1, 2, 3, 4, 6, 7}) // none holds its slot
 }
 
 // fullTable returns a table in which every slot has a relay with the given CPU capacity.
@@ -106,7 +109,7 @@
 	is := is.New(t)
 	now := time.Unix(9000, 0)
 	p := &peers{}
-	p.set([]Gateway{{Address: "a:1"}, {Address: "b:1"}, {Address: "c:1"}})
+	p.set([]Gateway{{Address: "10.0.0.1:1"}, {Address: "10.0.0.2:1"}, {Address: "10.0.0.3:1"}})
 	failed := p.choose(now)[0]
 	p.recordFailure(now, failed, true)
 	for _, chosen := range p.choose(now.Add(demotionPeriod)) {
