--- a/job/job_test.go
+++ b/job/job_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -31,6 +32,11 @@
 		{"negative rounds", func(j *Job) { j.Schedule.Repeats = -1 }, "repeats"},
 		{"rounds without a first time", func(j *Job) { j.Schedule.Repeats = 2 }, "first time"},
 		{"negative interval", func(j *Job) { j.Schedule = Schedule{Repeats: 2, First: time.Unix(1, 0), Interval: -1} }, "interval"},
+		{"rounds over centuries", func(j *Job) {
+			j.Schedule = Schedule{Repeats: 1000, First: time.Unix(1, 0), Interval: math.MaxInt64}
+		}, "rounds"},
+		{"amount past its type", func(j *Job) { j.Steps[0].Shape.CPUMillis = math.MaxInt32 + 1 }, "over"},
+		{"limit past its type", func(j *Job) { j.Steps[1].MaxPerWorker = 1 << 32 }, "over"},
 		{"long label", func(j *Job) { j.Steps[0].Label = strings.Repeat("x", maxLabelBytes+1) }, "label"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/job/schedule.go
+++ b/job/schedule.go
@@ -5,6 +5,9 @@
 // MaxRounds limits the rounds of a job. One round per minute takes more than a year to reach it.
 const MaxRounds = 600_000
 
+// maxScheduleLength limits the time from the first round to the last: a century.
+const maxScheduleLength = 100 * 365 * 24 * time.Hour
+
 // Schedule defines the wall-clock times at which a job's steps are to run. The zero value is the schedule of a job
 // that runs once, as soon as it is accepted.
 type Schedule struct {
@@ -47,6 +50,8 @@
 		return invalid("a job that repeats needs a first time")
 	case s.Interval < 0:
 		return invalid("the interval between two rounds is negative")
+	case s.Interval > maxScheduleLength/time.Duration(s.Rounds()):
+		return invalid("the rounds take over %s", maxScheduleLength)
 	}
 	return nil
 }
--- a/job/validate.go
+++ b/job/validate.go
@@ -1,6 +1,9 @@
 package job
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // Limits of a submitted job.
 const (
@@ -10,6 +13,9 @@
 	MaxSteps = 100
 	MaxTasks = 1000
 
+	// maxAmount limits all numbers of a step, as rows and messages have them in 32 bits.
+	maxAmount = math.MaxInt32
+
 	idDigits      = 16
 	maxLabelBytes = 200
 )
@@ -74,6 +80,8 @@
 		return invalid("step %d: a step has 1 to %d tasks", number, MaxTasks)
 	case s.Shape.CPUMillis < 0 || s.Shape.MemoryMB < 0 || s.Shape.Accelerators < 0 || s.Estimate < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 || s.LatencyTarget < 0:
 		return invalid("step %d: an amount is negative", number)
+	case s.Shape.CPUMillis > maxAmount || s.Shape.MemoryMB > maxAmount || s.Shape.Accelerators > maxAmount || s.MaxPerWorker > maxAmount || s.MaxUnavailable > maxAmount:
+		return invalid("step %d: an amount is over %d", number, maxAmount)
 	case len(s.Label) > maxLabelBytes || len(s.DataRack) > maxLabelBytes:
 		return invalid("step %d: a label has over %d bytes", number, maxLabelBytes)
 	}
--- a/pool/decide_test.go
+++ b/pool/decide_test.go
@@ -13,8 +13,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"hollyfork.example/hollyfork/instance"
 	"hollyfork.example/hollyfork/catalog"
+	"hollyfork.example/hollyfork/instance"
 	"hollyfork.example/hollyfork/job"
 )
 
--- a/pool/intake.go
+++ b/pool/intake.go
@@ -233,7 +233,7 @@
 		Priority:   int32(j.Terms.Priority),
 		Attempts:   int32(j.Terms.Attempts),
 		Stretch:    j.Terms.Stretch,
-		GoalMs:     int32(j.Terms.Goal.Milliseconds()),
+		GoalMs:     rowMilliseconds(j.Terms.Goal),
 		Advised:    j.Terms.Advised,
 	}
 	if !j.Schedule.Immediate() {
@@ -253,7 +253,7 @@
 		CpuMillis:    int32(step.Shape.CPUMillis),
 		MemoryMb:     int32(step.Shape.MemoryMB),
 		Accelerators: int32(step.Shape.Accelerators),
-		EstimateMs:   int32(step.Estimate.Milliseconds()),
+		EstimateMs:   rowMilliseconds(step.Estimate),
 		Checkpoint:   step.Checkpoint,
 		Gang:         step.Gang,
 		SameRack:     step.SameRack,
@@ -263,7 +263,7 @@
 		Speculative:  step.Speculative,
 		LongRunning:  step.LongRunning,
 		MayMiss:      int32(step.MaxUnavailable),
-		TargetMs:     int32(step.LatencyTarget.Milliseconds()),
+		TargetMs:     rowMilliseconds(step.LatencyTarget),
 		Filler:       step.Filler,
 	}
 	for _, before := range step.After {
@@ -271,3 +271,8 @@
 	}
 	return row
 }
+
+// rowMilliseconds returns a duration as a row has it: 24.8 days at most, which is as good as any longer estimate or goal.
+func rowMilliseconds(d time.Duration) int32 {
+	return int32(min(d.Milliseconds(), math.MaxInt32))
+}
--- a/pool/row_test.go
+++ b/pool/row_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -70,6 +71,24 @@
 	is.Equal(item.(NewJob).Job, j)
 }
 
+// Guards against LOST: an estimate of 30 days was accepted, and its milliseconds overflowed in the row, which no holder could
+// read.
+func TestLongDurationsFitIntoRows(t *testing.T) {
+	is := is.New(t)
+	j := fullJob()
+	j.Steps = j.Steps[:1]
+	j.Steps[0].After = nil
+	for _, long := range []time.Duration{30 * 24 * time.Hour, math.MaxInt64} {
+		j.Steps[0].Estimate, j.Steps[0].LatencyTarget, j.Terms.Goal = long, long, long
+		is.NoErr(j.Validate())
+		item, err := DecodeIntake(store.Row{Key: KeysOf(j.ID).Job, Value: Encode(JobRow("pool", j, 0))}, Clock{})
+		is.NoErr(err)
+		decoded := item.(NewJob).Job
+		is.True(decoded.Steps[0].Estimate > 24*24*time.Hour)
+		is.True(decoded.RoundDue(1).After(decoded.EarliestStart(1)))
+	}
+}
+
 func TestRowsOfOldEndedJobsAreDeleted(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(t, 1)
