gateway: rows of jobs can be written for earlier releases, for a roll-back

Cause: since the rows of jobs are keyed by the identifier, gateways of an earlier release answer 410 for jobs of this one and don't run them, so an upgrade gateway by gateway, or a roll-back, loses sight of accepted jobs.

A withdrawal is deleted under the keys that it was written under.

Evidence: TestLegacyKeysAreWrittenOnRequest; all tests of gateway, pool, holder and program pass. Not run: a fleet of both releases.

Why it works: writing is switched only while nobody who can't read it is there.

--- a/gateway/cancel.go
+++ b/gateway/cancel.go
@@ -79,7 +79,7 @@
 	if !g.withdrawals.take(g.now(), t.workspace) {
 		return &Error{Op: op, Kind: KindUnavailable, RetryAfter: pool.WithdrawalAge, Err: errManyWithdrawals}
 	}
-	keys := pool.KeysOf(job.ID(t.rest))
+	keys := g.keys(t.queue.Pool, job.ID(t.rest))
 	row := pool.Encode(pool.CancelRow(t.queue.Pool, g.follower.StoreClock(g.now())))
 	txn := store.Txn{Checks: []store.Check{{Key: keys.Job}}, Writes: []store.Write{{Key: keys.Cancel, Value: row}}}
 	outcomeUnknown, err := g.retry(ctx, call, func(ctx context.Context) error { return g.write(ctx, t.queue.Pool, txn) })
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,7 +13,9 @@
 
 	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/catalog"
+	"hollyfork.example/hollyfork/job"
 	"hollyfork.example/hollyfork/malformed"
+	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
 )
 
@@ -52,10 +54,14 @@
 		Notify(poolName string, row store.Row, clock time.Duration)
 	}
 
+	// KeysOf returns the keys under which callers' rows of a job that is accepted for a pool are written.
+	KeysOf func(poolName string, id job.ID) pool.JobKeys
+
 	// Gateway serves the requests of callers. Create it with New.
 	Gateway struct {
 		store     store.Store
 		recent    store.RecentReader
+		keys      KeysOf
 		notifier  Notifier
 		follower  *Follower
 		logger    *log.Logger
@@ -75,10 +81,15 @@
 	}
 )
 
-// New returns a gateway that uses the configuration of a follower. It reads rows that may be slightly out of date
-// through recent, notifies holders of committed rows, and records rows that it can't decode in a registry.
-func New(s store.Store, recent store.RecentReader, notifier Notifier, follower *Follower, set *metrics.Set, logger *log.Logger, registry *malformed.Registry) *Gateway {
-	return &Gateway{store: s, recent: recent, notifier: notifier, follower: follower, metrics: set, logger: logger, malformed: registry}
+// New returns a gateway that uses the configuration of a follower. It writes the rows of new jobs under keys, which is
+// KeysByID but for a change of releases, reads rows that may be slightly out of date through recent, notifies holders of committed rows, and records rows that it can't decode in a registry.
+func New(s store.Store, keys KeysOf, recent store.RecentReader, notifier Notifier, follower *Follower, set *metrics.Set, logger *log.Logger, registry *malformed.Registry) *Gateway {
+	return &Gateway{store: s, keys: keys, recent: recent, notifier: notifier, follower: follower, metrics: set, logger: logger, malformed: registry}
+}
+
+// KeysByID returns the keys by the identifier of the job alone.
+func KeysByID(_ string, id job.ID) pool.JobKeys {
+	return pool.KeysOf(id)
 }
 
 // now returns the current time on the follower's clock.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -90,7 +90,7 @@
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	follower := NewFollower(clocktest.Stopped(now), nil, logger, malformed.New(logger, metrics.NewSet()))
 	follower.apply(now, Update{Catalog: config})
-	return New(s, store.NewDirectReader(s), noNotifier{}, follower, metrics.NewSet(), logger, malformed.New(logger, metrics.NewSet()))
+	return New(s, KeysByID, store.NewDirectReader(s), noNotifier{}, follower, metrics.NewSet(), logger, malformed.New(logger, metrics.NewSet()))
 }
 
 func testConfig(version uint64, key string) *catalog.Catalog {
--- a/gateway/moved_queue_test.go
+++ b/gateway/moved_queue_test.go
@@ -92,6 +92,22 @@
 	is.True(s.Row(keys.Cancel).Version > 0) // the holder of any release reads it
 }
 
+// Beside gateways of an earlier release, jobs are written where these look for them, cancellations of unknown jobs too.
+func TestLegacyKeysAreWrittenOnRequest(t *testing.T) {
+	is := is.New(t)
+	s := newMemoryStore()
+	g := newTestGatewayOn(s, inPool(1, "p1"))
+	g.keys = pool.LegacyKeysOf
+	is.NoErr(submitTo(g, movedPath, "k"))
+	is.True(s.Row(pool.LegacyKeysOf("p1", movedID).Job).Version > 0)
+	_, err := g.State(context.Background(), Call{Host: "h", Path: movedPath, Key: "k"})
+	is.NoErr(err)
+	const other = "00000000000000a2"
+	is.Equal(AsError(g.Cancel(context.Background(), Call{Host: "h", Path: "/a/" + other, Key: "k"})).Kind, KindNoJob)
+	is.True(s.Row(pool.LegacyKeysOf("p1", other).Cancel).Version > 0)
+	is.Equal(AsError(submitTo(g, "/a/"+other, "k")).Kind, KindUnavailable)
+}
+
 // Guards against MIXED: the jobs that wait in the pool that a queue had before were left out of its count.
 func TestWaitingJobsOfEarlierPoolsAreCounted(t *testing.T) {
 	is := is.New(t)
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -26,7 +26,7 @@
 	bad := malformed.New(logger, metrics.NewSet())
 	follower := NewFollower(vm, nil, logger, bad)
 	follower.apply(now, Update{Catalog: testConfig(3, "k")})
-	g := New(failingStore{}, store.NewDirectReader(failingStore{}), nil, follower, metrics.NewSet(), logger, bad)
+	g := New(failingStore{}, KeysByID, store.NewDirectReader(failingStore{}), nil, follower, metrics.NewSet(), logger, bad)
 	is.True(g.Ready(vm.Now()))
 
 	vm.Suspend(MaxConfigAge + time.Millisecond)
@@ -49,7 +49,7 @@
 		bad := malformed.New(logger, metrics.NewSet())
 		follower := NewFollower(vm, nil, logger, bad)
 		follower.apply(vm.Now(), Update{Catalog: testConfig(3, "k")})
-		g := New(failingStore{}, store.NewDirectReader(failingStore{}), nil, follower, metrics.NewSet(), logger, bad)
+		g := New(failingStore{}, KeysByID, store.NewDirectReader(failingStore{}), nil, follower, metrics.NewSet(), logger, bad)
 		decode := func() (job.Job, error) {
 			vm.Suspend(time.Minute)
 			return job.Job{Spec: "x", Steps: []job.Step{{Count: 1, Shape: job.Shape{CPUMillis: 1, MemoryMB: 1}}}}, nil
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -39,7 +39,7 @@
 
 // accept writes a job's row unless it exists. The job stays with the pool that the row names.
 func (g *Gateway) accept(ctx context.Context, call Call, poolName string, j job.Job) error {
-	keys := pool.KeysOf(j.ID)
+	keys := g.keys(poolName, j.ID)
 	row := pool.Encode(pool.JobRow(poolName, j, g.follower.StoreClock(g.now())))
 	cancel := store.Check{Key: keys.Cancel}
 	outcomeUnknown, err := g.retry(ctx, call, func(ctx context.Context) error {
--- a/pool/intake.go
+++ b/pool/intake.go
@@ -34,7 +34,9 @@
 		ID job.ID
 		// Pool is the pool whose holder applies the cancellation.
 		Pool string
-		// Version is the version of the row; 0 if it is unknown. At is when it was written.
+		// Keys are those of the job's rows. Version is the version of this one; 0 if it is unknown. At is when it was
+		// written.
+		Keys    JobKeys
 		Version uint64
 		At      time.Time
 	}
@@ -119,7 +121,13 @@
 	content := &poolpb.CancelRow{}
 	_ = proto.Unmarshal(row.Value, content) // CheckCancel has decoded it
 	poolName, err := poolOfRow(row.Key, content.GetPool())
-	return Cancellation{ID: id, Pool: poolName, Version: row.Version, At: clock.Time(time.Duration(content.GetCancelledMs()) * time.Millisecond)}, err
+	return Cancellation{
+		ID:      id,
+		Pool:    poolName,
+		Keys:    jobKeysIn(row.Key.Part, id),
+		Version: row.Version,
+		At:      clock.Time(time.Duration(content.GetCancelledMs()) * time.Millisecond),
+	}, err
 }
 
 // poolOfRow returns the pool of a row that a caller wrote: the pool that the row names or, under the keys of
--- a/pool/withdrawal.go
+++ b/pool/withdrawal.go
@@ -31,6 +31,7 @@
 
 	// withdrawal is the row of a cancellation whose job is unknown.
 	withdrawal struct {
+		keys    JobKeys
 		version uint64
 		at      time.Time
 	}
@@ -54,7 +55,7 @@
 	if w.byJob == nil {
 		w.byJob = map[job.ID]withdrawal{}
 	}
-	w.byJob[c.ID] = withdrawal{version: c.Version, at: c.At}
+	w.byJob[c.ID] = withdrawal{keys: c.Keys, version: c.Version, at: c.At}
 }
 
 // TakeSweep returns the transactions that delete the rows of withdrawals that are too old, one for each part at most. A
@@ -66,8 +67,8 @@
 	}
 	w.sweptAt = now
 	byPart := map[string]*store.Txn{}
-	for id, row := range w.byJob {
-		keys := KeysOf(id)
+	for _, row := range w.byJob {
+		keys := row.keys
 		txn, known := byPart[keys.Cancel.Part]
 		if !known {
 			txn = &store.Txn{}
@@ -94,11 +95,12 @@
 	for _, write := range txn.Writes {
 		id := jobIDOf(write.Key.Name, cancelSuffix)
 		expected := txn.Checks[slices.IndexFunc(txn.Checks, func(check store.Check) bool { return check.Key == write.Key })].Version
-		if c.withdrawals.byJob[id].version != expected {
+		row := c.withdrawals.byJob[id]
+		if row.version != expected {
 			continue // it was written again, and the feed has told so
 		}
 		found, conflict := store.ConflictRow(err, write.Key)
-		accepted, _ := store.ConflictRow(err, KeysOf(id).Job)
+		accepted, _ := store.ConflictRow(err, row.keys.Job)
 		if err == nil || conflict && (found.Version != expected || accepted.Version > 0) {
 			delete(c.withdrawals.byJob, id)
 		}
--- a/pool/withdrawal_test.go
+++ b/pool/withdrawal_test.go
@@ -6,16 +6,22 @@
 
 	"github.com/matryer/is"
 
+	"hollyfork.example/hollyfork/job"
 	"hollyfork.example/hollyfork/store"
 )
 
+// withdrawalOf returns the cancellation of a job, whose row has the given version and was written at the given time.
+func withdrawalOf(id job.ID, version uint64, at time.Time) Cancellation {
+	return Cancellation{ID: id, Pool: "pool", Keys: KeysOf(id), Version: version, At: at}
+}
+
 // The cancellations of unknown jobs are deleted when no late transaction can meet them any more, unless they were
 // written again meanwhile.
 func TestWithdrawalsAreSweptByAge(t *testing.T) {
 	is := is.New(t)
 	c := New("pool", DefaultSettings(), nil)
 	began := time.Unix(9000, 0)
-	c.CancelJob(began, Cancellation{ID: "00000000000000a1", Version: 5, At: began})
+	c.CancelJob(began, withdrawalOf("00000000000000a1", 5, began))
 	c.CancelJob(began, Cancellation{ID: "00000000000000a1", At: began.Add(time.Hour)}) // a notice, which has no version
 	is.Equal(len(c.TakeSweep(began.Add(WithdrawalAge-time.Millisecond))), 0)
 
@@ -31,7 +37,7 @@
 	at = at.Add(withdrawalSweepInterval)
 	is.Equal(len(c.TakeSweep(at)), 1) // until its outcome is known
 
-	c.CancelJob(at, Cancellation{ID: "00000000000000a1", Version: 7, At: at})
+	c.CancelJob(at, withdrawalOf("00000000000000a1", 7, at))
 	c.HandleSweep(sweep[0], &store.Error{Op: "commit", Kind: store.KindConflict, Rows: []store.Row{{Key: keys.Cancel, Version: 7}, {Key: keys.Job}}})
 	is.Equal(len(c.TakeSweep(at.Add(WithdrawalAge-time.Millisecond))), 0)
 	sweep = c.TakeSweep(at.Add(WithdrawalAge + withdrawalSweepInterval))
@@ -47,7 +53,7 @@
 	c := New("pool", DefaultSettings(), nil)
 	at := time.Unix(9000, 0)
 	for number := range rows {
-		c.CancelJob(at, Cancellation{ID: oneTask(number, time.Second).ID, Version: 1, At: at})
+		c.CancelJob(at, withdrawalOf(oneTask(number, time.Second).ID, 1, at))
 	}
 	at = at.Add(WithdrawalAge)
 	for range 10 {
@@ -66,7 +72,7 @@
 	c := New("pool", DefaultSettings(), nil)
 	now := time.Unix(9000, 0)
 	j := oneTask(1, time.Second)
-	c.CancelJob(now, Cancellation{ID: j.ID, Version: 5, At: now})
+	c.CancelJob(now, withdrawalOf(j.ID, 5, now))
 	c.AddJob(now, NewJob{Job: j, Legacy: true})
 	is.Equal(c.Snapshot(now).Jobs, map[string]int{"cancelled": 1})
 }
--- a/program/gatewayd/main.go
+++ b/program/gatewayd/main.go
@@ -20,6 +20,7 @@
 	"hollyfork.example/hollyfork/holder"
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/platform/adapter"
+	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/process"
 	"hollyfork.example/hollyfork/process/launch"
 	"hollyfork.example/hollyfork/relay"
@@ -65,8 +66,10 @@
 	cpuSpeed *float64
 	// evacuateWithin is 0 if the operator sets no bound.
 	evacuateWithin *time.Duration
-	scheduling     schedulingOptions
-	logLevel       *string
+	// legacyJobKeys is true while gateways of a release before keys by identifier run, or are to run again.
+	legacyJobKeys *bool
+	scheduling    schedulingOptions
+	logLevel      *string
 }
 
 // Main runs the gateway until it receives a signal to stop, and returns its exit code.
@@ -85,6 +88,7 @@
 		logLevel:      launch.LogLevel(s),
 
 		evacuateWithin: settings.Add(s, "gateway.evacuate-within", "0s", "time limit within which starts in a data centre cease after its evacuation was requested; 0s for no bound", settings.Duration(0, maxEvacuateWithin)),
+		legacyJobKeys:  settings.AddBool(s, "gateway.legacy-job-keys", "write new jobs where gateways of earlier releases look for them; no queue may move to another pool meanwhile"),
 		scheduling:     addSchedulingOptions(s),
 	}
 	if code, done := launch.Parse(s, args, stdout, stderr); done {
@@ -136,7 +140,11 @@
 		p.store, p.configReader, recentReader = p.relay, p.relay.Feed(), p.relay
 	}
 	p.follower = gateway.NewFollower(clock.System{}, adapter.NewConfigReader(p.configReader), logger, p.malformed)
-	p.gateway = gateway.New(p.store, recentReader, p, p.follower, p.metrics, logger, p.malformed)
+	var keys gateway.KeysOf = gateway.KeysByID
+	if *o.legacyJobKeys {
+		keys = pool.LegacyKeysOf
+	}
+	p.gateway = gateway.New(p.store, keys, recentReader, p, p.follower, p.metrics, logger, p.malformed)
 	followCtx, stopFollowing := context.WithCancel(context.Background())
 	defer stopFollowing()
 	go p.follower.Run(followCtx)
