pool: what is guaranteed leaves the racks that it prefers

Cause: the plan to preempt was made within preferred racks alone, and these preferences end with time in idle pools only.

Why it works: racks are preferences, and a guarantee's bound is none.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -174,7 +174,8 @@
 	var d *demandState
 	for i, g := range ready {
 		g.relaxation = p.relaxationOf(g)
-		if i == 0 || g.step != ready[i-1].step || g.relaxation != ready[i-1].relaxation {
+		g.anyRack = p.reclaimsAnyRack(g)
+		if i == 0 || g.step != ready[i-1].step || g.relaxation != ready[i-1].relaxation || g.anyRack != ready[i-1].anyRack {
 			d = p.demandStateOf(g)
 		}
 		p.tryGroup(g, d)
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -25,7 +25,7 @@
 	}
 	g.fastFirst = p.prefersFast(g)
 	if d.oneRack {
-		if places := p.fitRack(g, candidates); places != nil || g.relaxation < relaxAll {
+		if places := p.fitRack(g, candidates); places != nil || g.relaxation < relaxAll && !g.anyRack {
 			return places
 		}
 	}
@@ -163,7 +163,7 @@
 
 // preferencesLifted reports whether the group's relaxation permits the worker despite its unmet preferences.
 func (p *pass) preferencesLifted(g *group, w *worker) bool {
-	return g.relaxation.lifts(p.healthObjection(g, w), w) && g.relaxation.lifts(p.rackObjection(g, w), w)
+	return g.relaxation.lifts(p.healthObjection(g, w), w) && (g.anyRack || g.relaxation.lifts(p.rackObjection(g, w), w))
 }
 
 // unmetRequirement returns the reason why a group cannot run on a worker at all, if any.
@@ -191,7 +191,7 @@
 
 // relaxedObjection returns the strongest objection to a worker that the group's relaxation permits.
 func (p *pass) relaxedObjection(g *group, w *worker, free job.Shape) objection {
-	if g.relaxation == relaxNone {
+	if g.relaxation == relaxNone && !g.anyRack {
 		return objectionNone
 	}
 	return max(p.unmetPreference(g, w), p.isolationObjection(g, w, free))
--- a/pool/pass.go
+++ b/pool/pass.go
@@ -81,6 +81,7 @@
 		hasLatencyTarget bool
 		relaxation       relaxation
 		avoidsSlow       bool
+		anyRack          bool
 		// usesHeadroom reports whether the group may use the part of the urgent headroom that urgent work is
 		// not expected to need; see mayUseHeadroom.
 		usesHeadroom bool
@@ -229,6 +230,7 @@
 		hasLatencyTarget: step.LatencyTarget > 0,
 		relaxation:       g.relaxation,
 		avoidsSlow:       g.avoidsSlow,
+		anyRack:          g.anyRack,
 		usesHeadroom:     p.mayUseHeadroom(g),
 	}
 	if step.MaxPerWorker > 0 || p.core.needsTicket(p.now, g.job) {
--- a/pool/preempt.go
+++ b/pool/preempt.go
@@ -87,7 +87,7 @@
 // bestPlan returns the plan that loses the least work: within any one rack for a group that is kept in one
 // rack, else over all workers. If reclaims is set, victims include urgent work beyond guarantees.
 func (p *pass) bestPlan(g *group, d *demandState, reclaims bool) (preemptionPlan, bool) {
-	if !d.oneRack {
+	if !d.oneRack || d.anyRack {
 		return p.newPreemptionPlanner(g, p.workers, reclaims).plan()
 	}
 	racks := make([][]*worker, len(p.racks))
--- a/pool/reclaim.go
+++ b/pool/reclaim.go
@@ -22,6 +22,13 @@
 	return p.guaranteed(j) && p.core.catalog.GuaranteedAccelerators(j.job.Workspace) > 0
 }
 
+// reclaimsAnyRack reports whether a group that reclaims has waited for the racks that it prefers for long enough: it has to
+// begin soon, also where these are full of work within guarantees.
+func (p *pass) reclaimsAnyRack(g *group) bool {
+	step := g.spec()
+	return (step.SameRack || step.DataRack != "") && p.reclaims(g.job) && p.now.Sub(g.readySince) >= 2*p.core.settings.RelaxAfter
+}
+
 // beyondGuarantees counts the accelerators that the urgent runs of each workspace use beyond its guarantee; it is negative
 // for a workspace that uses less. Runs that are stopping do not count.
 func (p *pass) beyondGuarantees() map[string]int {
--- a/pool/reclaim_test.go
+++ b/pool/reclaim_test.go
@@ -262,3 +262,40 @@
 	sim.run(reclaimLimit)
 	is.Equal(sim.runningOf("library"), 1)
 }
+
+// Racks are preferences: a guaranteed gang that is kept in one rack, or wants its data's, begins in time where work within
+// guarantees fills the racks.
+func TestReclaimLeavesPreferredRacks(t *testing.T) {
+	for name, change := range map[string]func(*job.Job){
+		"one rack":        func(j *job.Job) { j.Steps[0].SameRack = true },
+		"its data's rack": func(j *job.Job) { j.Steps[0].DataRack = "rack-0" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(t, 6) // two racks of three
+			sim.guarantee("owner", 32)
+			sim.guarantee("lectures", 16)
+			sim.run(300 * time.Millisecond)
+			for i, rack := range []string{"rack-0", "rack-0", "rack-1", "rack-1"} {
+				within := gang(i, 1, 8, time.Hour)
+				within.Workspace = "owner"
+				within.Steps[0].DataRack = rack
+				sim.submit(within)
+			}
+			sim.run(time.Second)
+			for i := range 16 {
+				sim.submit(urgentService(10+i, 1, 0))
+			}
+			sim.run(time.Second)
+			is.Equal(sim.runningOf("owner"), 4)
+			is.Equal(sim.runningOf("library"), 16)
+			j := gang(100, 2, 8, time.Minute)
+			j.Workspace = "lectures"
+			change(&j)
+			sim.submit(j)
+			sim.run(reclaimLimit)
+			is.Equal(sim.countRunning(j.ID), 2)
+			is.Equal(sim.runningOf("owner"), 4)
+		})
+	}
+}
