--- a/program/pooltest/odd_entries_test.go
+++ b/program/pooltest/odd_entries_test.go
@@ -104,8 +104,10 @@
 		is.True(p.Running())
 	}
 	listing := poolListing(t, c.Gateways[1-holder])
-	for _, row := range []string{"agent/stranger-high", "agent/stranger-none", "agent/stranger-text", "agent/stranger-long", "agent/stranger-deep",
-		"job/00000000000000f1/spec", "job/00000000000000f2/spec", "relay/5", "relay/6"} {
+	for _, row := range []string{
+		"agent/stranger-high", "agent/stranger-none", "agent/stranger-text", "agent/stranger-long", "agent/stranger-deep",
+		"job/00000000000000f1/spec", "job/00000000000000f2/spec", "relay/5", "relay/6",
+	} {
 		if !strings.Contains(listing, row) {
 			t.Errorf("%s is not listed:\n%s", row, listing)
 		}
