pool: the log says when a run is preempted from beyond a guarantee

Operators could not tell a preemption of equal work from that of lower work; the line names the workspace whose use was beyond its guarantee.

--- a/pool/preempt.go
+++ b/pool/preempt.go
@@ -284,7 +284,11 @@
 				p.releasing[m.worker.slot] = p.releasing[m.worker.slot].Add(v.taskShape)
 			}
 		}
-		p.core.emit(v.event(EventPreempted, "for job "+string(g.job.job.ID)))
+		detail := "for job " + string(g.job.job.ID)
+		if v.job.job.Terms.Priority == g.job.job.Terms.Priority {
+			detail += ", from beyond the guarantee of workspace " + v.job.job.Workspace
+		}
+		p.core.emit(v.event(EventPreempted, detail))
 		p.core.abort(p.now, v)
 	}
 	if places := p.fit(g, d, p.freeAndReleasing()); places != nil {
