--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,7 +82,8 @@
 )
 
 // New returns a gateway that uses the configuration of a follower. It writes the rows of new jobs under keys, which is
-// KeysByID but for a change of releases, reads rows that may be slightly out of date through recent, notifies holders of committed rows, and records rows that it can't decode in a registry.
+// KeysByID but for a change of releases, reads rows that may be slightly out of date through recent, notifies holders
+// of committed rows, and records rows that it can't decode in a registry.
 func New(s store.Store, keys KeysOf, recent store.RecentReader, notifier Notifier, follower *Follower, set *metrics.Set, logger *log.Logger, registry *malformed.Registry) *Gateway {
 	return &Gateway{store: s, keys: keys, recent: recent, notifier: notifier, follower: follower, metrics: set, logger: logger, malformed: registry}
 }
--- a/pool/key.go
+++ b/pool/key.go
@@ -23,10 +23,10 @@
 	HandoverTable = "handover"
 )
 
-// intakePartCount is the number of parts over which the rows of callers are spread, and of those of the
-// agents of a pool. The store serialises the transactions on one part. With 16 parts the rows that a whole fleet writes when
-// it starts are committed before the store's time-outs, and a store that is 60 times as slow still
-// accepts some jobs at once.
+// intakePartCount is the number of parts over which the rows of callers are spread, and of those over
+// which the rows of a pool's agents are. The store serialises the transactions on one part. With 16 parts
+// the rows that a whole fleet writes when it starts are committed before the store's time-outs, and a store
+// that is 60 times as slow still accepts some jobs at once.
 const intakePartCount = 16
 
 // JobKeys are the keys of the rows that callers write for a job.
