--- a/pool/reclaim_test.go
+++ b/pool/reclaim_test.go
@@ -241,7 +241,9 @@
 	sim.run(5 * time.Second)
 	sim.submit(urgentService(2, 4, 0))
 	sim.run(time.Second)
-	sim.submit(tasksOf(100, 6, "lectures"))
+	j := gang(100, 6, 1, time.Minute)
+	j.Workspace = "lectures"
+	sim.submit(j)
 	sim.run(reclaimLimit)
 	is.Equal(sim.runningOf("lectures"), 6)
 	is.Equal(sim.runningOf("library"), 2)
