pool: a plan's right is that of the victims it needs

Cause: victims on a worker were given their rights (beyond a guarantee, or partly within one) while they were collected, in the order in which they are tried. planForWorker then drops those that it turns out not to need. If a dropped one had used up what its workspace has beyond the guarantee, the remaining victim still counted as taken from the guarantee, and its plan lost to a dearer one.

Change: withinGuarantees only decides who may be preempted; weakestRight counts the right of a plan over the victims that it ends with.

TestRightOfAPlanIsThatOfTheVictimsThatItNeeds has the case with three runs; it failed before (the run of another workspace that loses the most work was stopped).

--- a/pool/preempt.go
+++ b/pool/preempt.go
@@ -213,10 +213,9 @@
 			needed = slices.Delete(needed, i, i+1)
 		}
 	}
-	result := preemptionPlan{}
+	result := preemptionPlan{right: pl.weakestRight(needed)}
 	for _, v := range needed {
 		result.victims = append(result.victims, v.group)
-		result.right = max(result.right, v.right)
 		result.cost += v.group.unsavedWork(p.now)
 	}
 	return result, true
--- a/pool/reclaim.go
+++ b/pool/reclaim.go
@@ -74,13 +74,9 @@
 	for _, v := range list {
 		if v.right > overLower {
 			workspace := v.group.job.job.Workspace
-			left := pl.beyond[workspace] - taken[workspace]
-			if left <= 0 {
+			if taken[workspace] >= pl.beyond[workspace] {
 				continue
 			}
-			if v.group.accelerators() > left {
-				v.right = overPartlyGuaranteed
-			}
 			taken[workspace] += v.group.accelerators()
 		}
 		kept = append(kept, v)
@@ -88,6 +84,24 @@
 	return kept
 }
 
+// weakestRight returns the weakest right by which any of some victims is preempted when all of them are, in their order.
+func (pl *preemptionPlanner) weakestRight(list []victim) preemptionRight {
+	weakest := overLower
+	taken := map[string]int{}
+	for _, v := range list {
+		if v.right == overLower {
+			continue
+		}
+		workspace := v.group.job.job.Workspace
+		taken[workspace] += v.group.accelerators()
+		if taken[workspace] > pl.beyond[workspace] {
+			return overPartlyGuaranteed
+		}
+		weakest = overBeyond
+	}
+	return weakest
+}
+
 // rightOver returns the right by which the planner's group preempts a victim.
 func (pl *preemptionPlanner) rightOver(v *group) preemptionRight {
 	switch {
--- a/pool/reclaim_test.go
+++ b/pool/reclaim_test.go
@@ -301,3 +301,30 @@
 		})
 	}
 }
+
+// Guards against a plan that counts as taken from a guarantee, and loses to one that stops more work, because of a victim
+// that it turned out not to need.
+func TestRightOfAPlanIsThatOfTheVictimsThatItNeeds(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 2)
+	sim.guarantee("library", 2)
+	sim.guarantee("lectures", 16)
+	sim.run(300 * time.Millisecond)
+	submit := func(id, accelerators int, workspace string) job.ID {
+		j := gang(id, 1, accelerators, time.Hour)
+		j.Workspace = workspace
+		sim.submit(j)
+		sim.run(time.Second)
+		return j.ID
+	}
+	others := submit(1, 8, "others")
+	sim.run(10 * time.Second) // it would lose the most work
+	library := submit(2, 6, "library")
+	unneeded := submit(3, 2, "library") // tried first, as it loses the least
+	reclaiming := submit(100, 4, "lectures")
+	sim.run(reclaimLimit)
+	is.Equal(sim.countRunning(reclaiming), 1)
+	is.Equal(sim.countRunning(others), 1)
+	is.Equal(sim.countRunning(library), 0)
+	is.Equal(sim.countRunning(unneeded), 1)
+}
