pool: the orders for one worker are divided by size

Cause: TakeOrders put all starts for a worker into one message, whatever its size. An agent reads messages of up to 4 MiB; a larger one ends the connection, which is also the one for renewals, and the holder sends it again.

Change: the orders for a worker are divided into parts of at most 1 MiB, or of one start; the stops go with the first.

Why this works: an order's texts are counted as they are sent, plus 64 bytes for the rest (a task's name of at most 43 bytes, the run and the tags), so that a part is at most a quarter of the limit. Parts are independent calls as orders always were: an answer names the starts that it is for.

--- a/pool/order.go
+++ b/pool/order.go
@@ -6,11 +6,19 @@
 	"hollyfork.example/hollyfork/job"
 )
 
-// confirmedStopInterval is the interval between stops that the worker has confirmed while the listing that shows their
-// effect is missing. It exceeds the time of two polls: an order delays the agent's next report until a poll after it.
-const confirmedStopInterval = time.Second
+const (
+	// confirmedStopInterval is the interval between stops that the worker has confirmed while the listing that shows their
+	// effect is missing. It exceeds the time of two polls: an order delays the agent's next report until a poll after it.
+	confirmedStopInterval = time.Second
+	// maxOrdersBytes is the maximum size of the orders that are sent to an agent in one message, in bytes. A quarter of
+	// what an agent accepts leaves room for the rest of the message and for renewals on the same connection.
+	maxOrdersBytes = 1 << 20
+	// orderBytes is the maximum encoded size of an order without its texts, in bytes.
+	orderBytes = 64
+)
 
-// TakeOrders returns the orders that are due, grouped by worker.
+// TakeOrders returns the orders that are due, grouped by worker. The orders for one worker are divided so that each part
+// can be sent in one message.
 func (c *Core) TakeOrders(now time.Time) []Orders {
 	if !c.ordersDue {
 		return nil
@@ -30,13 +38,36 @@
 			c.orderMember(now, m, &orders, orphans)
 		}
 		c.orderOrphanStops(now, w, &orders)
-		if len(orders.Starts)+len(orders.Stops) > 0 {
-			list = append(list, orders)
-		}
+		list = append(list, orders.divide(maxOrdersBytes)...)
 	}
 	return list
 }
 
+// divide returns the orders in parts of at most maxBytes each, or of one start. The stops are in the first part.
+func (o Orders) divide(maxBytes int) []Orders {
+	if len(o.Starts)+len(o.Stops) == 0 {
+		return nil
+	}
+	starts, size := o.Starts, len(o.Stops)*orderBytes
+	o.Starts = nil
+	parts := []Orders{o}
+	o.Stops = nil
+	for _, s := range starts {
+		if size > 0 && size+s.bytes() > maxBytes {
+			parts, size = append(parts, o), 0
+		}
+		last := &parts[len(parts)-1]
+		last.Starts = append(last.Starts, s)
+		size += s.bytes()
+	}
+	return parts
+}
+
+// bytes returns the size that the start takes in a message at most.
+func (s Start) bytes() int {
+	return orderBytes + len(s.Spec) + len(s.Saved) + len(s.Ticket)
+}
+
 // orderMember appends the order that a member needs, if any. A task with an orphan run is not started before that has
 // ended.
 func (c *Core) orderMember(now time.Time, m *member, orders *Orders, orphans map[job.TaskID]bool) {
