rpc: a message over the limit fails alone

A message of over 4 MiB ended the connection on which it was sent, with all other calls there, and the error said nothing of its size at the side that could do something about it.

Cause: the limit was checked by the reader alone, which can only end the stream.

Change: a request over the limit is not sent and its call fails with size and limit; an answer over it becomes an error answer that says so. The connection and the calls in progress on it stay.

Evidence: TestTooLargeRequestLeavesTheConnection and TestTooLargeAnswerIsAnError failed before (the calls ended as unanswered, the one in progress beside them too).

Why this works: both sides of all links are this package, with one limit.

--- a/rpc/client.go
+++ b/rpc/client.go
@@ -72,6 +72,9 @@
 	*R
 	proto.Message
 }](ctx context.Context, c *Client, method string, request proto.Message) (P, error) {
+	if err := checkSize(request); err != nil {
+		return nil, newError(method, KindProtocol, err)
+	}
 	conn, err := c.connect(ctx)
 	if err != nil {
 		return nil, err
--- a/rpc/codec.go
+++ b/rpc/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/rpc"
 	"sync"
@@ -14,7 +15,7 @@
 )
 
 const (
-	// MaxMessageBytes limits the encoded size of a message.
+	// MaxMessageBytes limits the encoded size of a message, in bytes.
 	MaxMessageBytes = 4 << 20
 	// MaxRequestsPerConnection limits the requests that a server handles concurrently for one connection. Further
 	// requests are not read from the connection until one is finished.
@@ -60,6 +61,14 @@
 	return s.writer.Flush()
 }
 
+// checkSize returns an error for a message that the peer would reject by ending the connection.
+func checkSize(m proto.Message) error {
+	if size := proto.Size(m); size > MaxMessageBytes {
+		return fmt.Errorf("%w: %d bytes, limit %d", errTooLarge, size, MaxMessageBytes)
+	}
+	return nil
+}
+
 // readBody reads a message into body, or discards it if body is nil.
 func (s *stream) readBody(body any) error {
 	m, ok := body.(proto.Message)
@@ -145,6 +154,9 @@
 		m = &wire.ResponseHeader{}
 	}
 	header := &wire.ResponseHeader{Method: r.ServiceMethod, Sequence: r.Seq, Error: r.Error}
+	if err := checkSize(m); err != nil {
+		header.Error, m = "answer: "+err.Error(), &wire.ResponseHeader{}
+	}
 	err := c.write(header, m)
 	if err != nil {
 		_ = c.conn.Close()
--- a/rpc/error.go
+++ b/rpc/error.go
@@ -12,13 +12,17 @@
 	KindUnanswered
 	// KindRemote means that the peer answered with an error.
 	KindRemote
-	// KindProtocol means that a message could not be encoded or decoded.
+	// KindProtocol means that a message could not be encoded or decoded, or is larger than MaxMessageBytes. A request
+	// was not sent.
 	KindProtocol
 	// KindClosed means that the client or server was closed.
 	KindClosed
 )
 
-var errNotProto = errors.New("not a protobuf message")
+var (
+	errNotProto = errors.New("not a protobuf message")
+	errTooLarge = errors.New("the message is too large")
+)
 
 // Error is the error type of this package.
 type Error struct {
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -14,7 +15,8 @@
 	"hollyfork.example/wire"
 )
 
-// echo is a service that returns the requested identifier. It answers requests for "slow" once release is closed.
+// echo is a service that returns the requested identifier. It answers requests for "slow" once release is closed, and
+// those for "large" with a text that is larger than a message may be.
 type echo struct {
 	release chan struct{}
 }
@@ -24,6 +26,9 @@
 		<-e.release
 	}
 	reply.Job = &wire.Job{Id: request.GetId()}
+	if request.GetId() == "large" {
+		reply.Job.Id = strings.Repeat("x", rpc.MaxMessageBytes)
+	}
 	return nil
 }
 
@@ -140,3 +145,41 @@
 	defer cancel()
 	is.NoErr(server.Shutdown(ctx))
 }
+
+// Guards against a message that is too large and ends the connection, with all calls in progress there.
+func TestTooLargeRequestLeavesTheConnection(t *testing.T) {
+	is := is.New(t)
+	_, service, client := serve(t)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := get(context.Background(), client, "slow")
+		answered <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	_, err := get(context.Background(), client, strings.Repeat("x", rpc.MaxMessageBytes))
+	var failure *rpc.Error
+	is.True(errors.As(err, &failure))
+	is.Equal(failure.Kind, rpc.KindProtocol)
+	is.Equal(err.Error(), "rpc: Echo.Get: the message is too large: 4194309 bytes, limit 4194304")
+	close(service.release)
+	is.NoErr(<-answered)
+}
+
+// As TestTooLargeRequestLeavesTheConnection, for an answer: the caller learns the reason.
+func TestTooLargeAnswerIsAnError(t *testing.T) {
+	is := is.New(t)
+	_, service, client := serve(t)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := get(context.Background(), client, "slow")
+		answered <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	_, err := get(context.Background(), client, "large")
+	var failure *rpc.Error
+	is.True(errors.As(err, &failure))
+	is.Equal(failure.Kind, rpc.KindRemote)
+	is.True(strings.Contains(err.Error(), "the message is too large"))
+	close(service.release)
+	is.NoErr(<-answered)
+}
