pool: a batch fits into a transaction of 1 MB

Cause: a batch is bounded by its number of rows (90), and not by their size. A job with 1,000 tasks placed has a row of 53 KB; in base64 a transaction of 15 such rows exceeds the store's 1 MB, the store refuses it, and the next batch has the same rows.

Change: no further job is added to a batch once its rows have 500 kB, so that a transaction has at most 0.76 MB with one more row of the largest size.

Why this works: what is left over is in the next batch, which follows as soon as this one is committed, as it always was with the bound by number.

--- a/pool/commit.go
+++ b/pool/commit.go
@@ -11,11 +11,14 @@
 	"hollyfork.example/wire/poolpb"
 )
 
-// A transaction has 100 entries at most. The rest of a batch is left for the lease, the summary, the paces and
-// the rows of removed agents.
+// A transaction has at most 100 entries and 1 MB, with values in base64. The rest of a batch is left for the lease, the
+// summary, the paces and the rows of removed agents.
 const (
 	// maxBatchWrites is the maximum number of rows of jobs in a batch.
 	maxBatchWrites = 90
+	// maxBatchBytes is the size of the values in a batch, in bytes, from which no further job is added. With one more
+	// row of the largest size, a transaction has 0.76 MB.
+	maxBatchBytes = 500_000
 	// maxJobWrites is the maximum number of rows of one job: it has two keys more in earlier releases.
 	maxJobWrites = 5
 )
@@ -25,6 +28,8 @@
 	Batch struct {
 		Writes []store.Write
 
+		// bytes is the size of the values of all rows of jobs.
+		bytes         int
 		items         []batchItem
 		summary       map[string]int
 		removedAgents []string
@@ -53,7 +58,7 @@
 		return nil
 	}
 	b := &Batch{}
-	for len(c.dirty) > 0 && len(b.Writes)+maxJobWrites <= maxBatchWrites {
+	for len(c.dirty) > 0 && len(b.Writes)+maxJobWrites <= maxBatchWrites && b.bytes < maxBatchBytes {
 		c.dirty[0].dirty = false
 		b.add(c.name, c.dirty[0])
 		c.dirty = c.dirty[1:]
@@ -85,7 +90,9 @@
 		}
 	}
 	b.items[len(b.items)-1] = item
-	b.Writes = append(b.Writes, store.Write{Key: StateKey(pool, j.job.ID), Value: Encode(j.row())})
+	row := Encode(j.row())
+	b.bytes += len(row)
+	b.Writes = append(b.Writes, store.Write{Key: StateKey(pool, j.job.ID), Value: row})
 }
 
 // removals returns the deletions of a job's rows.
