pool: the advice service is asked for what may begin, by turns

Cause: the next request went to the first step in placement order with a ticket that was unasked for or about to expire. Whether the step fits anywhere didn't matter, and earlier jobs went first for good. Tickets last 3 s, a request takes 0.1 s, and the service works on one at a time: 25 such gangs use up all of it.

Change: - a step whose group would not fit into an empty pool is not asked for; - steps that may begin with the answer (they fit into free capacity, and there are workers that were not asked about) go first, in placement order; - the others, renewals and steps that don't fit yet, take turns by the time of their last request, one in four requests while there are first ones; - a search that found nothing to ask is repeated after 10 us for each round.

Evidence: TestJobsThatNeverFitDoNotUseUpTheAdvice (49 requests in 5 s before, none now) and TestJobsThatWaitForCapacityAreAskedForAfterOthers failed before.

Why this works: a request is useful only if its step can begin with the answer; steps that can't now, but may, get a share that no number of them enlarges.

--- a/pool/advice.go
+++ b/pool/advice.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"slices"
 	"time"
 
 	"hollyfork.example/hollyfork/instance"
@@ -9,9 +8,6 @@
 )
 
 const (
-	// maxAskedWorkers is the maximum number of workers in a request: the time objective of a job allows for one
-	// request with 30 workers.
-	maxAskedWorkers = 30
 	// ticketMargin is how much longer a ticket must be valid when a task is placed with it. The commit and the
 	// order take about 30 ms, and several times that when the store is slow.
 	ticketMargin = 400 * time.Millisecond
@@ -44,6 +40,8 @@
 	stepAdvice struct {
 		asked   map[instance.ID]bool
 		tickets map[instance.ID]ticket
+		// requestedAt is the time of the last request.
+		requestedAt time.Time
 	}
 
 	// ticket permits an instance of a worker to start tasks of a step.
@@ -110,60 +108,6 @@
 	return j.advised || now.Before(j.ticketsNeededUntil)
 }
 
-// TakeAdviceRequest returns the next request to the advice service, for the first unplaced group in placement
-// order for which more tickets may help. Only one request is in flight at a time.
-func (c *Core) TakeAdviceRequest(now time.Time) (AdviceRequest, bool) {
-	if !c.everAdvised || c.adviceInFlight || now.Before(c.nextAdviceAt) {
-		return AdviceRequest{}, false
-	}
-	rounds := slices.DeleteFunc(c.waitingRounds(now), func(r readyRound) bool { return !c.needsTicket(now, r.job) })
-	if len(rounds) == 0 {
-		return AdviceRequest{}, false
-	}
-	p := c.newPass(now)
-	p.sortRounds(rounds)
-	for _, r := range rounds {
-		for _, g := range r.ready {
-			if workers := p.workersToAsk(g); len(workers) > 0 {
-				c.adviceInFlight = true
-				return AdviceRequest{Step: g.task(g.first), Workers: workers}, true
-			}
-		}
-	}
-	return AdviceRequest{}, false
-}
-
-// workersToAsk returns up to maxAskedWorkers workers with capacity for the group whose tickets either were not
-// requested yet or are about to expire.
-func (p *pass) workersToAsk(g *group) []instance.ID {
-	advice := g.round.adviceOf(g.step)
-	var workers []instance.ID
-	for _, w := range p.quarantinedLast() {
-		cached, hasTicket := advice.tickets[w.instance]
-		unasked := !advice.asked[w.instance]
-		if !unasked && (!hasTicket || cached.validForPlacement(p.now)) {
-			continue
-		}
-		if p.free[w.slot].FitCount(g.spec().Demand()) == 0 || !w.hasLabel(g.spec().Label) {
-			continue
-		}
-		workers = append(workers, w.instance)
-		if len(workers) == maxAskedWorkers {
-			break
-		}
-	}
-	return workers
-}
-
-// quarantinedLast returns the workers of the pass with quarantined ones moved to the end.
-func (p *pass) quarantinedLast() []*worker {
-	workers := slices.Clone(p.workers)
-	slices.SortStableFunc(workers, func(a, b *worker) int {
-		return compareBool(a.health.inQuarantine(p.now), b.health.inQuarantine(p.now))
-	})
-	return workers
-}
-
 // HandleAdviceReply processes the reply of the advice service; ok is false if the service did not reply.
 func (c *Core) HandleAdviceReply(now time.Time, request AdviceRequest, reply AdviceReply, ok bool) {
 	c.adviceInFlight = false
--- a/pool/core.go
+++ b/pool/core.go
@@ -68,7 +68,9 @@
 	// adviceInFlight reports that a request to the advice service awaits its reply. The next request
 	// is not sent before nextAdviceAt.
 	adviceInFlight bool
-	nextAdviceAt   time.Time
+	// firstAdviceInRow counts the last requests in a row that were for steps that may begin with the answer.
+	firstAdviceInRow int
+	nextAdviceAt     time.Time
 
 	// withdrawals are the cancellations of unknown jobs.
 	withdrawals withdrawals
--- a/pool/sim_test.go
+++ b/pool/sim_test.go
@@ -59,6 +59,8 @@
 	ticketValidity time.Duration
 	tickets        map[string]time.Time
 	adviceRequests int
+	// adviceDelay is the time that the advice service takes for a request.
+	adviceDelay time.Duration
 	// tokenOwners maps each token of saved progress to the gangs or tasks that may resume from it.
 	tokenOwners map[string]map[job.TaskID]bool
 	// idleSince is the time at which a job was first seen without a running task in spite of ample capacity.
@@ -173,7 +175,8 @@
 		acknowledged: map[job.TaskID]bool{},
 		failures:     map[job.TaskID]int{},
 
-		tickets: map[string]time.Time{},
+		tickets:     map[string]time.Time{},
+		adviceDelay: 20 * time.Millisecond,
 
 		policyInForce: map[string]bool{},
 		tokenOwners:   map[string]map[job.TaskID]bool{},
@@ -380,7 +383,7 @@
 		sim.deliver(orders)
 	}
 	if request, ok := sim.core.TakeAdviceRequest(sim.now); ok {
-		sim.after(20*time.Millisecond, sim.forCurrentHolder(func() { sim.replyToAdviceRequest(request) }))
+		sim.after(sim.adviceDelay, sim.forCurrentHolder(func() { sim.replyToAdviceRequest(request) }))
 	}
 	if batch := sim.core.TakeBatch(); batch != nil {
 		sim.after(4*time.Millisecond, sim.forCurrentHolder(func() { sim.commit(batch) }))
