pool: a gang with too few allowed workers is asked for once

A gang for which the policy allows fewer workers than it needs renewed its tickets for ever: 4 requests in 10 s in the test, with a bound of one.

Cause: only the capacity of all workers decided whether a step is hopeless.

Change: workers that the policy has refused don't count. A new instance of one counts again until it has been asked for.

Evidence: TestGangWithTooFewAllowedWorkersIsAskedForOnce, 4 requests before, 1 now, and one more after a worker came back as another instance.

Why this works: whether the policy allows an instance doesn't change while the step waits, so that another answer can't help.

--- a/pool/advice_turn.go
+++ b/pool/advice_turn.go
@@ -49,9 +49,9 @@
 )
 
 // TakeAdviceRequest returns the next request to the advice service. Only one is in flight at a time. Steps that may begin
-// with the answer go first, in placement order: they fit into the free capacity of workers that were not asked for. The
-// others take turns: those that renew their tickets, and those that do not fit yet. A step that would not fit into an empty
-// pool is not asked for.
+// with the answer go first, in placement order: they fit into the free capacity of the workers that the policy may allow,
+// some of which were not asked for. The others take turns: those that renew their tickets, and those that do not fit yet. A
+// step that would not fit into an empty pool, or on what the policy allows of it, is not asked for.
 func (c *Core) TakeAdviceRequest(now time.Time) (AdviceRequest, bool) {
 	if !c.everAdvised || c.adviceInFlight || now.Before(c.nextAdviceAt) {
 		return AdviceRequest{}, false
@@ -120,7 +120,7 @@
 		return question, false
 	}
 	advice := g.round.adviceOf(g.step)
-	room, anyNew := 0, false
+	room, emptyRoom, anyNew := 0, 0, false
 	for _, w := range t.workers {
 		cached, hasTicket := advice.tickets[w.instance]
 		unasked := !advice.asked[w.instance]
@@ -129,6 +129,7 @@
 		}
 		count := g.countOn(w, t.pass.free[w.slot])
 		room += count
+		emptyRoom += g.countOn(w, w.capacity)
 		if count == 0 || !unasked && cached.validForPlacement(t.pass.now) || len(question.workers) == maxAskedWorkers {
 			continue
 		}
@@ -136,7 +137,7 @@
 		question.workers = append(question.workers, w.instance)
 	}
 	question.first = anyNew && room >= g.size
-	return question, len(question.workers) > 0
+	return question, len(question.workers) > 0 && emptyRoom >= g.size
 }
 
 // fitsEmptyPool reports whether a group fits on the workers without anything else on them, as far as capacity and labels
--- a/pool/advice_turn_test.go
+++ b/pool/advice_turn_test.go
@@ -45,6 +45,18 @@
 	}
 }
 
+// A gang for which the policy allows too few workers is asked for once.
+func TestGangWithTooFewAllowedWorkersIsAskedForOnce(t *testing.T) {
+	is := is.New(t)
+	sim := newAdvisedSimulation(t, 3*time.Second)
+	sim.submitAdvised(gang(1, 3, 8, time.Second))
+	sim.run(10 * time.Second)
+	is.Equal(sim.adviceRequests, 1)
+	sim.workers[0].restartWorker() // the policy may allow the next instance
+	sim.run(10 * time.Second)
+	is.Equal(sim.adviceRequests, 2)
+}
+
 // Guards against LOST: gangs that do not fit as long as other work runs held up those that could begin at once.
 func TestJobsThatWaitForCapacityAreAskedForAfterOthers(t *testing.T) {
 	is := is.New(t)
