--- a/pool/commit_test.go
+++ b/pool/commit_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/matryer/is"
 
-	"hollyfork.example/hollyfork/instance"
 	"hollyfork.example/hollyfork/job"
 )
 
@@ -24,12 +23,7 @@
 	now := time.Unix(1000, 0)
 	c := New("pool", DefaultSettings(), nil)
 	for i := range workers {
-		agent := fmt.Sprintf("sidecar-%02d.data-centre-north", i)
-		c.RecordReply(now, agent, Grant{})
-		c.Report(now, agent, Report{
-			Incarnation: "agent", Instance: instance.New("i-"+strings.Repeat(fmt.Sprint(i), 8), 1), Listing: 1,
-			Capacity: job.Shape{CPUMillis: 128000, MemoryMB: 262144, Accelerators: 8},
-		})
+		c.reportIdleWorker(now, fmt.Sprintf("sidecar-%02d.data-centre-north", i), "i-"+strings.Repeat(fmt.Sprint(i), 8), 1)
 	}
 	for i := range jobs {
 		j := oneTask(i, time.Minute)
--- a/pool/order_test.go
+++ b/pool/order_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/matryer/is"
 
-	"hollyfork.example/hollyfork/instance"
 	"hollyfork.example/hollyfork/job"
 )
 
@@ -18,11 +17,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	c := New("pool", DefaultSettings(), nil)
-	c.RecordReply(now, "worker", Grant{})
-	c.Report(now, "worker", Report{
-		Incarnation: "agent", Instance: instance.New("worker", 1), Listing: 1,
-		Capacity: job.Shape{CPUMillis: 128000, MemoryMB: 262144, Accelerators: 8},
-	})
+	c.reportIdleWorker(now, "worker", "i-1", 1)
 	const jobs, width = 2, 1000
 	for i := range jobs {
 		j := job.Job{ID: job.ID(fmt.Sprintf("%016x", i)), Spec: strings.Repeat("x", 4000), Accepted: now}
--- a/pool/state_row_test.go
+++ b/pool/state_row_test.go
@@ -15,18 +15,23 @@
 	"hollyfork.example/wire/poolpb"
 )
 
-// wideAgent is an agent with a name as long as those of the platform.
-const wideAgent = "sidecar-00.data-centre-north"
+// wideAgent and wideInstance are names as long as those of the platform.
+const (
+	wideAgent    = "sidecar-00.data-centre-north"
+	wideInstance = "3f9a1c77d0e24b65"
+)
+
+// reportIdleWorker reports a worker of the usual capacity on which nothing runs.
+func (c *Core) reportIdleWorker(now time.Time, agent, name string, listing uint64) {
+	c.RecordReply(now, agent, Grant{})
+	c.Report(now, agent, Report{Incarnation: "agent", Instance: instance.New(name, 1), Listing: listing, Capacity: fullCapacity})
+}
 
 // newWideCore returns a pool with one large worker, on which all tasks of a job run, and that job.
 func newWideCore(t *testing.T, now time.Time) (*Core, *jobState) {
 	t.Helper()
 	c := New("pool", DefaultSettings(), nil)
-	c.RecordReply(now, wideAgent, Grant{})
-	c.Report(now, wideAgent, Report{
-		Incarnation: "agent", Instance: instance.New("3f9a1c77d0e24b65", 1), Listing: 1,
-		Capacity: job.Shape{CPUMillis: 128000, MemoryMB: 262144, Accelerators: 8},
-	})
+	c.reportIdleWorker(now, wideAgent, wideInstance, 1)
 	j := oneTask(1, time.Minute)
 	j.Steps[0].Count, j.Steps[0].Shape = 1000, job.Shape{CPUMillis: 50, MemoryMB: 50}
 	c.AddJob(now, NewJob{Job: j})
@@ -62,12 +67,8 @@
 			m.phase, m.starts.seen = memberRunning, true
 		}
 	}
-	c.Report(now, wideAgent, Report{Incarnation: "agent", Instance: instance.New("3f9a1c77d0e24b65", 1), Listing: 2, Lapsed: true, Lapse: LapseCrashed})
-	c.RecordReply(now, wideAgent, Grant{})
-	c.Report(now, wideAgent, Report{
-		Incarnation: "agent", Instance: instance.New("77d0e24b653f9a1c", 1), Listing: 3,
-		Capacity: job.Shape{CPUMillis: 128000, MemoryMB: 262144, Accelerators: 8},
-	})
+	c.Report(now, wideAgent, Report{Incarnation: "agent", Instance: instance.New(wideInstance, 1), Listing: 2, Lapsed: true, Lapse: LapseCrashed})
+	c.reportIdleWorker(now, wideAgent, "77d0e24b653f9a1c", 3)
 	now = now.Add(5 * time.Second)
 	c.RecordReply(now, wideAgent, Grant{})
 	c.Decide(now)
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -54,6 +54,17 @@
 	return reply.GetJob().GetId(), err
 }
 
+// beginSlow has a request in progress, and returns where its outcome will be sent.
+func beginSlow(client *rpc.Client) <-chan error {
+	answered := make(chan error, 1)
+	go func() {
+		_, err := get(context.Background(), client, "slow")
+		answered <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	return answered
+}
+
 func TestLateAnswerReachesOnlyItsOwnRequest(t *testing.T) {
 	is := is.New(t)
 	_, service, client := serve(t)
@@ -79,12 +90,7 @@
 func TestShutdownFinishesRequestsInProgress(t *testing.T) {
 	is := is.New(t)
 	server, service, client := serve(t)
-	answered := make(chan error, 1)
-	go func() {
-		_, err := get(context.Background(), client, "slow")
-		answered <- err
-	}()
-	time.Sleep(50 * time.Millisecond)
+	answered := beginSlow(client)
 	stopped := make(chan error, 1)
 	go func() { stopped <- server.Shutdown(context.Background()) }()
 	time.Sleep(50 * time.Millisecond)
@@ -150,12 +156,7 @@
 func TestTooLargeRequestLeavesTheConnection(t *testing.T) {
 	is := is.New(t)
 	_, service, client := serve(t)
-	answered := make(chan error, 1)
-	go func() {
-		_, err := get(context.Background(), client, "slow")
-		answered <- err
-	}()
-	time.Sleep(50 * time.Millisecond)
+	answered := beginSlow(client)
 	_, err := get(context.Background(), client, strings.Repeat("x", rpc.MaxMessageBytes))
 	var failure *rpc.Error
 	is.True(errors.As(err, &failure))
@@ -169,12 +170,7 @@
 func TestTooLargeAnswerIsAnError(t *testing.T) {
 	is := is.New(t)
 	_, service, client := serve(t)
-	answered := make(chan error, 1)
-	go func() {
-		_, err := get(context.Background(), client, "slow")
-		answered <- err
-	}()
-	time.Sleep(50 * time.Millisecond)
+	answered := beginSlow(client)
 	_, err := get(context.Background(), client, "large")
 	var failure *rpc.Error
 	is.True(errors.As(err, &failure))
