pool: the row of the workers' paces fits into a value

Cause: the row was bounded by 1,000 workers "to keep it below the store's limit", whatever their names.

Change: the bound is the size of a value.

Evidence: TestRowOfManyPacesCanBeWritten (1,000 workers, names as long as those of the platform) failed before: the value was too long.

Why this works: each worker counts with its names and 32 bytes for the rest (at most 30: four numbers, six tags and lengths). Workers that are left out are judged anew by the next holder, as those of usual pace are.

--- a/pool/pacerow.go
+++ b/pool/pacerow.go
@@ -16,8 +16,8 @@
 	pacesRowName = "paces"
 	// pacesWriteInterval is the minimum time between two writes of the row.
 	pacesWriteInterval = 2 * time.Second
-	// maxPacesInRow bounds the number of workers in the row, to keep it below the store's limit of 64 KiB.
-	maxPacesInRow = 1000
+	// paceBytes is the maximum encoded size of a worker's pace without its names, in bytes.
+	paceBytes = 32
 	// maxInheritedRuns bounds the weight of an earlier holder's estimate, in runs, so that new samples soon
 	// outweigh it if the worker has changed in the meantime.
 	maxInheritedRuns = 3
@@ -39,10 +39,14 @@
 	}
 	classes := map[string]paceClass{}
 	row := &poolpb.PacesRow{Layout: rowLayout}
+	size := paceBytes // for what the row has once
 	for _, w := range c.sortedWorkers() {
-		if w.pace.class == 0 || len(row.GetWorkers()) == maxPacesInRow {
+		if w.pace.class == 0 {
 			continue
 		}
+		if size += paceBytes + len(w.agent) + len(w.instance.String()); size > maxValueBytes {
+			break // the others are judged anew by the next holder
+		}
 		classes[w.agent] = w.pace.class
 		row.Workers = append(row.Workers, &poolpb.WorkerPace{
 			Agent:     w.agent,
--- a/pool/pacerow_test.go
+++ b/pool/pacerow_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -31,3 +32,22 @@
 		is.Equal(len(c.paces.inherited), 0)
 	}
 }
+
+// Guards against LOST: the paces of many workers with long names made a row that the store refuses, and with it all rows of
+// the pool.
+func TestRowOfManyPacesCanBeWritten(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := New("pool", DefaultSettings(), nil)
+	for i := range 1000 {
+		agent := fmt.Sprintf("%s-%04d", wideAgent, i)
+		c.reportIdleWorker(now, agent, fmt.Sprintf("%s-%04d", wideInstance, i), 1)
+		c.workers[agent].pace = pace{class: 1, log: 0.7, runs: 3}
+	}
+	c.paces.updatedAt = now.Add(pacesWriteInterval)
+	write, due := c.pacesRow()
+	is.True(due)
+	is.True(len(write.Value) <= maxValueBytes)
+	is.NoErr(c.restorePaces(now, store.Row{Key: write.Key, Value: write.Value}))
+	is.True(len(c.paces.inherited) > 600)
+}
