pool: a run is known up to its worker's last listing

Cause: a worker crashed after its notice that it drains. The agent can't tell that from the leave and waits for the lease to end; meanwhile it replies to the holder without a new listing. clearSurvivor took the run to last up to the last reply: longer than the runs before, so that it counted as one that outlasts the crashes, and the starts that the task had used up were forgotten.

Change: knownUntil is the last listing of the workers, in place of the last reply of their agents. The check for standing progress uses it as well, and sees no difference where listings come (every 0.8 s while tasks run).

TestRunIsNotClearedWhileItsWorkerIsSilent has the case in virtual time: "started 3 times after 3 workers have crashed under it" before.

Why this works: only the worker's own word that a run goes on counts as its lasting.

--- a/pool/group.go
+++ b/pool/group.go
@@ -232,12 +232,12 @@
 }
 
 // knownUntil returns the time up to which the state of the group's run is known: the earliest of the
-// last replies of its agents.
+// last listings of its workers. An agent goes on replying while its worker is silent or has ended.
 func (g *group) knownUntil(now time.Time) time.Time {
 	until := now
 	for _, m := range g.members {
-		if m.worker.lastReplyAt.Before(until) {
-			until = m.worker.lastReplyAt
+		if m.worker.listedAt.Before(until) {
+			until = m.worker.listedAt
 		}
 	}
 	return until
--- a/pool/sim_worker_test.go
+++ b/pool/sim_worker_test.go
@@ -161,6 +161,9 @@
 	if f.down {
 		r.Lapsed = true
 		r.Lapse = LapseCrashed
+		if f.draining {
+			r.Lapse = LapseLeft // as far as an agent can tell
+		}
 		return r
 	}
 	for key, run := range f.running {
--- a/pool/suspect_test.go
+++ b/pool/suspect_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"hollyfork.example/hollyfork/job"
 )
 
 // Guards against a gang that waits for workers without other work because several of its workers were lost at once:
@@ -22,3 +24,32 @@
 	g.updateSuspicion()
 	is.Equal(g.suspicion, suspicionIsolate)
 }
+
+// Guards against a task that crashes its workers and is started more often than allowed (soak, seeds 7608 and 7709): a worker
+// crashed after a notice that it drains. Its agent waits for the lease to end, and went on replying; the run counted as one
+// that outlasts the crashes before.
+func TestRunIsNotClearedWhileItsWorkerIsSilent(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 24)
+	j := oneTask(1, time.Minute)
+	sim.submitCrashing(j, 0, 900*time.Millisecond)
+	task := job.TaskID{Job: j.ID}
+	until := func(what string, done func() bool) {
+		sim.runUntil(what, func() bool {
+			// Idle workers crash all the time, so that these crashes prove nothing.
+			if idle := sim.workers[sim.random.IntN(len(sim.workers))]; sim.random.IntN(10) == 0 && !idle.down && len(idle.running) == 0 {
+				idle.terminate(sim)
+			}
+			return done()
+		})
+	}
+	until("three workers have crashed", func() bool { return sim.crashes[task] == crashLimit })
+	until("the task runs again", func() bool { return sim.countRunning(j.ID) == 1 })
+	for _, f := range sim.workers {
+		if len(f.running) > 0 {
+			f.draining, f.noticesAfter = true, 1900*time.Millisecond
+		}
+	}
+	until("the job is given up", func() bool { return sim.state(j.ID) == Failed })
+	is.True(sim.startsAfterLimit[task] <= startsAfterCrashLimit)
+}
