--- a/pool/group.go
+++ b/pool/group.go
@@ -232,7 +232,8 @@
 }
 
 // knownUntil returns the time up to which the state of the group's run is known: the earliest of the
-// last listings of its workers. An agent goes on replying while its worker is silent or has ended.
+// last listings of its workers. An agent goes on replying while its worker is silent or has ended. The result is the
+// zero time, before any run, while a worker has not been listed to this holder.
 func (g *group) knownUntil(now time.Time) time.Time {
 	until := now
 	for _, m := range g.members {
--- a/pool/health.go
+++ b/pool/health.go
@@ -86,7 +86,7 @@
 }
 
 // checkStall aborts a run whose progress stalls, so that the group is restarted elsewhere. The length
-// of a stall counts up to the last replies of the run's agents, not up to now: otherwise a holder that
+// of a stall counts up to the last listings of the run's workers, not up to now: otherwise a holder that
 // was paused for 3.5 s takes every run for stalled, stops them all and quarantines their workers.
 func (c *Core) checkStall(now time.Time, g *group) {
 	if g.spec().LongRunning || g.progressAt.IsZero() {
--- a/pool/suspect_test.go
+++ b/pool/suspect_test.go
@@ -53,3 +53,29 @@
 	until("the job is given up", func() bool { return sim.state(j.ID) == Failed })
 	is.True(sim.startsAfterLimit[task] <= startsAfterCrashLimit)
 }
+
+// A holder that has had no listing of a worker yet knows nothing of its runs: neither that one has lasted nor that it stands
+// still.
+func TestNothingIsKnownOfARunBeforeItsWorkerIsListed(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := New("pool", DefaultSettings(), nil)
+	c.RecordReply(now, "worker", Grant{}) // the agent replies
+	j := &jobState{job: gang(1, 1, 1, time.Second)}
+	g := &group{job: j, crashes: similarCrashes(3, time.Second), runningSince: now.Add(-time.Hour), progressAt: now.Add(-time.Hour)}
+	g.addMember(c.workers["worker"], 0)
+	for i := range g.crashes {
+		g.crashes[i].run = i
+	}
+	g.updateSuspicion()
+	before := g.suspicion
+	is.True(before != suspicionNone)
+	c.clearSurvivor(now, g)
+	c.checkStall(now, g)
+	is.Equal(g.suspicion, before)
+	is.Equal(len(g.crashes), 3)
+	is.Equal(g.stalls, 0)
+	c.workers["worker"].listedAt = now
+	c.clearSurvivor(now, g)
+	is.Equal(g.suspicion, suspicionNone)
+}
