review: a guaranteed gang never begins beside tasks that last

Seen: tasks that last hold half of each worker, one of them may be away at a time. A gang of two whole workers, within its tenant's guarantee, never begins.

'crashes' is played too: a job that lasts shows as failed after five unrelated crashes.

--- a/review/_third/cases.go
+++ b/review/_third/cases.go
@@ -15,6 +15,8 @@
 	"withdrawn": {play: playWithdrawn, lastKind: "a"},
 	"rack":      {play: playRack, lastKind: "a"},
 	"reserved":  {play: playReserved, lastKind: "a"},
+	"guarantee": {play: playGuarantee, lastKind: "a"},
+	"crashes":   {play: playCrashes, lastKind: "a"},
 }
 
 // playFillers loses the worker of a task that serves, while one task that fills is on each other worker.
@@ -272,6 +274,69 @@
 	return d.watchDone(normal+id, id, 45*time.Second)
 }
 
+// playGuarantee submits a gang within its tenant's guarantee, while each worker is half taken by a task that lasts. A burst
+// of short tasks has spread these over all workers.
+func playGuarantee(d *deployment, trouble bool) outcome {
+	const short, lasting, gang = "0a00000000000001", "1a00000000000001", "9a00000000000001"
+	const reclaim = 2900 * time.Millisecond
+	if trouble {
+		burst := step{Count: workers, CPU: 8000, Mem: 16000, GPU: 4, EstMs: 6000, AntiAffinity: 1, work: 6 * time.Second}
+		if !d.submit(normal, short, otherKey, job{Spec: "lecture", Steps: []step{burst}}) || !await(5*time.Second, func() bool { return d.tasks(short) == workers }) {
+			return couldNotRun
+		}
+	}
+	lasts := step{Count: workers, CPU: 8000, Mem: 16000, GPU: 4, LongRunning: true, MayMiss: 1, Image: "previews"}
+	if !d.submit(low, lasting, otherKey, job{Spec: "previews", Steps: []step{lasts}}) || !await(5*time.Second, func() bool { return d.tasks(lasting) == workers }) {
+		return couldNotRun
+	}
+	if !await(10*time.Second, func() bool { return d.tasks(short) == 0 }) {
+		return couldNotRun
+	}
+	time.Sleep(4 * time.Second)
+	d.recordUse()
+	j := job{Spec: "caption", Steps: []step{{Count: 2, CPU: 32000, Mem: 64000, GPU: 8, EstMs: 8000, Gang: true, work: 8 * time.Second}}}
+	if !d.submit(urgent, gang, tenantKey, j) {
+		return couldNotRun
+	}
+	accepted := time.Now()
+	if await(reclaim, func() bool { return d.tasks(gang) == 2 }) {
+		d.record.add("both tasks run %s after the acknowledgement", time.Since(accepted).Round(time.Millisecond))
+		return held
+	}
+	d.record.add("%d of 2 tasks run %s after the acknowledgement", d.tasks(gang), time.Since(accepted).Round(time.Millisecond))
+	for range 3 {
+		time.Sleep(10 * time.Second)
+		d.record.add("%d of 2 tasks run %s after the acknowledgement", d.tasks(gang), time.Since(accepted).Round(time.Second))
+	}
+	d.recordUse()
+	d.state(urgent+gang, tenantKey)
+	return broken
+}
+
+// playCrashes crashes one worker at a time, five times, at different times after the start of the task that runs there.
+func playCrashes(d *deployment, trouble bool) outcome {
+	const id = "c000000000000001"
+	j := job{Spec: "serve", Steps: []step{{Count: 1, CPU: 8000, Mem: 16000, GPU: 1, LongRunning: true}}}
+	if !d.submit(normal, id, tenantKey, j) {
+		return couldNotRun
+	}
+	for _, age := range []time.Duration{6 * time.Second, 1500 * time.Millisecond, 4 * time.Second, 2500 * time.Millisecond, 7 * time.Second} {
+		if !await(10*time.Second, func() bool { return d.workerOf(id) != nil }) {
+			break
+		}
+		time.Sleep(age)
+		if w := d.workerOf(id); trouble && w != nil {
+			w.crash(2 * time.Second)
+		}
+	}
+	time.Sleep(3 * time.Second)
+	if d.state(normal+id, tenantKey) == "failed" {
+		d.record.add("no run of the job ended failed, and nobody cancelled it")
+		return broken
+	}
+	return held
+}
+
 // watchDone watches a job until it is done. The rule LOST allows 3 s without a run at a time that has been calm for 4 s;
 // the calm begins contact_ms, 3 s, after a disruption.
 func (d *deployment) watchDone(path, id string, length time.Duration) outcome {
