--- a/review/_third/worker.go
+++ b/review/_third/worker.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	heartbeatInterval = 500 * time.Millisecond
+	// heartbeatInterval is the heartbeat_ms of the site.
+	heartbeatInterval = 1500 * time.Millisecond
 	tickInterval      = 20 * time.Millisecond
 	// maxLease is the page's max_hold_ms, stopDuration is below its stop_ms, and startDuration is the short start of
 	// a task that lasts.
