pool: the log says which cancellation ended a job

The log said "its caller cancelled it", which can't tell three causes apart: the holder took a cancellation from before the acceptance for one after it; a DELETE was carried out late, after the acceptance; the store holds a cancellation written since.

The event of a cancelled job now has the version of the store at which its row was written and that at which its cancellation was. No decision has changed.

--- a/pool/core.go
+++ b/pool/core.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"time"
 
 	"hollyfork.example/hollyfork/catalog"
@@ -124,11 +125,14 @@
 	if !known {
 		state = c.addNewJob(now, added.Job)
 	}
+	if state.version == 0 {
+		state.version = added.Version
+	}
 	state.hasRows = state.hasRows || !added.Legacy
 	state.hasLegacyRows = state.hasLegacyRows || added.Legacy
-	if _, withdrawn := c.withdrawals.byJob[added.Job.ID]; withdrawn {
+	if row, withdrawn := c.withdrawals.byJob[added.Job.ID]; withdrawn {
 		// A gateway of an earlier release wrote the job's row without regard to the cancellation.
-		c.CancelJob(now, Cancellation{ID: added.Job.ID})
+		c.CancelJob(now, Cancellation{ID: added.Job.ID, Version: row.version})
 	}
 }
 
@@ -161,7 +165,7 @@
 		return
 	}
 	if !j.state.ended() {
-		c.endJob(now, j, Cancelled, "its caller cancelled it")
+		c.endJob(now, j, Cancelled, fmt.Sprintf("its caller cancelled it (accepted as version %d of the store, cancelled as %d)", j.version, cancellation.Version))
 	}
 }
 
--- a/pool/intake.go
+++ b/pool/intake.go
@@ -25,6 +25,8 @@
 		Job job.Job
 		// Pool is the pool that the job was accepted for.
 		Pool string
+		// Version is the version of the row; 0 if it is unknown.
+		Version uint64
 		// Legacy reports that the row lies under the key of earlier releases.
 		Legacy bool
 	}
@@ -192,7 +194,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewJob{Job: j, Pool: poolName, Legacy: !inJobPart(row.Key)}, nil
+	return NewJob{Job: j, Pool: poolName, Version: row.Version, Legacy: !inJobPart(row.Key)}, nil
 }
 
 // validTerms reports whether the terms are within the ranges that gateways write.
--- a/pool/jobstate.go
+++ b/pool/jobstate.go
@@ -22,6 +22,8 @@
 	// jobState is a job and its scheduling state.
 	jobState struct {
 		job job.Job
+		// version is the version of the row of the job's acceptance; 0 if it is unknown.
+		version uint64
 		// rounds are the open rounds. groups are the groups of all open rounds.
 		rounds   []*round
 		groups   []*group
