pool, holder: a cancellation from before the acceptance ends no job

Callers saw: a job that was accepted with 200 shows as cancelled and never runs.

Cause: the cancellation of an unknown job is a row for a minute, and a copy of it in the holder's memory. The holder deletes the row; when the answer is lost, the row is gone, so that a job is accepted under the identifier, and the copy is there until the next try. AddJob took the copy for a cancellation of the new job.

A job's row is written on the condition that its cancellation is not there, so one with a lower version was deleted before, and one with a higher version was written by somebody who had found the job. Notices carry the version; of a gateway of the release before, they have none, and what depends on it waits for the feed. A row of a release that wrote it without that condition follows the row of the cancellation: the holder reads deletions from the feed, and from a read of all rows after a gap of the feed. The feed's order is kept.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -34,9 +34,15 @@
 		// batch is true if the transaction carried a batch of the pool's writes.
 		batch bool
 	}
-	// intakeRows carries new rows of the intake table.
+	// intakeRows carries new rows of the intake table. complete is true if these are all of its rows.
 	intakeRows struct {
-		page store.Page
+		page     store.Page
+		complete bool
+	}
+	// noticedRow carries a row of the intake table that its writer has told of.
+	noticedRow struct {
+		row        store.Row
+		storeClock time.Duration
 	}
 	// syncResult carries an agent's reply to a renewal.
 	syncResult struct {
@@ -141,7 +147,12 @@
 	case commitResult:
 		h.handleCommitResult(now, m)
 	case intakeRows:
+		if m.complete {
+			h.core.RemoveMissingCancellations(m.page)
+		}
 		h.handleIntake(now, m.page)
+	case noticedRow:
+		h.handleNotice(now, m)
 	case syncResult:
 		h.handleSyncResult(m)
 	case orderResults:
@@ -319,12 +330,29 @@
 			h.core.AddJob(now, i)
 		case pool.Cancellation:
 			h.core.CancelJob(now, i)
+		case pool.CancellationRemoval:
+			h.core.RemoveCancellation(i)
 		case pool.AgentAddress:
 			h.handleAgentAddress(now, i)
 		}
 	}
 }
 
+// handleNotice handles a row that its writer has told of, and that the feed may not have brought yet.
+func (h *Holder) handleNotice(now time.Time, m noticedRow) {
+	clocks := pool.Clock{Now: now, Store: m.storeClock}
+	for _, item := range h.host.decodeIntake([]store.Row{m.row}, clocks) {
+		switch i := item.(type) {
+		case pool.NewJob:
+			i.Noticed = true
+			h.core.AddJob(now, i)
+		case pool.Cancellation:
+			i.Noticed = true
+			h.core.CancelJob(now, i)
+		}
+	}
+}
+
 func (h *Holder) handleSyncResult(m syncResult) {
 	if m.reply.GetOldEpoch() && h.isOfLaterHolder(m.reply.GetEpoch()) {
 		h.abandon()
@@ -450,7 +478,8 @@
 	retry := backoff.New(minRetryDelay, maxRetryDelay)
 	for h.ctx.Err() == nil {
 		page, err := h.host.deps.Store.Follow(h.ctx, pool.IntakeTable, version, intakeWait)
-		if store.KindOf(err) == store.KindHistoryGone {
+		complete := store.KindOf(err) == store.KindHistoryGone
+		if complete {
 			page, err = h.host.readIntake(h.ctx)
 		}
 		if err != nil {
@@ -459,8 +488,8 @@
 		}
 		retry.Reset()
 		version = page.Stamp.Version
-		if len(page.Rows) > 0 {
-			h.send(intakeRows{page: page})
+		if len(page.Rows) > 0 || complete {
+			h.send(intakeRows{page: page, complete: complete})
 		}
 	}
 }
--- a/holder/intake.go
+++ b/holder/intake.go
@@ -18,12 +18,11 @@
 	h.deps.Malformed.Note(now, kind, row.Key.Name, len(row.Value), err)
 }
 
-// decodeIntake decodes the pool's rows of the intake table and returns jobs before all other items: the row
-// that cancels a job sorts before the job's own row, and the cancellation of an unknown job would be lost.
-// Rows of other pools and malformed rows are skipped.
+// decodeIntake decodes the pool's rows of the intake table and keeps their order: that of a feed is the order of the
+// changes. Rows of other pools and malformed rows are skipped.
 func (h *Host) decodeIntake(rows []store.Row, clock pool.Clock) []pool.Intake {
 	parts := pool.IntakeParts(h.pool)
-	var jobs, others []pool.Intake
+	var items []pool.Intake
 	for _, row := range rows {
 		if !slices.Contains(parts, row.Key.Part) {
 			continue
@@ -36,15 +35,15 @@
 		switch i := item.(type) {
 		case pool.NewJob:
 			if i.Pool == h.pool {
-				jobs = append(jobs, i)
+				items = append(items, i)
 			}
 		case pool.Cancellation:
 			if i.Pool == h.pool {
-				others = append(others, i)
+				items = append(items, i)
 			}
-		case pool.AgentAddress:
-			others = append(others, i)
+		case pool.CancellationRemoval, pool.AgentAddress:
+			items = append(items, i)
 		}
 	}
-	return append(jobs, others...)
+	return items
 }
--- a/holder/notice.go
+++ b/holder/notice.go
@@ -44,6 +44,8 @@
 	row := store.Row{
 		Key:   store.Key{Table: pool.IntakeTable, Part: request.GetPart(), Name: request.GetName()},
 		Value: request.GetValue(),
+
+		Version: request.GetVersion(),
 	}
 	storeClock := time.Duration(request.GetClockMs()) * time.Millisecond
 	reply.Taken = host.deliver(row, storeClock)
@@ -61,7 +63,7 @@
 	if pid == nil {
 		return false
 	}
-	h.deps.System.Root.Send(pid, intakeRows{page: store.Page{Rows: []store.Row{row}, Stamp: store.Stamp{Clock: storeClock}}})
+	h.deps.System.Root.Send(pid, noticedRow{row: row, storeClock: storeClock})
 	return true
 }
 
@@ -105,6 +107,7 @@
 		Value:     row.Value,
 		ClockMs:   storeClock.Milliseconds(),
 		Forwarded: forwarded,
+		Version:   row.Version,
 	})
 	if err != nil {
 		client.Reset()
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -105,12 +105,8 @@
 // removals returns the deletions of a job's rows.
 func (j *jobState) removals(pool string) []store.Write {
 	keys := []store.Key{StateKey(pool, j.job.ID)}
-	if j.hasRows {
-		of := KeysOf(j.job.ID)
-		keys = append(keys, of.Job, of.Cancel)
-	}
-	if j.hasLegacyRows {
-		of := LegacyKeysOf(pool, j.job.ID)
+	for _, row := range j.rows {
+		of := row.keys(pool, j.job.ID)
 		keys = append(keys, of.Job, of.Cancel)
 	}
 	writes := make([]store.Write, len(keys))
--- a/pool/core.go
+++ b/pool/core.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"fmt"
 	"time"
 
 	"hollyfork.example/hollyfork/catalog"
@@ -73,7 +72,7 @@
 	firstAdviceInRow int
 	nextAdviceAt     time.Time
 
-	// withdrawals are the cancellations of unknown jobs.
+	// withdrawals are the cancellations whose effect is open.
 	withdrawals withdrawals
 
 	// committedSummary is the last committed number of waiting jobs by queue.
@@ -119,21 +118,18 @@
 	c.settings.FreshFor = 2*interval + c.settings.RenewalSlack
 }
 
-// AddJob adds an accepted job of the pool, unless it is already known.
+// AddJob adds an accepted job of the pool, unless it is already known. The notice of a row that was written without regard
+// to cancellations is left to the feed, which alone can tell whether one was there.
 func (c *Core) AddJob(now time.Time, added NewJob) {
+	if added.Noticed && !added.Checked {
+		return
+	}
 	state, known := c.jobs[added.Job.ID]
 	if !known {
 		state = c.addNewJob(now, added.Job)
 	}
-	if state.version == 0 {
-		state.version = added.Version
-	}
-	state.hasRows = state.hasRows || !added.Legacy
-	state.hasLegacyRows = state.hasLegacyRows || added.Legacy
-	if row, withdrawn := c.withdrawals.byJob[added.Job.ID]; withdrawn {
-		// A gateway of an earlier release wrote the job's row without regard to the cancellation.
-		c.CancelJob(now, Cancellation{ID: added.Job.ID, Version: row.version})
-	}
+	state.addRow(added)
+	c.applyCancellations(now, state)
 }
 
 func (c *Core) addNewJob(now time.Time, j job.Job) *jobState {
@@ -156,19 +152,6 @@
 	c.liveJobs[j.job.ID] = j
 }
 
-// CancelJob ends a job at the request of its caller, unless it has already ended. The cancellation of an unknown job is
-// kept for WithdrawalAge.
-func (c *Core) CancelJob(now time.Time, cancellation Cancellation) {
-	j, known := c.jobs[cancellation.ID]
-	if !known {
-		c.withdrawals.add(cancellation)
-		return
-	}
-	if !j.state.ended() {
-		c.endJob(now, j, Cancelled, fmt.Sprintf("its caller cancelled it (accepted as version %d of the store, cancelled as %d)", j.version, cancellation.Version))
-	}
-}
-
 // SetTimeOfDayOffset sets the difference between the time of day, at which rounds of repeating jobs are
 // due, and the monotonic time that the other methods are passed.
 func (c *Core) SetTimeOfDayOffset(offset time.Duration) {
--- a/pool/incarnation_test.go
+++ b/pool/incarnation_test.go
@@ -72,7 +72,7 @@
 	sim.run(5 * time.Second) // of listings; the run is given up meanwhile
 	sim.orderDelay = time.Hour
 	sim.losesReply = func() bool { return false }
-	sim.core.CancelJob(sim.now, Cancellation{ID: "0000000000000001"})
+	sim.cancel("0000000000000001")
 	g := sim.core.jobs["0000000000000001"].groups[0]
 	m := g.members[0]
 	stop := Orders{Agent: f.name, Instance: f.instance, Grant: m.worker.grant, Stops: []Stop{{Task: m.task(), Run: g.run}}}
@@ -91,7 +91,7 @@
 	is := is.New(t)
 	sim, f := startWithLostReply(t, time.Hour, time.Second)
 	sim.run(5 * time.Second)
-	sim.core.CancelJob(sim.now, Cancellation{ID: "0000000000000001"})
+	sim.cancel("0000000000000001")
 	sim.losesReply = func() bool { return false }
 	g := sim.core.jobs["0000000000000001"].groups[0]
 	m := g.members[0]
--- a/pool/instance_test.go
+++ b/pool/instance_test.go
@@ -157,7 +157,7 @@
 func TestStopOfAnEndedInstanceDoesNotCountForTheNext(t *testing.T) {
 	is := is.New(t)
 	sim, f := startWithLostReply(t, time.Hour, 2*time.Second)
-	sim.core.CancelJob(sim.now, Cancellation{ID: "0000000000000001"})
+	sim.cancel("0000000000000001")
 	stop := Orders{Agent: f.name, Instance: f.instance, Grant: Grant{Incarnation: f.incarnation}, Stops: []Stop{{Task: job.TaskID{Job: "0000000000000001"}, Run: 1}}}
 	sim.orderDelay = time.Hour
 	f.restartWorker()
--- a/pool/intake.go
+++ b/pool/intake.go
@@ -14,7 +14,7 @@
 	"hollyfork.example/wire/poolpb"
 )
 
-// Intake is a decoded row of the intake table: a NewJob, a Cancellation or an AgentAddress.
+// Intake is a decoded row of the intake table: a NewJob, a Cancellation, a CancellationRemoval or an AgentAddress.
 type Intake interface {
 	intake()
 }
@@ -29,6 +29,11 @@
 		Version uint64
 		// Legacy reports that the row lies under the key of earlier releases.
 		Legacy bool
+		// Checked reports that the row was written on the condition that there was no cancellation under the same
+		// keys. Releases that don't name the pool in the row wrote it without this condition.
+		Checked bool
+		// Noticed reports that the row came in a notice. The feed of the table may be behind it.
+		Noticed bool
 	}
 
 	// Cancellation is a caller's request to end a job.
@@ -36,11 +41,20 @@
 		ID job.ID
 		// Pool is the pool whose holder applies the cancellation.
 		Pool string
-		// Keys are those of the job's rows. Version is the version of this one; 0 if it is unknown. At is when it was
-		// written.
+		// Keys are those of the job's rows. Version is the version of this one; 0 if it is unknown, as in a notice of
+		// an earlier release. At is when it was written.
 		Keys    JobKeys
 		Version uint64
 		At      time.Time
+		// Noticed reports that the row came in a notice. It may have been deleted since.
+		Noticed bool
+	}
+
+	// CancellationRemoval is the deletion of a cancellation's row.
+	CancellationRemoval struct {
+		Key store.Key
+		// Version is that of the deletion.
+		Version uint64
 	}
 
 	// AgentAddress is the address of an agent. It is empty if the agent's row was deleted.
@@ -50,9 +64,10 @@
 	}
 )
 
-func (NewJob) intake()       {}
-func (Cancellation) intake() {}
-func (AgentAddress) intake() {}
+func (NewJob) intake()              {}
+func (Cancellation) intake()        {}
+func (CancellationRemoval) intake() {}
+func (AgentAddress) intake()        {}
 
 // Clock relates the store's monotonic clock to the clock of this process.
 type Clock struct {
@@ -71,6 +86,8 @@
 	switch {
 	case strings.HasPrefix(name, agentPrefix):
 		return decodeAgent(row, strings.TrimPrefix(name, agentPrefix))
+	case row.Deleted && strings.HasSuffix(name, cancelSuffix):
+		return CancellationRemoval{Key: row.Key, Version: row.Version}, nil
 	case row.Deleted:
 		return nil, nil
 	case strings.HasSuffix(name, jobSuffix):
@@ -194,7 +211,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewJob{Job: j, Pool: poolName, Version: row.Version, Legacy: !inJobPart(row.Key)}, nil
+	return NewJob{Job: j, Pool: poolName, Version: row.Version, Legacy: !inJobPart(row.Key), Checked: content.GetPool() != ""}, nil
 }
 
 // validTerms reports whether the terms are within the ranges that gateways write.
--- a/pool/jobstate.go
+++ b/pool/jobstate.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"hollyfork.example/hollyfork/job"
@@ -22,8 +23,8 @@
 	// jobState is a job and its scheduling state.
 	jobState struct {
 		job job.Job
-		// version is the version of the row of the job's acceptance; 0 if it is unknown.
-		version uint64
+		// rows are the known rows by which callers submitted the job: one, or one under each kind of keys.
+		rows []jobRow
 		// rounds are the open rounds. groups are the groups of all open rounds.
 		rounds   []*round
 		groups   []*group
@@ -57,11 +58,17 @@
 		// unreadable reports that the job's state row could not be decoded. None of its tasks is
 		// started, and ends of its runs are ignored, until its caller cancels it.
 		unreadable bool
-		// toRemove reports that the job's rows are to be deleted. hasRows and hasLegacyRows tell under which
-		// keys callers have written some.
-		toRemove      bool
-		hasRows       bool
-		hasLegacyRows bool
+		// toRemove reports that the job's rows are to be deleted.
+		toRemove bool
+	}
+
+	// jobRow is the row of a submission.
+	jobRow struct {
+		// legacy reports that it lies under the key of earlier releases.
+		legacy bool
+		// version is the row's version; 0 if it is unknown. checked is NewJob.Checked.
+		version uint64
+		checked bool
 	}
 )
 
@@ -79,6 +86,27 @@
 	return state
 }
 
+// addRow records a row of the job. The version may come later than the row.
+func (j *jobState) addRow(added NewJob) {
+	i := slices.IndexFunc(j.rows, func(r jobRow) bool { return r.legacy == added.Legacy })
+	switch row := (jobRow{legacy: added.Legacy, version: added.Version, checked: added.Checked}); {
+	case i >= 0:
+		j.rows[i].version = max(j.rows[i].version, added.Version)
+	case added.Legacy:
+		j.rows = append(j.rows, row)
+	default:
+		j.rows = slices.Insert(j.rows, 0, row)
+	}
+}
+
+// keys returns the keys of the rows that callers write for a job of a pool.
+func (r jobRow) keys(pool string, id job.ID) JobKeys {
+	if r.legacy {
+		return LegacyKeysOf(pool, id)
+	}
+	return KeysOf(id)
+}
+
 // findGroup returns the group of a task, or nil.
 func (j *jobState) findGroup(task job.TaskID) *group {
 	r := j.findRound(task.Round)
--- a/pool/key_test.go
+++ b/pool/key_test.go
@@ -45,7 +45,7 @@
 			for _, added := range test.added {
 				c.AddJob(began, added)
 			}
-			c.CancelJob(began, Cancellation{ID: j.ID})
+			c.CancelJob(began, withdrawalOf(j.ID, 5, began))
 			is.True(c.TakeBatch() != nil)
 			c.BatchCommitted(began)
 			c.Tick(began) // the job is not live any more
--- a/pool/longrunning_test.go
+++ b/pool/longrunning_test.go
@@ -52,7 +52,7 @@
 		is.Equal(sim.countRunning(j.ID), 3)
 	}
 	is.Equal(sim.state(j.ID), Active)
-	sim.core.CancelJob(sim.now, Cancellation{ID: j.ID})
+	sim.cancel(j.ID)
 	sim.run(time.Second)
 	is.Equal(sim.countRunning(j.ID), 0)
 }
--- a/pool/malformed_test.go
+++ b/pool/malformed_test.go
@@ -34,7 +34,7 @@
 	is.Equal(sim.starts, 2)
 	is.Equal(sim.state(oneTask(2, 0).ID), Done)
 	is.Equal(sim.core.Snapshot(sim.now).Jobs["unreadable"], 1)
-	sim.core.CancelJob(sim.now, Cancellation{ID: oneTask(1, 0).ID})
+	sim.cancel(oneTask(1, 0).ID)
 	sim.run(time.Second)
 	state, err := StateOf(sim.rows[key])
 	is.NoErr(err)
--- a/pool/orphan_test.go
+++ b/pool/orphan_test.go
@@ -39,7 +39,7 @@
 			f := sim.workers[0]
 			sim.submit(gang(1, 2, 8, time.Hour))
 			sim.run(100 * time.Millisecond)
-			sim.core.CancelJob(sim.now, Cancellation{ID: "0000000000000001"})
+			sim.cancel("0000000000000001")
 			sim.losesReply = func() bool { return false }
 			sim.run(time.Second)
 			if takeOver {
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -288,7 +288,7 @@
 	sim.run(300 * time.Millisecond)
 	sim.submit(gang(1, 3, 8, 20*time.Second))
 	sim.run(time.Second)
-	sim.core.CancelJob(sim.now, Cancellation{ID: "0000000000000001"})
+	sim.cancel("0000000000000001")
 	sim.run(time.Second)
 	is.Equal(sim.state("0000000000000001"), Cancelled)
 	for _, f := range sim.workers {
--- a/pool/round_test.go
+++ b/pool/round_test.go
@@ -110,7 +110,7 @@
 	j := repeatingJob(sim, 100*time.Millisecond, time.Second, time.Second, 3)
 	sim.submit(j)
 	sim.run(500 * time.Millisecond)
-	sim.core.CancelJob(sim.now, Cancellation{ID: j.ID})
+	sim.cancel(j.ID)
 	sim.run(5 * time.Second)
 	is.Equal(sim.starts, 0)
 	is.Equal(sim.state(j.ID), Cancelled)
--- a/pool/service_test.go
+++ b/pool/service_test.go
@@ -57,7 +57,7 @@
 	cancelled := inQueue(gang(3, 1, 8, time.Second), "waits", 9)
 	sim.submit(cancelled)
 	sim.run(100 * time.Millisecond)
-	sim.core.CancelJob(sim.now, Cancellation{ID: cancelled.ID})
+	sim.cancel(cancelled.ID)
 	sim.run(300 * time.Millisecond)
 	is.Equal(sim.queueSnapshot("waits").Cancelled, 1)
 }
--- a/pool/sim_test.go
+++ b/pool/sim_test.go
@@ -295,8 +295,13 @@
 	}
 	sim.jobs[j.ID] = j
 	key := KeysOf(j.ID).Job
-	sim.rows[key] = store.Row{Key: key, Value: Encode(JobRow("pool", j, sim.storeClock()))}
-	sim.core.AddJob(sim.now, NewJob{Job: j})
+	sim.rows[key] = store.Row{Key: key, Value: Encode(JobRow("pool", j, sim.storeClock())), Version: 1}
+	sim.core.AddJob(sim.now, NewJob{Job: j, Version: 1, Checked: true})
+}
+
+// cancel cancels a job that was submitted before.
+func (sim *simulation) cancel(id job.ID) {
+	sim.core.CancelJob(sim.now, withdrawalOf(id, 2, sim.now))
 }
 
 // guarantee adds a workspace with a guaranteed number of accelerators.
--- a/pool/stop_overtaken_test.go
+++ b/pool/stop_overtaken_test.go
@@ -13,7 +13,7 @@
 	sim, f := startWithLostReply(t, time.Hour, time.Second)
 	sim.orderDelay = time.Hour
 	sim.losesReply = func() bool { return false }
-	sim.core.CancelJob(sim.now, Cancellation{ID: "0000000000000001"})
+	sim.cancel("0000000000000001")
 	m := sim.core.jobs["0000000000000001"].groups[0].members[0]
 	sim.core.TakeOrders(sim.now)
 	stop := Orders{Agent: f.name, Instance: f.instance, Grant: Grant{Incarnation: f.incarnation}, Stops: []Stop{{Task: m.task(), Run: m.group.run}}}
--- a/pool/withdrawal.go
+++ b/pool/withdrawal.go
@@ -6,7 +6,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"hollyfork.example/hollyfork/job"
 	"hollyfork.example/hollyfork/store"
 	"hollyfork.example/wire/poolpb"
 )
@@ -23,13 +22,14 @@
 )
 
 type (
-	// withdrawals are the cancellations of unknown jobs.
+	// withdrawals are the cancellations whose effect is open: no job is known under their identifiers, or it is not known
+	// whether it was accepted later. They are copies: their rows may have been deleted.
 	withdrawals struct {
-		byJob   map[job.ID]withdrawal
+		byKey   map[store.Key]withdrawal
 		sweptAt time.Time
 	}
 
-	// withdrawal is the row of a cancellation whose job is unknown.
+	// withdrawal is the row of such a cancellation.
 	withdrawal struct {
 		keys    JobKeys
 		version uint64
@@ -47,27 +47,32 @@
 	return time.Duration(content.GetCancelledMs())*time.Millisecond + WithdrawalAge
 }
 
-// add records the cancellation of an unknown job. Without a version, as in a notice, the feed has it later.
-func (w *withdrawals) add(c Cancellation) {
-	if c.Version == 0 || c.Version < w.byJob[c.ID].version {
+// add records a cancellation, unless a later one under the same key is known.
+func (w *withdrawals) add(row withdrawal) {
+	if row.version < w.byKey[row.keys.Cancel].version {
 		return
 	}
-	if w.byJob == nil {
-		w.byJob = map[job.ID]withdrawal{}
+	if w.byKey == nil {
+		w.byKey = map[store.Key]withdrawal{}
 	}
-	w.byJob[c.ID] = withdrawal{keys: c.Keys, version: c.Version, at: c.At}
+	w.byKey[row.keys.Cancel] = row
+}
+
+// legacy reports whether the row lies under the key of earlier releases.
+func (w withdrawal) legacy() bool {
+	return !inJobPart(w.keys.Cancel)
 }
 
 // TakeSweep returns the transactions that delete the rows of withdrawals that are too old, one for each part at most. A
 // row that was written again, or whose job exists, is left.
 func (c *Core) TakeSweep(now time.Time) []store.Txn {
 	w := &c.withdrawals
-	if len(w.byJob) == 0 || now.Sub(w.sweptAt) < withdrawalSweepInterval {
+	if len(w.byKey) == 0 || now.Sub(w.sweptAt) < withdrawalSweepInterval {
 		return nil
 	}
 	w.sweptAt = now
 	byPart := map[string]*store.Txn{}
-	for _, row := range w.byJob {
+	for _, row := range w.byKey {
 		keys := row.keys
 		txn, known := byPart[keys.Cancel.Part]
 		if !known {
@@ -89,20 +94,26 @@
 	return sweep
 }
 
-// HandleSweep handles the outcome of a transaction of TakeSweep: it forgets the rows that were deleted, or that differ
-// from what the transaction expected. The others are deleted later.
+// HandleSweep handles the outcome of a transaction of TakeSweep: it forgets the rows that were deleted, that differ from
+// what the transaction expected, or that have a job. The others are deleted later.
 func (c *Core) HandleSweep(txn store.Txn, err error) {
 	for _, write := range txn.Writes {
-		id := jobIDOf(write.Key.Name, cancelSuffix)
 		expected := txn.Checks[slices.IndexFunc(txn.Checks, func(check store.Check) bool { return check.Key == write.Key })].Version
-		row := c.withdrawals.byJob[id]
+		row := c.withdrawals.byKey[write.Key]
 		if row.version != expected {
 			continue // it was written again, and the feed has told so
 		}
 		found, conflict := store.ConflictRow(err, write.Key)
 		accepted, _ := store.ConflictRow(err, row.keys.Job)
-		if err == nil || conflict && (found.Version != expected || accepted.Version > 0) {
-			delete(c.withdrawals.byJob, id)
+		switch {
+		case err == nil || conflict && found.Version != expected:
+			delete(c.withdrawals.byKey, write.Key)
+		case conflict && accepted.Version > 0 && row.legacy():
+			// The job is not known yet, and may have been accepted without regard to the cancellation.
+			row.at = c.withdrawals.sweptAt
+			c.withdrawals.byKey[write.Key] = row
+		case conflict && accepted.Version > 0:
+			delete(c.withdrawals.byKey, write.Key)
 		}
 	}
 }
--- a/pool/withdrawal_test.go
+++ b/pool/withdrawal_test.go
@@ -22,7 +22,7 @@
 	c := New("pool", DefaultSettings(), nil)
 	began := time.Unix(9000, 0)
 	c.CancelJob(began, withdrawalOf("00000000000000a1", 5, began))
-	c.CancelJob(began, Cancellation{ID: "00000000000000a1", At: began.Add(time.Hour)}) // a notice, which has no version
+	c.CancelJob(began, Cancellation{ID: "00000000000000a1", At: began.Add(time.Hour), Noticed: true})
 	is.Equal(len(c.TakeSweep(began.Add(WithdrawalAge-time.Millisecond))), 0)
 
 	at := began.Add(WithdrawalAge + withdrawalSweepInterval)
@@ -43,7 +43,7 @@
 	sweep = c.TakeSweep(at.Add(WithdrawalAge + withdrawalSweepInterval))
 	is.Equal(len(sweep), 1)
 	c.HandleSweep(sweep[0], nil)
-	is.Equal(len(c.withdrawals.byJob), 0)
+	is.Equal(len(c.withdrawals.byKey), 0)
 }
 
 // The sweeps of many withdrawals keep within the store's limit of a transaction and leave nothing.
@@ -63,7 +63,7 @@
 			c.HandleSweep(txn, nil)
 		}
 	}
-	is.Equal(len(c.withdrawals.byJob), 0)
+	is.Equal(len(c.withdrawals.byKey), 0)
 }
 
 // A job whose row a gateway of an earlier release has written in spite of its cancellation does not run.
--- a/sidecar/path_holder_test.go
+++ b/sidecar/path_holder_test.go
@@ -78,7 +78,7 @@
 		h.core.AddAgent(p.now, a.name)
 	}
 	for _, j := range p.jobs {
-		h.core.AddJob(p.now, pool.NewJob{Job: j})
+		h.core.AddJob(p.now, pool.NewJob{Job: j, Version: 1, Checked: true})
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(rows), func(a, b store.Key) int { return strings.Compare(a.Name, b.Name) }) {
 		if err := h.core.RestoreState(p.now, rows[key]); err != nil {
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -54,13 +54,13 @@
 		j := pathJob(len(p.jobs)+1, p.now)
 		p.jobs = append(p.jobs, j)
 		if h.core != nil {
-			h.post(func() { h.core.AddJob(p.now, pool.NewJob{Job: j}) })
+			h.post(func() { h.core.AddJob(p.now, pool.NewJob{Job: j, Version: 1, Checked: true}) })
 		}
 	}
 	if p.chance(0.1) && h.core != nil {
 		j := p.jobs[p.random.IntN(len(p.jobs))]
 		p.note("job %s is cancelled", j.ID)
-		h.post(func() { h.core.CancelJob(p.now, pool.Cancellation{ID: j.ID}) })
+		h.post(func() { h.core.CancelJob(p.now, pool.Cancellation{ID: j.ID, Keys: pool.KeysOf(j.ID), Version: 2}) })
 	}
 }
 
