pool: a job whose identifier was used before is not taken for the old one

Callers see (by a test, no run of theirs): ten minutes after a job has ended it is submitted again under its identifier, is accepted with 200, and never runs.

The holder deletes the rows of an old job; a gateway accepts one under the same identifier at once, as it may; the feed brings its row before the answer. AddJob knew the identifier and ignored the row, and the answer then removed the old job, and with it the news of the new one, until the next takeover. A cancellation of the identifier in that time was taken for one of the old job: its row was never deleted, so that submissions got 503 until the next takeover.

Change: the versions tell the rows apart. A row that is newer than those of a job being removed is kept beside it and added with the answer, and cancellations wait until then. A removed job that is marked as changed meanwhile doesn't delete the rows again.

Evidence: pool TestJobUnderAnIdentifierThatComesAgainRuns, TestJobUnderAnIdentifier- ThatComesAgainIsCancelled and TestWithdrawalOfARemovedJobIsDeleted failed before (no job; no job; 0 deletions instead of 1) and pass.

--- a/pool/cancellation.go
+++ b/pool/cancellation.go
@@ -63,6 +63,9 @@
 
 // applyCancellations ends a job if one of the recorded cancellations does, and forgets those whose effect is known.
 func (c *Core) applyCancellations(now time.Time, j *jobState) {
+	if j.toRemove {
+		return // there may be another job under the identifier, or none
+	}
 	for key, row := range c.withdrawalsOf(j.job.ID) {
 		effect := j.effectOf(row)
 		if effect == effectUnknown {
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -59,9 +59,12 @@
 	}
 	b := &Batch{}
 	for len(c.dirty) > 0 && len(b.Writes)+maxJobWrites <= maxBatchWrites && b.bytes < maxBatchBytes {
-		c.dirty[0].dirty = false
-		b.add(c.name, c.dirty[0])
+		j := c.dirty[0]
 		c.dirty = c.dirty[1:]
+		j.dirty = false
+		if c.jobs[j.job.ID] == j { // otherwise its rows are deleted, or those of another job
+			b.add(c.name, j)
+		}
 	}
 	c.addSummary(b)
 	c.addAgentRemovals(b)
@@ -166,7 +169,7 @@
 	for _, item := range b.items {
 		item.job.committedChanges = item.changes
 		if item.job.toRemove {
-			delete(c.jobs, item.job.job.ID)
+			c.removeJob(now, item.job)
 		}
 		for _, m := range item.placed {
 			c.memberCommitted(now, m)
@@ -177,6 +180,14 @@
 	}
 }
 
+// removeJob forgets a job whose rows were deleted, and adds the one that was accepted under its identifier since.
+func (c *Core) removeJob(now time.Time, j *jobState) {
+	delete(c.jobs, j.job.ID)
+	if j.successor != nil {
+		c.AddJob(now, *j.successor)
+	}
+}
+
 // BatchFailed records that the batch in flight was not committed. The next batches contain its changes
 // again.
 func (c *Core) BatchFailed() {
--- a/pool/core.go
+++ b/pool/core.go
@@ -125,8 +125,12 @@
 		return
 	}
 	state, known := c.jobs[added.Job.ID]
-	if !known {
+	switch {
+	case !known:
 		state = c.addNewJob(now, added.Job)
+	case state.isReplacedBy(added):
+		state.successor = &added
+		return
 	}
 	state.addRow(added)
 	c.applyCancellations(now, state)
--- a/pool/jobstate.go
+++ b/pool/jobstate.go
@@ -58,8 +58,10 @@
 		// unreadable reports that the job's state row could not be decoded. None of its tasks is
 		// started, and ends of its runs are ignored, until its caller cancels it.
 		unreadable bool
-		// toRemove reports that the job's rows are to be deleted.
-		toRemove bool
+		// toRemove reports that the job's rows are to be deleted. They may already be, and its identifier be used
+		// again: successor is the job that was accepted under it, or nil.
+		toRemove  bool
+		successor *NewJob
 	}
 
 	// jobRow is the row of a submission.
@@ -86,12 +88,19 @@
 	return state
 }
 
+// isReplacedBy reports whether a row is of another job, accepted under the same identifier after this job's rows were
+// deleted.
+func (j *jobState) isReplacedBy(added NewJob) bool {
+	return j.toRemove && !slices.ContainsFunc(j.rows, func(r jobRow) bool { return added.Version <= r.version })
+}
+
 // addRow records a row of the job. The version may come later than the row.
 func (j *jobState) addRow(added NewJob) {
 	i := slices.IndexFunc(j.rows, func(r jobRow) bool { return r.legacy == added.Legacy })
 	switch row := (jobRow{legacy: added.Legacy, version: added.Version, checked: added.Checked}); {
+	case i >= 0 && j.rows[i].version > 0:
 	case i >= 0:
-		j.rows[i].version = max(j.rows[i].version, added.Version)
+		j.rows[i].version = added.Version
 	case added.Legacy:
 		j.rows = append(j.rows, row)
 	default:
