gateway: a late cancellation cancels no later job

Callers see (by a test): a DELETE of an old job is answered 504, the job's rows are deleted ten minutes after its end, the identifier is submitted again and accepted with 200, and the job shows as cancelled.

Cause: a cancellation without an answer may be carried out seconds later, and its write had no condition, so that it met whichever job is there by then. By its version it came after the acceptance; only the store can refuse it.

Change: the cancellation of a job that was found is written on the condition that the job's row is the one that was found. When it isn't, the call goes on as if no job had been found. It costs no further call.

Evidence: gateway TestLateCancellationCancelsNoLaterJob failed before (cancelled) and passes; the other tests of the gateway pass.

--- a/gateway/cancel.go
+++ b/gateway/cancel.go
@@ -58,7 +58,8 @@
 	return g.cancelFound(ctx, call, t)
 }
 
-// cancelFound cancels a job that exists.
+// cancelFound cancels a job that exists. The store refuses the cancellation once the identifier is that of another job, or of
+// none: it may be carried out late.
 func (g *Gateway) cancelFound(ctx context.Context, call Call, t target) error {
 	const op = "cancel"
 	record, err := g.findJob(ctx, op, call, t)
@@ -66,8 +67,14 @@
 		return err
 	}
 	row := pool.Encode(pool.CancelRow(record.pool, g.follower.StoreClock(g.now())))
-	txn := store.Txn{Writes: []store.Write{{Key: record.keys.Cancel, Value: row}}}
+	txn := store.Txn{
+		Checks: []store.Check{{Key: record.keys.Job, Version: record.version}},
+		Writes: []store.Write{{Key: record.keys.Cancel, Value: row}},
+	}
 	outcomeUnknown, err := g.retry(ctx, call, func(ctx context.Context) error { return g.write(ctx, record.pool, txn) })
+	if store.KindOf(err) == store.KindConflict {
+		return &Error{Op: op, Kind: KindNoJob, Err: err}
+	}
 	return writeError(op, outcomeUnknown, err)
 }
 
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -54,8 +54,10 @@
 type jobRecord struct {
 	id job.ID
 	// pool is the pool that the job was accepted for, which may differ from that of its queue now.
-	pool      string
-	keys      pool.JobKeys
+	pool string
+	keys pool.JobKeys
+	// version is that of the job's row.
+	version   uint64
 	cancelled bool
 }
 
@@ -109,6 +111,7 @@
 			if record.pool = cmp.Or(content.GetPool(), record.pool); record.pool == "" {
 				return jobRecord{}, false, g.malformedRowError(op, malformed.Job, row, errNoPool)
 			}
+			record.version = row.Version
 			found = t.mayRead(content)
 		case record.keys.Cancel:
 			record.cancelled = g.isCancelled(row)
--- a/gateway/withdrawal_test.go
+++ b/gateway/withdrawal_test.go
@@ -130,3 +130,25 @@
 	is.True(c.take(now, "other"))
 	is.True(c.take(now.Add(pool.WithdrawalAge), "w"))
 }
+
+// Guards against LOST: a cancellation without an answer was carried out when its job had been deleted and another one was
+// accepted under the identifier, and cancelled that.
+func TestLateCancellationCancelsNoLaterJob(t *testing.T) {
+	is := is.New(t)
+	keys := pool.KeysOf(movedID)
+	s := &lateStore{memoryStore: newMemoryStore(), delayed: keys.Cancel}
+	g := newTestGatewayOn(s, inPool(1, "p1"))
+	call := Call{Host: "h", Path: movedPath, Key: "k"}
+	is.NoErr(submitTo(g, movedPath, "k"))
+	is.Equal(AsError(g.Cancel(context.Background(), call)).Kind, KindOutcomeUnknown)
+	s.Remove(keys.Job.Table, keys.Job.Part, keys.Job.Name) // as the holder does with old jobs
+	is.NoErr(submitTo(g, movedPath, "k"))
+	s.carryOut()
+	state, err := g.State(context.Background(), call)
+	is.NoErr(err)
+	is.Equal(state, pool.Queued)
+	is.NoErr(g.Cancel(context.Background(), call))
+	state, err = g.State(context.Background(), call)
+	is.NoErr(err)
+	is.Equal(state, pool.Cancelled)
+}
