gateway: a submission that may still be carried out is not refused

Callers see (by a test): a job whose submission was answered 503, "not taken", runs all the same (REFUSED).

Cause: the first try had no answer; the next one found the cancellation of the identifier and was refused, by which the caller was told that the job is not taken. That is true while the cancellation is there. One that is nearly a minute old is deleted by the holder, and the first try may be carried out after that.

Change: when the outcome of an earlier try is unknown and the cancellation will be deleted within 10 s, the answer is 504, as for other submissions of unknown outcome.

Evidence: gateway TestSubmissionBesideAnOldCancellationIsNotRefused failed before (503 beside a cancellation of 59 s) and passes, as do the other tests of the gateway.

--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"time"
 
 	"hollyfork.example/hollyfork/job"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
 )
 
+// maxWriteDelay is how long after it was sent a transaction without an answer may be carried out; some seconds, by the
+// platform's interface.
+const maxWriteDelay = 10 * time.Second
+
 // Submit accepts a job under the identifier in the path. It calls decode to read the job only after it has checked
 // that the caller may submit it.
 func (g *Gateway) Submit(ctx context.Context, call Call, decode func() (job.Job, error)) error {
@@ -55,25 +60,28 @@
 		return err
 	})
 	if store.KindOf(err) == store.KindConflict {
-		return g.conflictError(keys, err)
+		return g.conflictError(keys, outcomeUnknown, err)
 	}
 	return writeError("submit", outcomeUnknown, err)
 }
 
 // conflictError returns the error for the caller when the row of a job could not be written because one of its rows
-// exists.
-func (g *Gateway) conflictError(keys pool.JobKeys, err error) error {
+// exists. The outcome of an earlier try may be unknown.
+func (g *Gateway) conflictError(keys pool.JobKeys, outcomeUnknown bool, err error) error {
 	const op = "submit"
 	if row, ok := store.ConflictRow(err, keys.Job); !ok || row.Version > 0 {
 		// The job is already accepted: by an earlier try, by an earlier request or by another gateway.
 		return nil
 	}
 	// The identifier was cancelled: no try was carried out, and none will be while the row is there.
-	retryAfter := pool.WithdrawalAge
+	keptFor := pool.WithdrawalAge
 	if row, ok := store.ConflictRow(err, keys.Cancel); ok {
-		retryAfter = pool.WithdrawalEnd(row) - g.follower.StoreClock(g.now())
+		keptFor = pool.WithdrawalEnd(row) - g.follower.StoreClock(g.now())
+	}
+	if outcomeUnknown && keptFor < maxWriteDelay {
+		return &Error{Op: op, Kind: KindOutcomeUnknown, Err: errWithdrawn}
 	}
-	return &Error{Op: op, Kind: KindUnavailable, RetryAfter: min(max(retryAfter, RetryAfter), pool.WithdrawalAge), Err: errWithdrawn}
+	return &Error{Op: op, Kind: KindUnavailable, RetryAfter: min(max(keptFor, RetryAfter), pool.WithdrawalAge), Err: errWithdrawn}
 }
 
 // write commits a transaction and notifies the pool's holder of the written rows. If the store is known to be
--- a/gateway/withdrawal_test.go
+++ b/gateway/withdrawal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -152,3 +153,41 @@
 	is.NoErr(err)
 	is.Equal(state, pool.Cancelled)
 }
+
+// firstLateStore leaves the first transaction without an answer if it writes the delayed row.
+type firstLateStore struct {
+	lateStore
+
+	began bool
+}
+
+func (s *firstLateStore) Commit(ctx context.Context, txn store.Txn) (store.Stamp, error) {
+	if s.began {
+		return s.memoryStore.Commit(ctx, txn)
+	}
+	s.began = true
+	return s.lateStore.Commit(ctx, txn)
+}
+
+// Guards against REFUSED: a submission had no answer, and the next try found a cancellation, by which the caller was told
+// that the job is not taken. The cancellation was deleted, being old, and the first try was carried out after it.
+func TestSubmissionBesideAnOldCancellationIsNotRefused(t *testing.T) {
+	keys := pool.KeysOf(movedID)
+	for _, test := range []struct {
+		age  time.Duration
+		kind Kind
+	}{
+		{0, KindUnavailable},
+		{pool.WithdrawalAge - maxWriteDelay - time.Second, KindUnavailable},
+		{pool.WithdrawalAge - time.Second, KindOutcomeUnknown},
+	} {
+		is := is.New(t)
+		s := &firstLateStore{lateStore: lateStore{memoryStore: newMemoryStore(), delayed: keys.Job}}
+		g := newTestGatewayOn(s, inPool(1, "p1"))
+		s.Put(keys.Cancel.Table, keys.Cancel.Part, keys.Cancel.Name, pool.Encode(pool.CancelRow("p1", g.follower.StoreClock(now)-test.age)))
+		is.Equal(AsError(submitTo(g, movedPath, "k")).Kind, test.kind)
+
+		// Without a try that may be carried out later, the refusal is true.
+		is.Equal(AsError(submitTo(g, movedPath, "k")).Kind, KindUnavailable)
+	}
+}
