pool, holder: a row that an agent has written again is not deleted

Callers see (by reading and by tests): a worker whose agent comes back after two minutes of silence, just when the holder removes it, gets nothing for 10 to 13 s more; what was placed on it in between is lost.

An agent that registers in between has its new row deleted, and the feed's word of that closes the link to it.

Change: rows of removed agents are deleted like those of old withdrawals, in transactions of their own, on the condition that the row is the one that was read; not while the holder's lease isn't confirmed, since to one that was suspended all agents look silent. The deletion is given up when the agent replies.

TestLegacyAgentRowsAreReadAndDeleted looks for both deletions where they are now, with their conditions.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -199,13 +199,16 @@
 		h.askAdvice(now)
 	}
 	h.commit(now)
-	h.sweep(now)
+	h.sweep(h.core.TakeSweep(now))
+	if h.leaseValid(now) {
+		h.sweep(h.core.TakeAgentSweep(now))
+	}
 	h.updateCommittedEnds()
 }
 
-// sweep deletes rows that are too old. The conditions of the transactions make them safe without the lease.
-func (h *Holder) sweep(now time.Time) {
-	for _, txn := range h.core.TakeSweep(now) {
+// sweep deletes rows that are too old. The conditions of the transactions make them safe after the lease.
+func (h *Holder) sweep(txns []store.Txn) {
+	for _, txn := range txns {
 		go func() {
 			_, err := h.host.deps.Store.Commit(h.ctx, txn)
 			h.send(sweepResult{txn: txn, err: err})
@@ -408,12 +411,12 @@
 
 // handleAgentAddress applies an agent's new address, or removes an agent whose row was deleted.
 func (h *Holder) handleAgentAddress(now time.Time, a pool.AgentAddress) {
-	if a.Address == "" {
-		h.core.ForgetAgent(a.Agent)
-	} else {
-		h.core.AddAgent(now, a.Agent)
+	if a.Address != "" {
+		h.core.AddAgentRow(now, a)
+		h.setAgent(a)
+	} else if h.core.RemoveAgentRow(a) {
+		h.setAgent(a)
 	}
-	h.setAgent(a)
 }
 
 // setAgent opens the link to an agent's address; an empty address only closes the link.
--- a/holder/load.go
+++ b/holder/load.go
@@ -94,7 +94,7 @@
 	case pool.Cancellation:
 		r.core.CancelJob(now, i)
 	case pool.AgentAddress:
-		r.core.AddAgent(now, i.Agent)
+		r.core.AddAgentRow(now, i)
 		r.agents = append(r.agents, i)
 	}
 }
--- a/pool/cancellation_test.go
+++ b/pool/cancellation_test.go
@@ -186,7 +186,7 @@
 	sweep := c.TakeSweep(at)
 	is.Equal(len(sweep), 1)
 	c.HandleSweep(sweep[0], &store.Error{Op: "commit", Kind: store.KindConflict, Rows: []store.Row{{Key: keys.Cancel, Version: 5}, {Key: keys.Job, Version: 9}}})
-	is.Equal(len(c.TakeSweep(at.Add(withdrawalSweepInterval))), 0) // not at once again
+	is.Equal(len(c.TakeSweep(at.Add(sweepInterval))), 0) // not at once again
 	c.AddJob(at, NewJob{Job: j, Pool: "pool", Version: 9, Legacy: true})
 	is.Equal(onlyState(c), "cancelled")
 }
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -12,7 +12,7 @@
 )
 
 // A transaction has at most 100 entries and 1 MB, with values in base64. The rest of a batch is left for the lease, the
-// summary, the paces and the rows of removed agents.
+// summary and the paces.
 const (
 	// maxBatchWrites is the maximum number of rows of jobs in a batch.
 	maxBatchWrites = 90
@@ -29,10 +29,9 @@
 		Writes []store.Write
 
 		// bytes is the size of the values of all rows of jobs.
-		bytes         int
-		items         []batchItem
-		summary       map[string]int
-		removedAgents []string
+		bytes   int
+		items   []batchItem
+		summary map[string]int
 	}
 
 	batchItem struct {
@@ -67,7 +66,6 @@
 		}
 	}
 	c.addSummary(b)
-	c.addAgentRemovals(b)
 	if write, due := c.pacesRow(); due {
 		b.Writes = append(b.Writes, write)
 	}
@@ -133,21 +131,6 @@
 	b.Writes = append(b.Writes, store.Write{Key: SummaryKey(c.name), Value: Encode(row)})
 }
 
-// maxBatchAgentRemovals bounds the agents whose rows a batch deletes.
-const maxBatchAgentRemovals = 2
-
-// addAgentRemovals adds the deletion of agents' rows.
-func (c *Core) addAgentRemovals(b *Batch) {
-	count := min(len(c.agentsToRemove), maxBatchAgentRemovals)
-	b.removedAgents = c.agentsToRemove[:count]
-	c.agentsToRemove = c.agentsToRemove[count:]
-	for _, agent := range b.removedAgents {
-		for _, key := range []store.Key{AgentKey(c.name, agent), legacyAgentKey(c.name, agent)} {
-			b.Writes = append(b.Writes, store.Write{Key: key, Delete: true})
-		}
-	}
-}
-
 // waitingByQueue counts, by queue, the jobs without a schedule of which no task was started.
 func (c *Core) waitingByQueue() map[string]int {
 	waiting := map[string]int{}
@@ -193,7 +176,6 @@
 func (c *Core) BatchFailed() {
 	b := c.batchInFlight
 	c.batchInFlight = nil
-	c.agentsToRemove = append(b.removedAgents, c.agentsToRemove...)
 	for _, item := range b.items {
 		if !item.job.dirty {
 			item.job.dirty = true
--- a/pool/core.go
+++ b/pool/core.go
@@ -5,6 +5,7 @@
 
 	"hollyfork.example/hollyfork/catalog"
 	"hollyfork.example/hollyfork/job"
+	"hollyfork.example/hollyfork/store"
 )
 
 // Core is the state of a pool. Create it with New, then load the stored rows with AddJob and
@@ -55,8 +56,9 @@
 	batchInFlight *Batch
 	// committedChanged lists the agents for which the result of Committed may have changed.
 	committedChanged []string
-	// agentsToRemove lists the agents whose rows are to be deleted.
-	agentsToRemove []string
+	// removedAgentRows are, by agent, the versions of the rows of removed agents, which are to be deleted.
+	removedAgentRows map[string]map[store.Key]uint64
+	agentsSweptAt    time.Time
 	// recentCrashes are the times of recent worker crashes. crashesCountedSince is when this holder
 	// began to count them.
 	recentCrashes       []recentCrash
@@ -82,14 +84,15 @@
 // New returns an empty pool that emits its events to observer, which may be nil.
 func New(name string, settings Settings, observer Observer) *Core {
 	return &Core{
-		name:     name,
-		settings: settings,
-		observer: observer,
-		catalog:  &catalog.Catalog{},
-		jobs:     map[job.ID]*jobState{},
-		liveJobs: map[job.ID]*jobState{},
-		workers:  map[string]*worker{},
-		paces:    paceEstimator{minSpread: settings.LeastPaceSpread},
+		name:             name,
+		settings:         settings,
+		observer:         observer,
+		catalog:          &catalog.Catalog{},
+		jobs:             map[job.ID]*jobState{},
+		liveJobs:         map[job.ID]*jobState{},
+		workers:          map[string]*worker{},
+		removedAgentRows: map[string]map[store.Key]uint64{},
+		paces:            paceEstimator{minSpread: settings.LeastPaceSpread},
 	}
 }
 
--- a/pool/intake.go
+++ b/pool/intake.go
@@ -61,6 +61,9 @@
 	AgentAddress struct {
 		Agent   string
 		Address string
+		// Key and Version are those of the row, or of its deletion.
+		Key     store.Key
+		Version uint64
 	}
 )
 
@@ -121,7 +124,7 @@
 func decodeAgent(row store.Row, agent string) (Intake, error) {
 	content := &poolpb.AgentRow{}
 	if row.Deleted {
-		return AgentAddress{Agent: agent}, nil
+		return AgentAddress{Agent: agent, Key: row.Key, Version: row.Version}, nil
 	}
 	if err := proto.Unmarshal(row.Value, content); err != nil {
 		return nil, &Error{Op: "decode agent " + agent, Kind: KindCorrupt, Err: err}
@@ -130,7 +133,7 @@
 	if err != nil || address.Port() == 0 {
 		return nil, &Error{Op: "decode agent " + agent, Kind: KindCorrupt, Err: err}
 	}
-	return AgentAddress{Agent: agent, Address: content.GetAddress()}, nil
+	return AgentAddress{Agent: agent, Address: content.GetAddress(), Key: row.Key, Version: row.Version}, nil
 }
 
 func decodeCancel(row store.Row, id job.ID, clock Clock) (Intake, error) {
--- a/pool/key_test.go
+++ b/pool/key_test.go
@@ -68,13 +68,15 @@
 	is.True(slices.Contains(IntakeParts("pool"), legacy.Part))
 	c := New("pool", DefaultSettings(), nil)
 	began := time.Unix(9000, 0)
-	c.AddAgent(began, "agent")
+	c.AddAgentRow(began, AgentAddress{Agent: "agent", Address: "10.0.0.1:1", Key: legacy, Version: 3})
+	c.AddAgentRow(began, AgentAddress{Agent: "agent", Address: "10.0.0.1:1", Key: AgentKey("pool", "agent"), Version: 4})
 	c.Tick(began.Add(c.settings.ForgetAfter))
-	deleted := 0
-	for _, w := range c.TakeBatch().Writes {
-		if w.Delete && (w.Key == legacy || w.Key == AgentKey("pool", "agent")) {
-			deleted++
-		}
+	deleted := map[store.Key]uint64{}
+	for _, txn := range c.TakeAgentSweep(began.Add(c.settings.ForgetAfter)) {
+		is.Equal(len(txn.Writes), 1) // the rows lie in different parts
+		is.True(txn.Writes[0].Delete)
+		is.Equal(txn.Checks[0].Key, txn.Writes[0].Key)
+		deleted[txn.Writes[0].Key] = txn.Checks[0].Version
 	}
-	is.Equal(deleted, 2)
+	is.Equal(deleted, map[store.Key]uint64{legacy: 3, AgentKey("pool", "agent"): 4})
 }
--- a/pool/malformed_test.go
+++ b/pool/malformed_test.go
@@ -119,9 +119,9 @@
 			t.Errorf("%s is read as %#v", name, item)
 		}
 	}
-	item, err := DecodeIntake(store.Row{Key: AgentKey("pool", "a"), Deleted: true}, Clock{})
+	item, err := DecodeIntake(store.Row{Key: AgentKey("pool", "a"), Version: 7, Deleted: true}, Clock{})
 	is.NoErr(err)
-	is.Equal(item, AgentAddress{Agent: "a"})
+	is.Equal(item, AgentAddress{Agent: "a", Key: AgentKey("pool", "a"), Version: 7})
 }
 
 func TestBadStateRowsAreRejected(t *testing.T) {
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -270,7 +270,8 @@
 	is := is.New(t)
 	sim := newSimulation(t, 2)
 	key := AgentKey("pool", "worker-0")
-	sim.rows[key] = store.Row{Key: key, Value: []byte("an address")}
+	sim.rows[key] = store.Row{Key: key, Value: []byte("an address"), Version: 3}
+	sim.core.AddAgentRow(sim.now, AgentAddress{Agent: "worker-0", Address: "an address", Key: key, Version: 3})
 	sim.run(time.Second)
 	sim.workers[0].silent = true
 	sim.run(90 * time.Second)
--- a/pool/sim_test.go
+++ b/pool/sim_test.go
@@ -390,6 +390,9 @@
 	if request, ok := sim.core.TakeAdviceRequest(sim.now); ok {
 		sim.after(sim.adviceDelay, sim.forCurrentHolder(func() { sim.replyToAdviceRequest(request) }))
 	}
+	for _, txn := range sim.core.TakeAgentSweep(sim.now) {
+		sim.commitSweep(txn)
+	}
 	if batch := sim.core.TakeBatch(); batch != nil {
 		sim.after(4*time.Millisecond, sim.forCurrentHolder(func() { sim.commit(batch) }))
 	}
--- a/pool/withdrawal_test.go
+++ b/pool/withdrawal_test.go
@@ -25,7 +25,7 @@
 	c.CancelJob(began, Cancellation{ID: "00000000000000a1", At: began.Add(time.Hour), Noticed: true})
 	is.Equal(len(c.TakeSweep(began.Add(WithdrawalAge-time.Millisecond))), 0)
 
-	at := began.Add(WithdrawalAge + withdrawalSweepInterval)
+	at := began.Add(WithdrawalAge + sweepInterval)
 	sweep := c.TakeSweep(at)
 	is.Equal(len(sweep), 1)
 	keys := KeysOf("00000000000000a1")
@@ -34,13 +34,13 @@
 		Writes: []store.Write{{Key: keys.Cancel, Delete: true}},
 	})
 	c.HandleSweep(sweep[0], &store.Error{Op: "commit", Kind: store.KindOutcomeUnknown})
-	at = at.Add(withdrawalSweepInterval)
+	at = at.Add(sweepInterval)
 	is.Equal(len(c.TakeSweep(at)), 1) // until its outcome is known
 
 	c.CancelJob(at, withdrawalOf("00000000000000a1", 7, at))
 	c.HandleSweep(sweep[0], &store.Error{Op: "commit", Kind: store.KindConflict, Rows: []store.Row{{Key: keys.Cancel, Version: 7}, {Key: keys.Job}}})
 	is.Equal(len(c.TakeSweep(at.Add(WithdrawalAge-time.Millisecond))), 0)
-	sweep = c.TakeSweep(at.Add(WithdrawalAge + withdrawalSweepInterval))
+	sweep = c.TakeSweep(at.Add(WithdrawalAge + sweepInterval))
 	is.Equal(len(sweep), 1)
 	c.HandleSweep(sweep[0], nil)
 	is.Equal(len(c.withdrawals.byKey), 0)
@@ -57,7 +57,7 @@
 	}
 	at = at.Add(WithdrawalAge)
 	for range 10 {
-		at = at.Add(withdrawalSweepInterval)
+		at = at.Add(sweepInterval)
 		for _, txn := range c.TakeSweep(at) {
 			is.True(len(txn.Checks)+len(txn.Writes) <= entriesLimit)
 			c.HandleSweep(txn, nil)
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -6,6 +6,7 @@
 
 	"hollyfork.example/hollyfork/instance"
 	"hollyfork.example/hollyfork/job"
+	"hollyfork.example/hollyfork/store"
 )
 
 type (
@@ -13,6 +14,8 @@
 	worker struct {
 		agent       string
 		incarnation string
+		// rows are the versions of the rows by which the agent has told its address.
+		rows map[store.Key]uint64
 		// instance is the worker's current instance; zero if it is not known. reported is set once the
 		// agent has reported its worker, and cleared with the instance when the lease has lapsed.
 		instance instance.ID
@@ -122,6 +125,11 @@
 			leaseEnd:   c.settings.leaseEnd(now),
 			knownSince: now,
 			orphans:    map[runKey]*orphanRun{},
+			rows:       map[store.Key]uint64{},
+		}
+		if rows, removed := c.removedAgentRows[agent]; removed {
+			w.rows = rows
+			delete(c.removedAgentRows, agent)
 		}
 		c.workers[agent] = w
 		c.workersByName = nil
@@ -134,11 +142,29 @@
 	c.worker(now, agent)
 }
 
-// ForgetAgent removes an agent whose row was deleted, unless runs are placed on its worker.
-func (c *Core) ForgetAgent(agent string) {
-	if w, known := c.workers[agent]; known && len(w.members) == 0 {
+// AddAgentRow adds the agent of a row if it is not known, and records the row's version.
+func (c *Core) AddAgentRow(now time.Time, row AgentAddress) {
+	c.worker(now, row.Agent).rows[row.Key] = row.Version
+}
+
+// RemoveAgentRow removes an agent whose row was deleted, unless another row tells its address or runs are placed on its
+// worker. It reports whether no row tells its address any more.
+func (c *Core) RemoveAgentRow(removal AgentAddress) bool {
+	c.forgetRemovedRow(removal.Agent, removal.Key)
+	w, known := c.workers[removal.Agent]
+	if !known {
+		return true
+	}
+	if w.rows[removal.Key] < removal.Version { // otherwise it was written again
+		delete(w.rows, removal.Key)
+	}
+	if len(w.rows) > 0 {
+		return false
+	}
+	if len(w.members) == 0 {
 		c.dropWorker(w)
 	}
+	return true
 }
 
 // removeSilentAgent removes an agent that has been silent for ForgetAfter, and has its row deleted,
@@ -152,7 +178,9 @@
 		return
 	}
 	c.emit(Event{Kind: EventAgentRemoved, Worker: w.agent, Detail: "silent for " + now.Sub(last).Round(time.Second).String()})
-	c.agentsToRemove = append(c.agentsToRemove, w.agent)
+	if len(w.rows) > 0 {
+		c.removedAgentRows[w.agent] = w.rows
+	}
 	c.dropWorker(w)
 }
 
