--- a/pool/commit.go
+++ b/pool/commit.go
@@ -100,6 +100,7 @@
 	}
 	b.items = append(b.items, item)
 	b.bytes += len(row)
+	j.compressedBytes = compressedLength(row)
 	b.Writes = append(b.Writes, store.Write{Key: StateKey(pool, j.job.ID), Value: row})
 }
 
--- a/pool/jobstate.go
+++ b/pool/jobstate.go
@@ -55,6 +55,8 @@
 		dirty            bool
 		// unwrittenBytes is the size of the job's row if that was too large to be written, or 0.
 		unwrittenBytes int
+		// compressedBytes is the size of the job's last row if it was compressed, or 0.
+		compressedBytes int
 		// unreadable reports that the job's state row could not be decoded. None of its tasks is
 		// started, and ends of its runs are ignored, until its caller cancels it.
 		unreadable bool
--- a/pool/restore.go
+++ b/pool/restore.go
@@ -34,6 +34,7 @@
 		delete(c.liveJobs, j.job.ID)
 		return err
 	}
+	j.compressedBytes = compressedLength(row.Value)
 	c.restoreJob(now, j, content)
 	return nil
 }
--- a/pool/round.go
+++ b/pool/round.go
@@ -48,18 +48,20 @@
 	return number < l.doneBelow || l.done[number]
 }
 
-// openRounds opens the rounds of a job that have started by its schedule, and reports whether it opened any.
-func (c *Core) openRounds(now time.Time, j *jobState) bool {
-	opened := false
-	for j.roundLog.next < j.job.Schedule.Rounds() && len(j.rounds) < maxOpenRounds {
+// openRounds opens the rounds of a job that have started by its schedule.
+func (c *Core) openRounds(now time.Time, j *jobState) {
+	for j.roundLog.next < j.job.Schedule.Rounds() && j.mayOpenRound() {
 		if now.Add(c.timeOfDayOffset).Before(j.job.EarliestStart(j.roundLog.next)) {
-			break
+			return
 		}
 		j.openRound(now, j.roundLog.next, c.timeOfDayOffset)
-		opened = true
+		c.capacityChanged = true
 	}
-	c.capacityChanged = c.capacityChanged || opened
-	return opened
+}
+
+// mayOpenRound reports whether the job's row is short enough for another round.
+func (j *jobState) mayOpenRound() bool {
+	return len(j.rounds) == 0 || len(j.rounds) < maxOpenRounds && j.compressedBytes < maxBytesToOpen
 }
 
 // openRound adds a round's groups to the job. The schedule of a job holds times of day; offset is added to
