--- a/holder/holder.go
+++ b/holder/holder.go
@@ -206,7 +206,7 @@
 	h.updateCommittedEnds()
 }
 
-// sweep deletes rows that are too old. The conditions of the transactions make them safe after the lease.
+// sweep deletes rows that are too old. The transactions don't meet the lease: their conditions name the rows' versions.
 func (h *Holder) sweep(txns []store.Txn) {
 	for _, txn := range txns {
 		go func() {
--- a/pool/jobstate.go
+++ b/pool/jobstate.go
@@ -99,15 +99,13 @@
 // addRow records a row of the job. The version may come later than the row.
 func (j *jobState) addRow(added NewJob) {
 	i := slices.IndexFunc(j.rows, func(r jobRow) bool { return r.legacy == added.Legacy })
-	switch row := (jobRow{legacy: added.Legacy, version: added.Version, checked: added.Checked}); {
-	case i >= 0 && j.rows[i].version > 0:
-	case i >= 0:
-		j.rows[i].version = added.Version
-	case added.Legacy:
-		j.rows = append(j.rows, row)
-	default:
-		j.rows = slices.Insert(j.rows, 0, row)
+	if i >= 0 {
+		if j.rows[i].version == 0 {
+			j.rows[i].version = added.Version
+		}
+		return
 	}
+	j.rows = append(j.rows, jobRow{legacy: added.Legacy, version: added.Version, checked: added.Checked})
 }
 
 // keys returns the keys of the rows that callers write for a job of a pool.
