--- a/holder/cancellation_test.go
+++ b/holder/cancellation_test.go
@@ -2,21 +2,15 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
-	"github.com/phuslu/log"
 
 	"hollyfork.example/hollyfork/clock/clocktest"
 	"hollyfork.example/hollyfork/mailbox"
-	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
-	"hollyfork.example/rpc"
 	"hollyfork.example/wire/poolpb"
 )
 
@@ -66,18 +60,7 @@
 // Without the version of its row, a notice of a cancellation would be left to the feed.
 func TestNoticesCarryTheVersionOfTheRow(t *testing.T) {
 	is := is.New(t)
-	notices := make(noticeRecorder, 1)
-	server := rpc.NewServer(0, nil)
-	is.NoErr(server.Register(NoticeServiceName, notices))
-	config := net.ListenConfig{}
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	go func() { _ = server.Serve(listener) }()
-	defer func() { _ = server.Close() }()
-	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	host := New("pool", "gateway", "10.0.0.9:1", pool.DefaultSettings(), Deps{Clock: clocktest.New(), Logger: logger, Malformed: malformed.New(logger, metrics.NewSet())})
-	host.setNoticeTarget(listener.Addr().String())
-
+	host, notices := newNoticeSender(t)
 	host.Notify(jobRow(pool.KeysOf(testID), 7), 0)
 	is.Equal((<-notices).GetVersion(), uint64(7))
 
--- a/holder/intake.go
+++ b/holder/intake.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"hollyfork.example/hollyfork/backoff"
 	"hollyfork.example/hollyfork/malformed"
 	"hollyfork.example/hollyfork/pool"
 	"hollyfork.example/hollyfork/store"
@@ -47,3 +48,67 @@
 	}
 	return items
 }
+
+// handleIntake handles new rows of the intake table.
+func (h *Holder) handleIntake(now time.Time, page store.Page) {
+	clocks := pool.Clock{Now: now, Store: page.Stamp.Clock}
+	for _, item := range h.host.decodeIntake(page.Rows, clocks) {
+		switch i := item.(type) {
+		case pool.NewJob:
+			h.core.AddJob(now, i)
+		case pool.Cancellation:
+			h.core.CancelJob(now, i)
+		case pool.CancellationRemoval:
+			h.core.RemoveCancellation(i)
+		case pool.AgentAddress:
+			h.handleAgentAddress(now, i)
+		}
+	}
+}
+
+// handleNotice handles a row that its writer has told of, and that the feed may not have brought yet.
+func (h *Holder) handleNotice(now time.Time, m noticedRow) {
+	clocks := pool.Clock{Now: now, Store: m.storeClock}
+	for _, item := range h.host.decodeIntake([]store.Row{m.row}, clocks) {
+		switch i := item.(type) {
+		case pool.NewJob:
+			i.Noticed = true
+			h.core.AddJob(now, i)
+		case pool.Cancellation:
+			i.Noticed = true
+			h.core.CancelJob(now, i)
+		}
+	}
+}
+
+// handleAgentAddress applies an agent's new address, or removes an agent whose row was deleted.
+func (h *Holder) handleAgentAddress(now time.Time, a pool.AgentAddress) {
+	if a.Address != "" {
+		h.core.AddAgentRow(now, a)
+		h.setAgent(a)
+	} else if h.core.RemoveAgentRow(a) {
+		h.setAgent(a)
+	}
+}
+
+// followIntake sends changed rows of the intake table to the actor.
+func (h *Holder) followIntake() {
+	version := h.intakeVersion
+	retry := backoff.New(minRetryDelay, maxRetryDelay)
+	for h.ctx.Err() == nil {
+		page, err := h.host.deps.Store.Follow(h.ctx, pool.IntakeTable, version, intakeWait)
+		complete := store.KindOf(err) == store.KindHistoryGone
+		if complete {
+			page, err = h.host.readIntake(h.ctx)
+		}
+		if err != nil {
+			retry.Wait(h.ctx)
+			continue
+		}
+		retry.Reset()
+		version = page.Stamp.Version
+		if len(page.Rows) > 0 || complete {
+			h.send(intakeRows{page: page, complete: complete})
+		}
+	}
+}
--- a/holder/notice_test.go
+++ b/holder/notice_test.go
@@ -28,9 +28,9 @@
 	return nil
 }
 
-// A gateway on standby sends notices to a relay, which forwards them to the holder. If a relay has a wrong address of
-// the holder, notices must not circulate.
-func TestNoticesAreForwardedOnce(t *testing.T) {
+// newNoticeSender returns a host that sends its notices to another process, and those notices.
+func newNoticeSender(t *testing.T) (*Host, noticeRecorder) {
+	t.Helper()
 	is := is.New(t)
 	notices := make(noticeRecorder, 2)
 	server := rpc.NewServer(0, nil)
@@ -39,11 +39,18 @@
 	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	go func() { _ = server.Serve(listener) }()
-	defer func() { _ = server.Close() }()
-
+	t.Cleanup(func() { _ = server.Close() })
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	host := New("pool", "relay", "10.0.0.9:1", pool.DefaultSettings(), Deps{Clock: clocktest.New(), Logger: logger, Malformed: malformed.New(logger, metrics.NewSet())})
 	host.setNoticeTarget(listener.Addr().String())
+	return host, notices
+}
+
+// A gateway on standby sends notices to a relay, which forwards them to the holder. If a relay has a wrong address of
+// the holder, notices must not circulate.
+func TestNoticesAreForwardedOnce(t *testing.T) {
+	is := is.New(t)
+	host, notices := newNoticeSender(t)
 	service := NewNoticeService(func(string) (*Host, bool) { return host, true })
 	is.NoErr(service.Tell(&poolpb.NoticeRequest{Pool: "pool", Name: "job/1/spec"}, &poolpb.NoticeReply{}))
 	select {
