pool: fillers give way to tasks that serve

Cause: the two never share a worker, and nothing said which of them yields. Each worker was refused for its filler, and preemption plans counted the fillers that they would stop as if they stayed.

Change: a group with a target that fits nowhere has the fillers of a worker stopped, if these are of no higher rank and their step permits it. Fillers are placed after the others of their rank, so that they don't take the worker back first.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -18,6 +18,8 @@
 	ready []*group
 	// rank is the class by which rounds are sorted first; see pass.rank.
 	rank int
+	// fills reports whether all ready groups are fillers, which are sorted after all others of their rank.
+	fills bool
 	// deprioritised reports whether the round is sorted after all others of its priority.
 	deprioritised bool
 	due           time.Time
@@ -110,12 +112,14 @@
 func (p *pass) sortRounds(rounds []readyRound) {
 	for i := range rounds {
 		rounds[i].rank = p.rank(rounds[i].job)
+		rounds[i].fills = rounds[i].onlyFills()
 		rounds[i].due = rounds[i].round.due
 		rounds[i].deprioritised = rounds[i].rank == 0 && rounds[i].round.deprioritised(p.now, rounds[i].job.job)
 	}
 	slices.SortFunc(rounds, func(a, b readyRound) int {
 		return cmp.Or(
 			cmp.Compare(a.rank, b.rank),
+			compareBool(a.fills, b.fills),
 			compareBool(a.deprioritised, b.deprioritised),
 			a.due.Compare(b.due),
 			cmp.Compare(a.job.job.ID, b.job.job.ID),
@@ -206,6 +210,9 @@
 		d.noCapacity = d.noCapacity || noHistory
 	}
 	p.startPreferenceWait(g, d, noHistory)
+	if p.displaceFillers(g, d) {
+		return
+	}
 	if d.priority != 0 {
 		p.reserve(g, d, noHistory)
 		return
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -174,7 +174,7 @@
 		return objectionLabel
 	case p.core.needsTicket(p.now, g.job) && !g.round.ticket(g.step, w.instance).validForPlacement(p.now):
 		return objectionTicket
-	case w.interferes(step):
+	case !g.displacesFillers && w.interferes(step):
 		return objectionInterferes
 	case p.now.Before(g.avoided[w]):
 		return objectionRefused
--- a/pool/group.go
+++ b/pool/group.go
@@ -97,6 +97,8 @@
 		progressAt time.Time
 		// avoidsSlow restricts the current search to workers that are not slow.
 		avoidsSlow bool
+		// displacesFillers lets the current search use workers with fillers, which are to be stopped.
+		displacesFillers bool
 		// anyRack lifts the preferences for racks in the current search.
 		anyRack bool
 		// fastFirst makes the current search prefer fast workers.
