pool: a group leaves the racks that tasks that last hold

Cause: while half of the pool is in use, a group is kept in the rack of its data, or in one rack, until there is room. Tasks that last never make any.

Change: a group that has waited for 1.5 s beside free workers leaves the racks that it prefers if tasks that last run there and these racks have no room even without all other runs. Work that ends is waited for, as before.

Evidence: pool TestGroupLeavesRacksThatTasksThatLastHold failed before (a task, a gang) and passes; TestGroupWaitsForARackWhoseWorkEnds holds the other side.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -178,7 +178,7 @@
 	var d *demandState
 	for i, g := range ready {
 		g.relaxation = p.relaxationOf(g)
-		g.anyRack = p.reclaimsAnyRack(g)
+		g.anyRack = p.reclaimsAnyRack(g) || p.waitsForHeldRack(g)
 		if i == 0 || g.step != ready[i-1].step || g.relaxation != ready[i-1].relaxation || g.anyRack != ready[i-1].anyRack {
 			d = p.demandStateOf(g)
 		}
--- a/pool/pass.go
+++ b/pool/pass.go
@@ -62,6 +62,8 @@
 		// demandStates caches search results by demand; preemptions counts the preemptions made by this pass.
 		demandStates map[demand]*demandState
 		preemptions  int
+		// heldRacks caches whether tasks that last keep the racks that a group prefers from having room for it.
+		heldRacks map[rackNeed]bool
 		// candidateBuffer is reused by each search for candidates to avoid allocations.
 		candidateBuffer []candidate
 	}
