pool: a notice without a version cancels a job that was accepted before

Callers see (by a trial): while gateways of two releases run by turns and the store's feeds are silent, a job whose DELETE a gateway of the release before has taken runs on until the feeds report changes again.

Cause: its notices have no version, so that a cancellation in one was left to the feed.

Writes are late by seconds, and gateways' readings of the store's clock differ by less.

--- a/pool/cancellation.go
+++ b/pool/cancellation.go
@@ -114,9 +114,20 @@
 	return effect
 }
 
-// acceptedBefore reports whether the versions show that the job was accepted before a cancellation.
+// acceptedBefore reports whether it is certain that the job was accepted before a cancellation of which a notice tells. Without
+// a version, as in notices of earlier releases, the times of both rows tell: a cancellation from before the acceptance had
+// been kept for WithdrawalAge by then.
 func (j *jobState) acceptedBefore(row withdrawal) bool {
-	return slices.ContainsFunc(j.rows, func(r jobRow) bool { return r.isOrdered(row) && r.effectOf(row) == effectEnds })
+	return slices.ContainsFunc(j.rows, func(r jobRow) bool {
+		switch {
+		case !r.isOrdered(row):
+			return false
+		case r.version == 0 || row.version == 0:
+			return row.at.After(j.job.Accepted.Add(-WithdrawalAge / 2))
+		default:
+			return r.effectOf(row) == effectEnds
+		}
+	})
 }
 
 // isOrdered reports whether the job's row was written on the condition that there was no row under the cancellation's key.
